Rename the crate of store clients to storage

Cause: the adapter of the users' deployment is to be the only thing called platform. Change: crates/platform becomes crates/storage; no code changes besides names.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -8,8 +8,8 @@
 
 use std::sync::Arc;
 
-use platform::{objects::Objects, table::Table};
 use salvo::Router;
+use storage::{objects::Objects, table::Table};
 
 use crate::{
     access::{Operators, Role},
--- a/crates/admin/src/api/order.rs
+++ b/crates/admin/src/api/order.rs
@@ -9,12 +9,12 @@
     snapshot::Snapshot,
 };
 use orders::Fencing;
-use platform::{
+use salvo::{Depot, Request, Response, handler, http::StatusCode, writing::Json};
+use serde::Deserialize;
+use storage::{
     hosts::{self, Hosts},
     table::Table,
 };
-use salvo::{Depot, Request, Response, handler, http::StatusCode, writing::Json};
-use serde::Deserialize;
 use tokio::time::Instant;
 use units::{backend, operator};
 
@@ -119,7 +119,7 @@
     }
 
     /// Where the engine called `server` is, from its pool or the host list.
-    async fn target(&self, server: &backend::Server) -> Result<Option<Target>, platform::Error> {
+    async fn target(&self, server: &backend::Server) -> Result<Option<Target>, storage::Error> {
         let version = self.0.view().version;
         if let Some(target) = declared(&version.snapshot, server) {
             return Ok(Some(target));
--- a/crates/admin/src/api/propose.rs
+++ b/crates/admin/src/api/propose.rs
@@ -8,9 +8,9 @@
     proposal,
     refused::Refused,
 };
-use platform::table::Table;
 use salvo::{Depot, Request, Response, handler, http::StatusCode, writing::Json};
 use serde::de::DeserializeOwned;
+use storage::table::Table;
 use tokio::time::Instant;
 use units::{change, operator};
 
--- a/crates/admin/src/api/read.rs
+++ b/crates/admin/src/api/read.rs
@@ -4,12 +4,12 @@
 
 use audit::{archive, reader, refusals};
 use config::{answer::History, key};
-use platform::{objects::Objects, table::Table};
 use salvo::{
     Request, Response, handler,
     writing::{Json, Text},
 };
 use serde::Serialize;
+use storage::{objects::Objects, table::Table};
 use tokio::time::Instant;
 use units::{change, revision};
 
--- a/crates/admin/src/fleet.rs
+++ b/crates/admin/src/fleet.rs
@@ -15,8 +15,8 @@
     state::Router,
 };
 use hyper::Method;
-use platform::http;
 use serde::Deserialize;
+use storage::http;
 use tokio::{sync::watch, task, time};
 use units::{availability, host, revision};
 
--- a/crates/admin/src/orders.rs
+++ b/crates/admin/src/orders.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use orders::{Denial, Fencing, Lease, Permit};
-use platform::{http, table::Table};
 use serde::{Deserialize, Serialize};
+use storage::{http, table::Table};
 use tokio::{
     sync::{mpsc, oneshot},
     task,
@@ -196,7 +196,7 @@
     }
 
     /// Refuses what waits: nobody can tell who holds the lease, nor for how long.
-    fn give_up(&mut self, error: &platform::Error) {
+    fn give_up(&mut self, error: &storage::Error) {
         for waiting in self.waiting.drain(..) {
             let failure = Failure::Unavailable(error.to_string());
             drop(waiting.reply.send(Err(failure)));
@@ -271,7 +271,7 @@
     order: &Order,
     deadline: Instant,
 ) -> Result<orders::Fence, Failure> {
-    let unreachable = |error: platform::Error| Failure::Unreachable(error.to_string());
+    let unreachable = |error: storage::Error| Failure::Unreachable(error.to_string());
     let body = serde_json::to_vec(&Fenced { fence, order })
         .map_err(|error| Failure::Refused(error.to_string()))?;
     let request = http::request(Method::POST, "/orders", Bytes::from(body)).map_err(unreachable)?;
@@ -285,7 +285,7 @@
             Err(Failure::Refused(format!("status {}", answer.status)))
         }
         Ok(answer) => Err(Failure::Unknown(format!("status {}", answer.status))),
-        Err(error @ platform::Error::MayHaveRun(_)) => Err(Failure::Unknown(error.to_string())),
+        Err(error @ storage::Error::MayHaveRun(_)) => Err(Failure::Unknown(error.to_string())),
         Err(error) => Err(unreachable(error)),
     }
 }
--- a/crates/admin/src/orders/driver.rs
+++ b/crates/admin/src/orders/driver.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use orders::{Lease, Row, Stored, Work, Written};
-use platform::{
+use storage::{
     Error,
     table::{self, Check, Put, Table, Transaction},
 };
--- a/crates/admin/src/process.rs
+++ b/crates/admin/src/process.rs
@@ -3,12 +3,12 @@
 use std::{io, net, sync::Arc};
 
 use audit::{archive, refusals};
-use platform::{hosts, objects, table};
 use salvo::{
     Listener, Server,
     conn::{Acceptor, TcpListener},
     server::ServerHandle,
 };
+use storage::{hosts, objects, table};
 use tokio::{task, time};
 use units::host;
 
--- a/crates/admin/src/store.rs
+++ b/crates/admin/src/store.rs
@@ -11,7 +11,7 @@
     resource::Resource,
     rows,
 };
-use platform::table::{Check, Put, Table, Transaction};
+use storage::table::{Check, Put, Table, Transaction};
 use tokio::{sync::watch, time};
 use units::{operator, revision};
 
@@ -242,9 +242,9 @@
                 self.hold_change(version, &change, generations.first().copied());
                 Try::Done(Ok(Outcome::Accepted(change.to)))
             }
-            Err(platform::Error::Conflict(_)) => Try::Overtaken,
-            Err(platform::Error::MayHaveRun(reason)) => Try::Lost(reason),
-            Err(platform::Error::NotRun(reason) | platform::Error::Rejected(reason)) => {
+            Err(storage::Error::Conflict(_)) => Try::Overtaken,
+            Err(storage::Error::MayHaveRun(reason)) => Try::Lost(reason),
+            Err(storage::Error::NotRun(reason) | storage::Error::Rejected(reason)) => {
                 Try::Down(reason)
             }
         }
@@ -301,7 +301,7 @@
 /// The end of a try that could not read.
 fn unread(error: &reader::Error) -> Try {
     match error {
-        reader::Error::Platform(platform::Error::MayHaveRun(reason)) => Try::Unread(reason.clone()),
+        reader::Error::Platform(storage::Error::MayHaveRun(reason)) => Try::Unread(reason.clone()),
         other => Try::Down(other.to_string()),
     }
 }
--- a/crates/admin/tests/fakes/table.rs
+++ b/crates/admin/tests/fakes/table.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex},
 };
 
-use platform::{
+use storage::{
     Conflict, Error,
     table::{Range, Row, Table, Transaction},
 };
--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -13,9 +13,9 @@
     refused::Reason,
 };
 use hyper::{Method, StatusCode, header};
-use platform::http::{self, Answer};
 use serde_json::{Value, json};
 use standin::platform::{self as stand, Fault};
+use storage::http::{self, Answer};
 use tokio::time::{self, Instant};
 
 /// A platform, an administration over it and a client of the latter.
--- a/crates/admin/tests/orders.rs
+++ b/crates/admin/tests/orders.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use config::answer::{Code, Failure, Verdict};
 use hyper::{Method, StatusCode};
-use platform::http;
 use serde_json::{Value, json};
 use standin::{
     engine,
     platform::{self as stand, Fault},
 };
+use storage::http;
 use tokio::time::{self, Instant};
 
 const ROUNDS: usize = 4;
--- a/crates/admin/tests/process.rs
+++ b/crates/admin/tests/process.rs
@@ -17,9 +17,9 @@
     snapshot::Snapshot,
 };
 use hyper::{Method, StatusCode};
-use platform::http;
 use serde_json::{Value, json};
 use standin::platform::{self as stand, Fault};
+use storage::http;
 use tokio::{
     task,
     time::{self, Instant},
--- a/crates/audit/src/archive.rs
+++ b/crates/audit/src/archive.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use config::{change::Change, rows};
-use platform::{
+use storage::{
     Error as Failed,
     objects::{Condition, Objects},
     table::{Table, Transaction},
--- a/crates/audit/src/reader.rs
+++ b/crates/audit/src/reader.rs
@@ -3,8 +3,8 @@
 use std::{error, fmt};
 
 use config::{change::Change, rows, snapshot::Snapshot};
-use platform::table::{Range, Row, Table};
 use serde::Deserialize;
+use storage::table::{Range, Row, Table};
 use tokio::time;
 use units::{change, revision};
 
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
     /// The platform gave no useful answer.
-    Platform(platform::Error),
+    Platform(storage::Error),
     /// A row cannot be read.
     Malformed(rows::Malformed),
     /// The table shows a lower revision than one that was read before.
@@ -42,8 +42,8 @@
 
 impl error::Error for Error {}
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<storage::Error> for Error {
+    fn from(error: storage::Error) -> Self {
         Self::Platform(error)
     }
 }
@@ -91,7 +91,7 @@
             });
         }
     }
-    Err(Error::Platform(platform::Error::NotRun(String::from(
+    Err(Error::Platform(storage::Error::NotRun(String::from(
         "the configuration changed while it was read",
     ))))
 }
--- a/crates/audit/src/refusals.rs
+++ b/crates/audit/src/refusals.rs
@@ -1,7 +1,7 @@
 //! Keeps the latest refused changes.
 
 use config::{refused::Refused, rows};
-use platform::table::{Put, Range, Table, Transaction};
+use storage::table::{Put, Range, Table, Transaction};
 use tokio::time;
 
 use crate::reader::{Error, parse};
--- a/crates/audit/tests/archive.rs
+++ b/crates/audit/tests/archive.rs
@@ -9,11 +9,11 @@
     rows,
     snapshot::Snapshot,
 };
-use platform::{
+use standin::platform::{self as stand, Fault};
+use storage::{
     Error, objects,
     table::{self, Put, Range, Row, Table, Transaction},
 };
-use standin::platform::{self as stand, Fault};
 use tokio::time::Instant;
 use units::revision;
 
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -8,8 +8,8 @@
     key, proposal,
 };
 use hyper::{Method, header};
-use platform::http;
 use serde::{Serialize, de::DeserializeOwned};
+use storage::http;
 use tokio::time;
 
 use crate::exit::{self, Error};
@@ -154,11 +154,11 @@
 }
 
 /// The error for a call that got no answer.
-fn lost(error: platform::Error) -> Error {
+fn lost(error: storage::Error) -> Error {
     let code = match error {
-        platform::Error::NotRun(_) => exit::Code::Unavailable,
-        platform::Error::MayHaveRun(_) => exit::Code::Unknown,
-        platform::Error::Conflict(_) | platform::Error::Rejected(_) => exit::Code::Faulty,
+        storage::Error::NotRun(_) => exit::Code::Unavailable,
+        storage::Error::MayHaveRun(_) => exit::Code::Unknown,
+        storage::Error::Conflict(_) | storage::Error::Rejected(_) => exit::Code::Faulty,
     };
     Error::new(code, format!("administration: {error}"))
 }
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
-use platform::traffic::{Metered, Traffic};
+use storage::traffic::{Metered, Traffic};
 use tokio::{net::TcpStream, time};
 use units::request;
 use verdict::{Code, Refusal};
--- a/crates/router/src/backend/load.rs
+++ b/crates/router/src/backend/load.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, Response, body::Incoming, header};
-use platform::traffic::Traffic;
 use serde::Deserialize;
+use storage::traffic::Traffic;
 
 use super::Connection;
 
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -10,7 +10,7 @@
 };
 
 use once::{Answer, Bucket, Claim, Key, Ledger, Outcome, Settled, Work};
-use platform::table;
+use storage::table;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time,
--- a/crates/router/src/claims/store.rs
+++ b/crates/router/src/claims/store.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use once::{Batch, Bucket, Key, Row, Stored, Written, sweep};
-use platform::{
+use storage::{
     Error,
     table::{self, Table as _},
 };
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -9,7 +9,7 @@
     Region,
     spread::{self, Outcome, Spread, Step},
 };
-use platform::{
+use storage::{
     hosts::{self, Hosts as _},
     table::{self, Table as _},
 };
@@ -252,7 +252,7 @@
         }
     }
 
-    async fn read_all(&mut self, deadline: time::Instant) -> Result<(), platform::Error> {
+    async fn read_all(&mut self, deadline: time::Instant) -> Result<(), storage::Error> {
         let range = table::Range {
             prefix: String::from(rows::SNAPSHOT_PREFIX),
             ..table::Range::default()
@@ -266,7 +266,7 @@
         Ok(())
     }
 
-    async fn read_changes(&mut self, deadline: time::Instant) -> Result<(), platform::Error> {
+    async fn read_changes(&mut self, deadline: time::Instant) -> Result<(), storage::Error> {
         let range = table::Range {
             prefix: String::from(rows::CHANGE_PREFIX),
             from: rows::change(self.revision().next()),
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -7,7 +7,7 @@
 };
 
 use fleet::{Action, Event, Fleet, Heard, Seed};
-use platform::hosts;
+use storage::hosts;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
--- a/crates/router/src/hop/client.rs
+++ b/crates/router/src/hop/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
-use platform::hosts;
+use storage::hosts;
 use tokio::sync::{mpsc, oneshot};
 use units::{backend, revision};
 use verdict::{Code, Refusal};
--- a/crates/router/src/hop/server.rs
+++ b/crates/router/src/hop/server.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use platform::hosts;
+use storage::hosts;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot, watch},
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -9,12 +9,12 @@
 };
 
 use hyper::StatusCode;
-use platform::traffic::Traffic;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use storage::traffic::Traffic;
 use units::revision;
 use verdict::{Code, Refusal, Verdict};
 
--- a/crates/router/src/owner/probe.rs
+++ b/crates/router/src/owner/probe.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync::Arc, time::Duration};
 
-use platform::traffic::Traffic;
+use storage::traffic::Traffic;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt as _};
 use fleet::Region;
-use platform::{hosts, table};
+use storage::{hosts, table};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -5,7 +5,7 @@
 use config::{resource, snapshot::Snapshot};
 use fleet::Region;
 use placement::topology;
-use platform::hosts;
+use storage::hosts;
 use units::{availability, backend, pool, revision, time};
 
 /// A backend server as the configuration and the host list describe it.
--- a/crates/platform/tests/client.rs
+++ b/crates/storage/tests/client.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use platform::{
+use standin::platform::{self as stand, Fault};
+use storage::{
     Conflict, Error,
     objects::{self, Objects},
     table::{self, Check, Put, Range, Table, Transaction},
 };
-use standin::platform::{self as stand, Fault};
 use tokio::time::Instant;
 use units::revision::Generation;
 
--- a/crates/platform/tests/hosts.rs
+++ b/crates/storage/tests/hosts.rs
@@ -2,11 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
+use standin::platform::{self as stand, Host};
+use storage::{
     hosts::{Client, Hosts as _},
     traffic::Traffic,
 };
-use standin::platform::{self as stand, Host};
 use tokio::time;
 
 fn host(number: usize) -> Host {
