--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,130 @@
+//! One request at one backend server.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, body::Incoming, http::response};
+use storage::traffic::Traffic;
+use tokio::time;
+
+use crate::{
+    connection::{Connection, Failure, Guard},
+    dispatch::Permit,
+    pool::Outcome,
+    protocol::{Judgement, Protocol},
+};
+
+/// How long a connection attempt may take.
+///
+/// The longest way there and back is a few milliseconds. A first packet that
+/// was lost is sent again only after a second, when another server would have
+/// answered long since.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// The head of a server's answer, and what is needed to follow it to its end.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status and headers.
+    pub head: response::Parts,
+    /// Its body, of which nothing has been read.
+    pub body: Incoming,
+    /// The place that it takes at the server.
+    pub permit: Permit,
+    /// Keeps its connection open.
+    pub guard: Guard,
+    /// Whether the server failed the request.
+    pub is_failure: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum End {
+    /// The server's own answer begins.
+    Answered(Box<Answer>),
+    /// No byte of the request was sent.
+    Unsent(String),
+    /// The server is full and has not run the request.
+    Full,
+    /// Another server has the address; it has not run the request.
+    Moved,
+    /// The server may have run the request, and there is no answer.
+    Broken(String),
+    /// The time is up, and the server may have run the request.
+    Late,
+}
+
+/// Sends a request on a new connection and waits for the head of its answer.
+///
+/// Each request has its own connection. On one that is used again, a close, a
+/// reset or a second answer to the request before would meet a request that
+/// has been sent already, and nobody could say whether it has run.
+pub async fn run<P: Protocol>(
+    protocol: &P,
+    permit: Permit,
+    request: Request<Full<Bytes>>,
+    id: &str,
+    deadline: time::Instant,
+) -> End {
+    let limit = CONNECT_LIMIT.min(deadline.saturating_duration_since(time::Instant::now()));
+    let opened = Connection::within(permit.address(), Arc::<Traffic>::default(), limit).await;
+    let mut connection = match opened {
+        Ok(connection) => connection,
+        Err(error) => {
+            permit.end(Outcome::Unreachable);
+            return End::Unsent(error.to_string());
+        }
+    };
+    // After a pause of the process the time may be long over.
+    if time::Instant::now() >= deadline {
+        return End::Unsent(String::from("the time was up before it was sent"));
+    }
+    let sent = time::timeout_at(deadline, connection.send(request)).await;
+    let guard = connection.into_guard();
+    match sent {
+        Err(_) => End::Late,
+        Ok(Err(Failure::Unsent(_))) => {
+            permit.end(Outcome::Unreachable);
+            End::Unsent(String::from("closed before the request was sent"))
+        }
+        Ok(Err(Failure::Broken(error))) => {
+            permit.end(Outcome::Failed);
+            End::Broken(error.to_string())
+        }
+        Ok(Ok(response)) => {
+            let (head, body) = response.into_parts();
+            let judgement = protocol.judge(id, head.status, &head.headers);
+            judged(judgement, head, body, permit, guard)
+        }
+    }
+}
+
+fn judged(
+    judgement: Judgement,
+    head: response::Parts,
+    body: Incoming,
+    permit: Permit,
+    guard: Guard,
+) -> End {
+    match judgement {
+        Judgement::Answer | Judgement::Failure => End::Answered(Box::new(Answer {
+            head,
+            body,
+            permit,
+            guard,
+            is_failure: judgement == Judgement::Failure,
+        })),
+        Judgement::Full | Judgement::NotRun => {
+            permit.end(Outcome::Full);
+            End::Full
+        }
+        Judgement::Moved => {
+            permit.end(Outcome::Moved);
+            End::Moved
+        }
+        Judgement::Foreign => {
+            permit.end(Outcome::Failed);
+            End::Broken(String::from("the answer does not belong to the request"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,150 @@
+//! What a router counts, for its metrics address.
+//!
+//! Labels take their values from fixed lists only, so that no caller can make
+//! the number of series grow.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use verdict::Refusal;
+
+/// Upper bounds of the buckets for times to the first byte, in seconds.
+const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 2.0, 5.0];
+
+/// The labels of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    code: String,
+    verdict: String,
+}
+
+/// The labels of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    status: u16,
+}
+
+/// The labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    topic: &'static str,
+    result: &'static str,
+}
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: Family<RefusalLabels, Counter>,
+    answers: Family<AnswerLabels, Counter>,
+    calls: Family<CallLabels, Counter>,
+    head_seconds: Histogram,
+    first_byte_seconds: Histogram,
+    config: Gauge,
+    servers: Gauge,
+    members: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::default();
+        let refusals = Family::default();
+        let answers = Family::default();
+        let calls = Family::default();
+        let head_seconds = Histogram::new(BUCKETS);
+        let first_byte_seconds = Histogram::new(BUCKETS);
+        let config = Gauge::default();
+        let servers = Gauge::default();
+        let members = Gauge::default();
+        registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
+        registry.register("weir_answers", "Answers by status", Family::clone(&answers));
+        registry.register(
+            "weir_store_calls",
+            "Calls to the store",
+            Family::clone(&calls),
+        );
+        registry.register(
+            "weir_head_seconds",
+            "Time to the head of an answer",
+            head_seconds.clone(),
+        );
+        registry.register(
+            "weir_first_byte_seconds",
+            "Time to the first byte of a body",
+            first_byte_seconds.clone(),
+        );
+        registry.register(
+            "weir_config_version",
+            "Configuration in force",
+            config.clone(),
+        );
+        registry.register("weir_servers", "Registered servers", servers.clone());
+        registry.register("weir_members", "Registered routers", members.clone());
+        Self {
+            registry,
+            refusals,
+            answers,
+            calls,
+            head_seconds,
+            first_byte_seconds,
+            config,
+            servers,
+            members,
+        }
+    }
+}
+
+impl Metrics {
+    /// A request was refused.
+    pub fn refused(&self, refusal: &Refusal) {
+        let labels = RefusalLabels {
+            code: refusal.code.to_string(),
+            verdict: refusal.verdict.to_string(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// The head of an answer went out after `waited`.
+    pub fn answered(&self, status: StatusCode, waited: Duration) {
+        let labels = AnswerLabels {
+            status: status.as_u16(),
+        };
+        self.answers.get_or_create(&labels).inc();
+        self.head_seconds.observe(waited.as_secs_f64());
+    }
+
+    /// The first byte of a body went out after `waited`.
+    pub fn first_byte(&self, waited: Duration) {
+        self.first_byte_seconds.observe(waited.as_secs_f64());
+    }
+
+    /// A call to the store ended.
+    pub fn called(&self, topic: &'static str, result: &'static str) {
+        let labels = CallLabels { topic, result };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// The configuration in force is this version.
+    pub fn set_config(&self, version: u64) {
+        self.config.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// So many servers and routers are registered.
+    pub fn set_sizes(&self, servers: usize, members: usize) {
+        self.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
+        self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut buffer = String::new();
+        // Writing into a string cannot fail.
+        let _ = text::encode(&mut buffer, &self.registry);
+        buffer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,345 @@
+//! Which backend server of one service takes a request.
+
+mod server;
+
+use std::{cmp::Ordering, collections::BTreeMap, time::Duration};
+
+use placement::score;
+use recovery::Ejection;
+use smallvec::SmallVec;
+use units::{availability, backend, chat, cost::Cost, host, time::Instant};
+use xxhash_rust::xxh3;
+
+pub use server::{Outcome, Server};
+
+use crate::{fence, roster, route, settings::Bounds};
+
+/// One part of a prompt; parts that requests share have the same key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// What names it.
+    pub key: chat::Key,
+    /// Its length, in tokens.
+    pub tokens: u32,
+}
+
+impl Part {
+    /// Its length, in tokens.
+    pub fn length(&self) -> u64 {
+        u64::from(self.tokens)
+    }
+}
+
+/// The parts of a prompt, in order.
+pub type Parts = SmallVec<[Part; 4]>;
+
+/// What placement needs to know of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// The prompt; empty for a plain service.
+    pub parts: Parts,
+    /// Servers that had the request before.
+    pub tried: SmallVec<[backend::Server; 2]>,
+}
+
+/// Why no server takes a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// No server of the service is known, or all have been tried.
+    Empty,
+    /// All are at their limit.
+    Full,
+    /// Those that have room are cold and have had their share; one opens then.
+    Cold(Instant),
+}
+
+/// Tokens that an engine reads in a millisecond.
+///
+/// The sheets of today's engines say 62 and 101. Only the ratio to the other
+/// costs matters, and it is insensitive: half of it moved no placement of a
+/// prompt of 2,000 tokens or more.
+const TOKENS_PER_MS: u64 = 60;
+/// What one request in flight adds to the time of another at an engine, in microseconds.
+///
+/// A step of the engines on the sheets takes 17 us more for each request in
+/// the batch; the rest is the chance to wait behind a long prompt.
+const ENGINE_LOAD_US: u64 = 2_500;
+/// The same at a plain service, in microseconds: its work of 30 ms over six slots.
+const SERVICE_LOAD_US: u64 = 5_000;
+/// The way to another availability zone and back, in microseconds.
+const ZONE_US: u64 = 2_000;
+/// What a later place in a prompt's order of servers costs, in microseconds.
+///
+/// Routers that know nothing yet of a prompt agree on its servers by it.
+const PLACE_US: u64 = 500;
+/// How much of its prompt the first server in order is expected to have read
+/// for other routers, in percent.
+const HOME_READ_PERCENT: u64 = 75;
+/// How much of the room above the mean is used, since peers' loads are late.
+const BOUND_USED: f64 = 0.75;
+/// Requests above the multiple of the mean that the deployment allows.
+const BOUND_EXTRA: f64 = 3.0;
+
+/// The servers of one service.
+#[derive(Debug)]
+pub struct Pool {
+    zone: availability::Zone,
+    bounds: Bounds,
+    service: route::Service,
+    servers: BTreeMap<backend::Server, Server>,
+    ejection: Ejection,
+}
+
+impl Pool {
+    /// A pool without servers, seen from `zone`.
+    pub fn new(zone: availability::Zone, bounds: Bounds) -> Self {
+        let settings = recovery::Settings {
+            ejection: EJECTION,
+            max_ejection: MAX_EJECTION,
+            ..recovery::Settings::default()
+        };
+        Self {
+            zone,
+            bounds,
+            service: route::Service {
+                cold_per_s: 0.0,
+                cache_tokens: 0,
+            },
+            servers: BTreeMap::new(),
+            ejection: Ejection::new(settings),
+        }
+    }
+
+    /// Takes over what the configuration says of the service.
+    pub fn set_service(&mut self, service: route::Service) {
+        self.service = service;
+    }
+
+    /// Sets the servers that may get work.
+    pub fn set_servers<'a>(&mut self, entries: impl Iterator<Item = &'a roster::Entry>) {
+        let mut old = std::mem::take(&mut self.servers);
+        for entry in entries {
+            let mut server = old
+                .remove(&entry.server)
+                .unwrap_or_else(|| Server::new(entry.clone()));
+            server.update(entry);
+            self.servers.insert(entry.server.clone(), server);
+        }
+        let zones = self.servers.values();
+        let zones = zones.map(|server| (server.name().clone(), server.zone().clone()));
+        self.ejection.set_servers(zones);
+    }
+
+    /// Chooses a server and counts the request there.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub fn admit(
+        &mut self,
+        demand: &Demand,
+        own: &host::Id,
+        members: &[host::Id],
+        now: Instant,
+    ) -> Result<&Server, Denial> {
+        let choice = self.choose(demand, own, members, now)?;
+        let share = self.cold_share(&choice, own, members, now);
+        let unread = self
+            .servers
+            .get(&choice)
+            .map_or(0, |server| server.unread(&demand.parts, now));
+        match self.servers.get_mut(&choice) {
+            Some(server) => {
+                server.admit(Cost(unread), share, now);
+                Ok(server)
+            }
+            None => Err(Denial::Empty),
+        }
+    }
+
+    fn choose(
+        &self,
+        demand: &Demand,
+        own: &host::Id,
+        members: &[host::Id],
+        now: Instant,
+    ) -> Result<backend::Server, Denial> {
+        let untried = || {
+            let servers = self.servers.values();
+            servers.filter(|server| !demand.tried.contains(server.name()))
+        };
+        let sound = |server: &&Server| {
+            server.is_reachable(now) && !self.ejection.is_ejected(server.name(), now)
+        };
+        let mut candidates: Vec<&Server> = untried().filter(sound).collect();
+        if candidates.is_empty() {
+            // What failed lately is still better than a refusal.
+            candidates = untried().collect();
+        }
+        if candidates.is_empty() {
+            return Err(Denial::Empty);
+        }
+        let bound = self.bound(now);
+        candidates.retain(|server| server.has_room() && f64::from(server.load() + 1) <= bound);
+        if candidates.is_empty() {
+            return Err(Denial::Full);
+        }
+        let opens_at = candidates
+            .iter()
+            .filter(|server| self.is_fenced(server, own, members, now))
+            .map(|server| server.opens_at())
+            .min();
+        candidates.retain(|server| !self.is_fenced(server, own, members, now));
+        let best = self.cheapest(&candidates, demand, now);
+        best.ok_or(Denial::Cold(opens_at.unwrap_or(now)))
+    }
+
+    /// The most requests that one server may hold.
+    ///
+    /// The mean is that of the servers that are not cold: cold ones hold little,
+    /// and would otherwise push the bound of the others down.
+    fn bound(&self, now: Instant) -> f64 {
+        let warm = || self.servers.values().filter(|server| !server.is_cold(now));
+        let count = warm().count();
+        if count == 0 {
+            return f64::INFINITY;
+        }
+        let load: u32 = warm().map(Server::load).sum();
+        let mean = f64::from(load) / count as f64;
+        let above = (self.bounds.load_multiple - 1.0) * mean + BOUND_EXTRA;
+        mean + above * BOUND_USED
+    }
+
+    fn cold_bound(&self) -> fence::Bound {
+        let rate = self.service.cold_per_s;
+        fence::Bound {
+            rate,
+            most: rate * self.bounds.cold_multiple + self.bounds.cold_extra,
+        }
+    }
+
+    fn cold_share(
+        &self,
+        server: &backend::Server,
+        own: &host::Id,
+        members: &[host::Id],
+        now: Instant,
+    ) -> Option<fence::Share> {
+        let is_cold = self.servers.get(server)?.is_cold(now);
+        if !is_cold || self.service.cold_per_s <= 0.0 {
+            return None;
+        }
+        fence::share(self.cold_bound(), own, members, server)
+    }
+
+    fn is_fenced(
+        &self,
+        server: &Server,
+        own: &host::Id,
+        members: &[host::Id],
+        now: Instant,
+    ) -> bool {
+        if !server.is_cold(now) || self.service.cold_per_s <= 0.0 {
+            return false;
+        }
+        let share = fence::share(self.cold_bound(), own, members, server.name());
+        share.is_none() || !server.is_open(now)
+    }
+
+    /// The candidate with the least expected time to the first byte.
+    fn cheapest(
+        &self,
+        candidates: &[&Server],
+        demand: &Demand,
+        now: Instant,
+    ) -> Option<backend::Server> {
+        let order = self.order(demand);
+        let cost = |server: &&Server| {
+            let place = order.iter().position(|name| *name == server.name());
+            self.cost_us(server, &demand.parts, place, now)
+        };
+        let best = candidates.iter().min_by_key(|server| cost(server))?;
+        Some(best.name().clone())
+    }
+
+    /// The servers in the order that all routers agree on for this prompt.
+    fn order(&self, demand: &Demand) -> SmallVec<[&backend::Server; 16]> {
+        let Some(anchor) = anchor(&demand.parts) else {
+            return SmallVec::new();
+        };
+        let mut scored: SmallVec<[(f64, &backend::Server); 16]> = self
+            .servers
+            .keys()
+            .map(|name| {
+                let hash = xxh3::xxh3_64(name.as_str().as_bytes());
+                (score::weighted(score::pair(anchor, hash), 1), name)
+            })
+            .collect();
+        scored.sort_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(Ordering::Equal));
+        scored.into_iter().map(|(_, name)| name).collect()
+    }
+
+    fn cost_us(&self, server: &Server, parts: &[Part], place: Option<usize>, now: Instant) -> u64 {
+        let away = if *server.zone() == self.zone {
+            0
+        } else {
+            ZONE_US
+        };
+        let load = u64::from(server.load());
+        let common = away + server.lag_us(now);
+        let Some(place) = place else {
+            return common + load * SERVICE_LOAD_US;
+        };
+        let mut unread = server.unread(parts, now);
+        if place == 0 && !server.is_cold(now) {
+            unread = unread * (100 - HOME_READ_PERCENT) / 100;
+        }
+        let queued = server.pending().0;
+        let read = (unread + queued) * 1000 / TOKENS_PER_MS;
+        common + read + load * ENGINE_LOAD_US + place as u64 * PLACE_US
+    }
+
+    /// A server that this router has sent a request to.
+    pub fn server_mut(&mut self, name: &backend::Server) -> Option<&mut Server> {
+        self.servers.get_mut(name)
+    }
+
+    /// The request at `server` has ended.
+    pub fn ended(&mut self, name: &backend::Server, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Completed => self.ejection.succeeded(name, now),
+            Outcome::Failed => self.ejection.failed(name, now),
+            Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
+        }
+        if let Some(server) = self.servers.get_mut(name) {
+            server.ended(outcome, now);
+        }
+    }
+
+    /// The servers, by name.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Sets how many requests other routers have at each server.
+    pub fn set_elsewhere(&mut self, loads: impl Fn(&backend::Server) -> u32) {
+        for server in self.servers.values_mut() {
+            let load = loads(server.name());
+            server.set_elsewhere(load);
+        }
+    }
+}
+
+/// How long a first ejection lasts: a few of the shortest faults that were seen (4 to 6 s).
+const EJECTION: Duration = Duration::from_millis(1500);
+/// How long the longest ejection lasts.
+const MAX_EJECTION: Duration = Duration::from_secs(6);
+
+/// The part by which a prompt's servers are ordered.
+///
+/// The last part belongs to the request or its chat alone; the one before it
+/// is the longest run of the prompt that other requests share.
+fn anchor(parts: &[Part]) -> Option<chat::Key> {
+    let last = parts.len().checked_sub(1)?;
+    Some(parts[last.saturating_sub(1)].key)
+}
--- /dev/null
+++ b/crates/gateway/src/pool/server.rs
@@ -0,0 +1,243 @@
+//! What a router knows of one backend server.
+
+use std::{net::SocketAddr, time::Duration};
+
+use placement::Warmth;
+use units::{availability, backend, cost::Cost, time::Instant};
+
+use super::Part;
+use crate::{
+    fence::{Fence, Share},
+    roster,
+};
+
+/// How a request at a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered in full.
+    Completed,
+    /// The server failed it.
+    Failed,
+    /// No connection came about, so nothing was sent.
+    Unreachable,
+    /// Another server has the address.
+    Moved,
+    /// The server said that it is full and did not run it.
+    Full,
+    /// The caller left, or the time was up.
+    Cancelled,
+}
+
+/// How long a server that refused a connection gets nothing; doubled with each further refusal.
+const AWAY: Duration = Duration::from_millis(400);
+/// The longest such time.
+const MAX_AWAY: Duration = Duration::from_millis(3200);
+/// How long a server that could not be reached counts as cold once it answers again.
+///
+/// It may have started anew, and the store may say so later than the server
+/// takes requests, or not at all while it is away.
+const DOUBT: Duration = Duration::from_secs(3);
+/// How fast the excess of the time to the first byte is forgotten, as a half-life.
+const LAG_HALF_LIFE: Duration = Duration::from_secs(2);
+/// The weight of one sample, as a divisor.
+const LAG_WEIGHT: u64 = 3;
+
+/// One backend server and this router's work there.
+#[derive(Debug)]
+pub struct Server {
+    entry: roster::Entry,
+    running: u32,
+    elsewhere: u32,
+    pending: Cost,
+    warmth: Warmth,
+    fence: Fence,
+    refusals: u32,
+    away_until: Instant,
+    doubtful_until: Instant,
+    lag_us: u64,
+    lag_at: Instant,
+}
+
+impl Server {
+    /// A server without work.
+    pub fn new(entry: roster::Entry) -> Self {
+        let settings = placement::Settings {
+            chats_per_server: MAX_PARTS,
+            warm_tokens: 1,
+            warm_for: WARM_FOR,
+            ..placement::Settings::default()
+        };
+        Self {
+            entry,
+            running: 0,
+            elsewhere: 0,
+            pending: Cost(0),
+            warmth: Warmth::new(settings),
+            fence: Fence::default(),
+            refusals: 0,
+            away_until: Instant::ZERO,
+            doubtful_until: Instant::ZERO,
+            lag_us: 0,
+            lag_at: Instant::ZERO,
+        }
+    }
+
+    /// Takes over what the store says of it.
+    pub fn update(&mut self, entry: &roster::Entry) {
+        if entry.born != self.entry.born || entry.address != self.entry.address {
+            // A new start knows nothing of before.
+            *self = Self {
+                running: self.running,
+                fence: self.fence,
+                ..Self::new(entry.clone())
+            };
+        }
+        self.entry = entry.clone();
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &backend::Server {
+        &self.entry.server
+    }
+
+    /// Its availability zone.
+    pub fn zone(&self) -> &availability::Zone {
+        &self.entry.zone
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.entry.address
+    }
+
+    /// Tells its starts apart.
+    pub fn born(&self) -> u64 {
+        self.entry.born
+    }
+
+    /// Requests of this router that are in flight.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests of all routers that are in flight, as far as known.
+    pub fn load(&self) -> u32 {
+        self.running + self.elsewhere
+    }
+
+    /// Sets the requests of other routers.
+    pub fn set_elsewhere(&mut self, load: u32) {
+        self.elsewhere = load;
+    }
+
+    /// Whether a slot is free.
+    pub fn has_room(&self) -> bool {
+        self.load() < self.entry.slots
+    }
+
+    /// Whether it is cold, or may have started anew.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.entry.cold_until.max(self.doubtful_until)
+    }
+
+    /// Whether connections to it came about lately.
+    pub fn is_reachable(&self, now: Instant) -> bool {
+        self.away_until <= now
+    }
+
+    /// Whether this router's share lets a request through while it is cold.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.fence.is_open(now)
+    }
+
+    /// When its share lets the next one through.
+    pub fn opens_at(&self) -> Instant {
+        self.fence.opens_at()
+    }
+
+    /// Prompt tokens of requests that wait for their first byte.
+    pub fn pending(&self) -> Cost {
+        self.pending
+    }
+
+    /// Prompt tokens that it would have to read.
+    ///
+    /// A part that is cached saves its reading only if all parts before it are cached too.
+    pub fn unread(&self, parts: &[Part], now: Instant) -> u64 {
+        let cached = parts
+            .iter()
+            .take_while(|part| self.warmth.cached(part.key, now).is_some())
+            .count();
+        parts[cached..]
+            .iter()
+            .map(|part| u64::from(part.tokens))
+            .sum()
+    }
+
+    /// How much longer it lately took to the first byte than its load explains.
+    pub fn lag_us(&self, now: Instant) -> u64 {
+        let age = now.since(self.lag_at).as_micros();
+        let halvings = age / LAG_HALF_LIFE.as_micros();
+        let halvings = u32::try_from(halvings).unwrap_or(u32::MAX);
+        self.lag_us.checked_shr(halvings).unwrap_or(0)
+    }
+
+    /// Counts a request that is about to be sent.
+    pub fn admit(&mut self, unread: Cost, share: Option<Share>, now: Instant) {
+        self.running += 1;
+        self.pending += unread;
+        if let Some(share) = share {
+            self.fence.pass(share, now);
+        }
+    }
+
+    /// The request's first byte has come, or never will.
+    pub fn read(&mut self, unread: Cost) {
+        self.pending -= unread;
+    }
+
+    /// The first byte came after `waited`, where `expected` was explained by the prompt.
+    pub fn sample(&mut self, waited: Duration, expected: Duration, now: Instant) {
+        let excess = waited.saturating_sub(expected).as_micros();
+        let excess = u64::try_from(excess).unwrap_or(u64::MAX);
+        let before = self.lag_us(now);
+        self.lag_us = before - before / LAG_WEIGHT + excess / LAG_WEIGHT;
+        self.lag_at = now;
+    }
+
+    /// The parts of a prompt that it has read by now.
+    pub fn remember(&mut self, parts: &[Part], now: Instant) {
+        for part in parts {
+            self.warmth.served(part.key, part.tokens, now);
+        }
+    }
+
+    /// One of this router's requests has ended.
+    pub fn ended(&mut self, outcome: Outcome, now: Instant) {
+        self.running = self.running.saturating_sub(1);
+        match outcome {
+            Outcome::Unreachable => self.refused(now),
+            Outcome::Moved => self.away_until = now + MAX_AWAY,
+            Outcome::Completed | Outcome::Failed | Outcome::Full => self.refusals = 0,
+            Outcome::Cancelled => {}
+        }
+    }
+
+    fn refused(&mut self, now: Instant) {
+        // Requests that were sent side by side are refused side by side, which
+        // says no more than one refusal.
+        if now < self.away_until {
+            return;
+        }
+        let factor = 1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX);
+        let away = AWAY.saturating_mul(factor).min(MAX_AWAY);
+        self.refusals = self.refusals.saturating_add(1);
+        self.away_until = now + away;
+        self.doubtful_until = self.away_until + DOUBT;
+    }
+}
+
+/// How many parts of prompts are remembered for one server; 200 bytes each.
+const MAX_PARTS: usize = 512;
+/// How long a part counts as cached after its last use.
+const WARM_FOR: Duration = Duration::from_secs(600);
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,189 @@
+//! The backend servers that are registered, and what happens to them in an outage.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use units::{availability, backend, pool, time::Instant};
+
+/// How long an entry that went missing around an outage of the store may take to return.
+///
+/// Registrations lapse while the store is away and are written anew within
+/// about two seconds of its return. Were they dropped at once, a router would
+/// refuse all requests for as long, with every server alive.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// One registered backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its name.
+    pub server: backend::Server,
+    /// The service that it belongs to.
+    pub pool: pool::Id,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: availability::Zone,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and gets nothing new.
+    pub is_draining: bool,
+    /// When it stops being cold.
+    pub cold_until: Instant,
+    /// Tells its starts apart.
+    pub born: u64,
+    /// The store's version of the entry.
+    pub revision: u64,
+}
+
+/// What the store says of one server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is registered.
+    Present(Entry),
+    /// Its entry is gone since this revision.
+    Absent {
+        /// The server.
+        server: backend::Server,
+        /// The store's version of the removal.
+        revision: u64,
+    },
+}
+
+/// The registered servers, as far as this router knows.
+///
+/// Reads may be stale, so a row counts only if its revision is higher than
+/// what is known of its server.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<backend::Server, Entry>,
+    removed: BTreeMap<backend::Server, u64>,
+    lapsing: BTreeMap<backend::Server, Instant>,
+    evacuated: BTreeSet<availability::Zone>,
+    /// Until when entries that go missing may have lapsed with the store.
+    lenient_until: Instant,
+}
+
+impl Roster {
+    /// The store answers again after it could not be reached.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.lenient_until = now + LAPSE_GRACE;
+    }
+
+    /// Takes in a change. Returns whether it was news.
+    pub fn apply(&mut self, change: Change, now: Instant) -> bool {
+        match change {
+            Change::Present(entry) => self.put(entry),
+            Change::Absent { server, revision } => self.remove(&server, revision, now),
+        }
+    }
+
+    /// Takes in all rows of the table as of `revision`: what isn't in it is gone.
+    pub fn replace(&mut self, entries: Vec<Entry>, revision: u64, now: Instant) -> bool {
+        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.server.clone()).collect();
+        let mut changed = false;
+        for entry in entries {
+            changed |= self.put(entry);
+        }
+        let missing: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| !listed.contains(&entry.server) && entry.revision < revision)
+            .map(|entry| entry.server.clone())
+            .collect();
+        for server in missing {
+            changed |= self.remove(&server, revision, now);
+        }
+        changed
+    }
+
+    fn put(&mut self, entry: Entry) -> bool {
+        let known = self.entries.get(&entry.server).map(|known| known.revision);
+        let removed = self.removed.get(&entry.server).copied();
+        if known
+            .max(removed)
+            .is_some_and(|known| entry.revision <= known)
+        {
+            return false;
+        }
+        self.removed.remove(&entry.server);
+        self.lapsing.remove(&entry.server);
+        self.entries.insert(entry.server.clone(), entry);
+        true
+    }
+
+    fn remove(&mut self, server: &backend::Server, revision: u64, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(server) else {
+            return false;
+        };
+        if entry.revision >= revision {
+            return false;
+        }
+        // A server that said that it leaves does not come back.
+        if now < self.lenient_until && !entry.is_draining {
+            entry.revision = revision;
+            self.lapsing.insert(server.clone(), self.lenient_until);
+            return false;
+        }
+        self.drop_entry(server, revision);
+        true
+    }
+
+    fn drop_entry(&mut self, server: &backend::Server, revision: u64) {
+        self.entries.remove(server);
+        self.lapsing.remove(server);
+        self.removed.insert(server.clone(), revision);
+        while self.removed.len() > MAX_REMOVED {
+            self.removed.pop_first();
+        }
+    }
+
+    /// Drops entries that lapsed and did not return. Returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let due: Vec<_> = self
+            .lapsing
+            .iter()
+            .filter(|&(_, &until)| until <= now)
+            .map(|(server, _)| server.clone())
+            .collect();
+        for server in &due {
+            let revision = self.entries.get(server).map_or(0, |entry| entry.revision);
+            self.drop_entry(server, revision);
+        }
+        !due.is_empty()
+    }
+
+    /// When [`Self::expire`] has something to do.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.lapsing.values().min().copied()
+    }
+
+    /// Sets the zones that operators have taken out. Returns whether they changed.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<availability::Zone>) -> bool {
+        let changed = zones != self.evacuated;
+        self.evacuated = zones;
+        changed
+    }
+
+    /// The servers that may get work.
+    pub fn usable(&self) -> impl Iterator<Item = &Entry> {
+        self.entries
+            .values()
+            .filter(|entry| !entry.is_draining && !self.evacuated.contains(&entry.zone))
+    }
+
+    /// How many servers are registered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no server is registered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// How many removals are remembered against stale reads.
+const MAX_REMOVED: usize = 4096;
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,96 @@
+//! A request's way from its caller to backend servers and back.
+
+mod exchange;
+mod intake;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+    header,
+};
+use tokio::sync::{mpsc, watch};
+use verdict::{Code, Refusal};
+
+pub use exchange::Exchange;
+
+use crate::{
+    clock::Clock, dispatch, metrics::Metrics, protocol::Protocol, refusal, relay, route::Table,
+    shutdown::Phase,
+};
+
+/// What all requests share.
+#[derive(Debug)]
+pub struct Context<P> {
+    /// How callers and servers speak.
+    pub protocol: P,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The configuration in force, once there is one.
+    pub table: watch::Receiver<Option<Arc<Table>>>,
+    /// The task that chooses servers.
+    pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    /// How far the process has come in its life.
+    pub phase: watch::Receiver<Phase>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The body of an answer: a refusal's text, or a server's bytes.
+pub type Body<S> = Either<Full<Bytes>, StreamBody<S>>;
+
+/// Serves one request.
+pub async fn serve<P: Protocol>(
+    context: Arc<Context<P>>,
+    request: Request<Incoming>,
+    busy: crate::listener::Busy,
+) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, relay::Cut>> + Send>> {
+    let is_closing = *context.phase.borrow() > Phase::Serving;
+    let started = context.clock.now();
+    let mut response = match answered(&context, request).await {
+        Ok((exchange, answer)) => {
+            let mut head = answer.head.clone();
+            crate::headers::strip(&mut head.headers);
+            let stream = relay::stream(exchange, answer, busy);
+            Response::from_parts(head, Either::Right(StreamBody::new(stream)))
+        }
+        Err(refused) => {
+            context.metrics.refused(&refused);
+            let now = context.clock.now();
+            let response = refusal::response(&context.protocol, &refused, now);
+            response.map(|body| Either::Left(Full::new(body)))
+        }
+    };
+    let waited = context.clock.now().since(started);
+    context.metrics.answered(response.status(), waited);
+    if is_closing {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+type Answered<P> = (Exchange<P>, Box<crate::attempt::Answer>);
+
+async fn answered<P: Protocol>(
+    context: &Arc<Context<P>>,
+    request: Request<Incoming>,
+) -> Result<Answered<P>, Refusal> {
+    let mut exchange = intake::take(context, request).await?;
+    match exchange.answer(None).await {
+        Ok(answer) => Ok((exchange, answer)),
+        Err(refusal) => {
+            exchange.log_refusal(&refusal);
+            Err(refusal)
+        }
+    }
+}
+
+/// No configuration is known yet, so nothing can be said of a request.
+fn not_ready() -> Refusal {
+    Refusal::not_run(Code::NotReady, "The router has no configuration yet.")
+}
--- /dev/null
+++ b/crates/gateway/src/serve/exchange.rs
@@ -0,0 +1,363 @@
+//! A checked request and its attempts.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri};
+use tokio::{sync::oneshot, time};
+use units::{
+    pool,
+    time::{Instant, Millis},
+};
+use verdict::{Code, Refusal, Verdict};
+
+use super::Context;
+use crate::{
+    attempt::{self, Answer, End},
+    dispatch::{self, Message, Order, Permit},
+    pool::{Demand, Denial},
+    protocol::{Attempt, Head, Protocol},
+    route::{Route, Tenancy},
+};
+
+/// How many servers that cannot be reached a request meets before it is given up.
+const MAX_UNREACHABLE: u32 = 4;
+/// How many times a request waits for a cold server's next opening.
+const MAX_WAITS: u32 = 3;
+/// The longest wait for a cold server's next opening.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+/// When a caller may come back that met a full service: about one short answer later.
+const RETRY_FULL: Duration = Duration::from_millis(150);
+/// When a caller may come back that met no server at all: an entry takes about as long to return.
+const RETRY_EMPTY: Duration = Duration::from_millis(400);
+/// Less time than this is not enough for any server.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// A repeatable request goes to the next server after this many times its target without an answer.
+const SILENCE_TARGETS: u32 = 3;
+/// The least such time.
+const LEAST_SILENCE: Duration = Duration::from_millis(400);
+
+/// A request that has passed all checks.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// What the caller's head says.
+    pub head: Head,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its final answer is due.
+    pub deadline: Instant,
+    /// When its caller stops waiting.
+    pub caller_deadline: Option<Instant>,
+    /// The configuration that it was checked against.
+    pub version: u64,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The holder of the caller's key.
+    pub tenancy: Option<Arc<Tenancy>>,
+    /// The service that runs it.
+    pub pool: pool::Id,
+    /// Whether the service is an engine.
+    pub is_engine: bool,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those of the caller's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// What placement needs to know, with the servers that had it.
+    pub demand: Demand,
+}
+
+/// A request and how far its attempts have come.
+#[derive(Debug)]
+pub struct Exchange<P> {
+    context: Arc<Context<P>>,
+    plan: Plan,
+    verdict: Verdict,
+    sends: u32,
+    unreachable: u32,
+    waits: u32,
+    /// A server's failure, to be passed on if no other server answers.
+    failure: Option<Box<Answer>>,
+}
+
+/// What follows an attempt.
+enum Step {
+    Done(Box<Answer>),
+    Again,
+    Refuse(Refusal),
+}
+
+impl<P: Protocol> Exchange<P> {
+    /// A request that no server has had.
+    pub fn new(context: Arc<Context<P>>, plan: Plan) -> Self {
+        Self {
+            context,
+            plan,
+            verdict: Verdict::NotRun,
+            sends: 0,
+            unreachable: 0,
+            waits: 0,
+            failure: None,
+        }
+    }
+
+    /// What is known of the request.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// What all requests share.
+    pub fn context(&self) -> &Context<P> {
+        &self.context
+    }
+
+    /// How many servers have had the request.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Whether one more server may have the request if one may have run it.
+    pub fn may_repeat(&self) -> bool {
+        self.plan.route.kind.is_idempotent() && self.sends < self.plan.route.max_attempts
+    }
+
+    /// The answer of a server, sought until there is one or none can be had.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller. It says that the request has not run only if
+    /// no server may have run it.
+    pub async fn answer(&mut self, last_event: Option<&str>) -> Result<Box<Answer>, Refusal> {
+        loop {
+            let permit = match self.acquire().await {
+                Ok(Some(permit)) => permit,
+                Ok(None) => continue,
+                Err(refusal) => return self.failure.take().ok_or(refusal),
+            };
+            let server = permit.server().clone();
+            let end = self.attempt(permit, last_event).await;
+            self.log_attempt(&server, &end);
+            self.plan.demand.tried.push(server);
+            match self.weigh(end) {
+                Step::Done(answer) => return Ok(answer),
+                Step::Again => {}
+                Step::Refuse(refusal) => return self.failure.take().ok_or(refusal),
+            }
+        }
+    }
+
+    async fn attempt(&self, permit: Permit, last_event: Option<&str>) -> End {
+        let server = permit.server().clone();
+        let now = self.context.clock.now();
+        let remaining = self.plan.deadline.since(now);
+        let attempt = Attempt {
+            server: &server,
+            remaining: Millis(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
+            workspace: self.plan.tenancy.as_ref().map(|holder| &holder.workspace),
+            rank: self.rank(),
+            last_event: last_event.or(self.plan.head.last_event.as_deref()),
+            is_engine: self.plan.is_engine,
+        };
+        let mut headers = self.plan.headers.clone();
+        self.context.protocol.compose(&mut headers, &attempt);
+        let mut request = Request::new(Full::new(self.plan.body.clone()));
+        *request.method_mut() = self.plan.method.clone();
+        *request.uri_mut() = self.plan.uri.clone();
+        *request.headers_mut() = headers;
+        let until = self.context.clock.at(self.patience(now));
+        attempt::run(
+            &self.context.protocol,
+            permit,
+            request,
+            &self.plan.head.id,
+            until,
+        )
+        .await
+    }
+
+    fn rank(&self) -> u8 {
+        let own = self.plan.tenancy.as_ref().and_then(|holder| holder.rank);
+        own.unwrap_or(self.plan.route.rank)
+    }
+
+    /// Until when one server may stay without an answer.
+    ///
+    /// A server that hangs keeps a request to the end of its time. One that may
+    /// be repeated goes to the next server while there is time for it.
+    fn patience(&self, now: Instant) -> Instant {
+        let route = &self.plan.route;
+        if !route.kind.is_idempotent() || self.sends + 1 >= route.max_attempts {
+            return self.plan.deadline;
+        }
+        let silence = route.target.duration() * SILENCE_TARGETS;
+        self.plan.deadline.min(now + silence.max(LEAST_SILENCE))
+    }
+
+    /// A place at a server; `None` when a wait has passed and it is time to ask again.
+    async fn acquire(&mut self) -> Result<Option<Permit>, Refusal> {
+        let now = self.context.clock.now();
+        if now + LEAST_TIME >= self.plan.deadline {
+            return Err(self.refusal(Code::Deadline, "The time was up."));
+        }
+        let order = Order {
+            pool: self.plan.pool.clone(),
+            demand: self.plan.demand.clone(),
+            is_repeat: self.sends > 0,
+        };
+        let (reply, answer) = oneshot::channel();
+        let asked = self.context.dispatch.send(Message::Acquire(order, reply));
+        let refused = match (asked, answer.await) {
+            (Ok(()), Ok(Ok(permit))) => return Ok(Some(permit)),
+            (Ok(()), Ok(Err(refused))) => refused,
+            _ => return Err(self.refusal(Code::Internal, "The router is ending.")),
+        };
+        match refused {
+            dispatch::Refusal::Denied(Denial::Cold(at)) => self.wait_for_cold(at, now).await,
+            other => Err(self.denied(other, now)),
+        }
+    }
+
+    async fn wait_for_cold(
+        &mut self,
+        at: Instant,
+        now: Instant,
+    ) -> Result<Option<Permit>, Refusal> {
+        let is_soon = at <= now + LONGEST_WAIT && at < self.plan.deadline;
+        if !is_soon || self.waits >= MAX_WAITS {
+            let refusal = self.refusal(Code::Busy, "All servers with room are starting.");
+            return Err(refusal.retry_at(at.max(now + RETRY_FULL)));
+        }
+        self.waits += 1;
+        time::sleep_until(self.context.clock.at(at)).await;
+        Ok(None)
+    }
+
+    fn denied(&self, refused: dispatch::Refusal, now: Instant) -> Refusal {
+        match refused {
+            dispatch::Refusal::Budget => self
+                .refusal(Code::RetryBudget, "The repeats of the service are used up.")
+                .retry_at(now + RETRY_FULL),
+            dispatch::Refusal::Denied(Denial::Empty) => self
+                .refusal(Code::NoServer, "No server takes the request.")
+                .retry_at(now + RETRY_EMPTY),
+            dispatch::Refusal::Denied(Denial::Full | Denial::Cold(_)) => self
+                .refusal(Code::Busy, "All servers are at their limit.")
+                .retry_at(now + RETRY_FULL),
+        }
+    }
+
+    /// A refusal that says truly whether the request may have run.
+    fn refusal(&self, code: Code, message: &str) -> Refusal {
+        match self.verdict {
+            Verdict::NotRun => Refusal::not_run(code, message),
+            Verdict::MayHaveRun => Refusal::may_have_run(code, message),
+        }
+    }
+
+    fn weigh(&mut self, end: End) -> Step {
+        match end {
+            End::Unsent(_) => self.after_unsent(),
+            End::Answered(answer) => self.after_answer(answer),
+            End::Full => {
+                self.sends += 1;
+                self.after_rejection("The server is full.")
+            }
+            End::Moved => {
+                self.sends += 1;
+                self.after_rejection("The server has left.")
+            }
+            End::Broken(_) => {
+                self.sends += 1;
+                self.after_break(Code::BackendDied, "The server broke off.")
+            }
+            End::Late => {
+                self.sends += 1;
+                self.after_break(Code::Deadline, "The server did not answer in time.")
+            }
+        }
+    }
+
+    fn after_unsent(&mut self) -> Step {
+        self.unreachable += 1;
+        if self.unreachable < MAX_UNREACHABLE {
+            return Step::Again;
+        }
+        let now = self.context.clock.now();
+        let refusal = self.refusal(Code::NoServer, "No server could be reached.");
+        Step::Refuse(refusal.retry_at(now + RETRY_EMPTY))
+    }
+
+    fn after_answer(&mut self, answer: Box<Answer>) -> Step {
+        self.sends += 1;
+        if answer.is_failure && self.may_repeat() {
+            self.verdict = Verdict::MayHaveRun;
+            self.failure = Some(answer);
+            return Step::Again;
+        }
+        Step::Done(answer)
+    }
+
+    fn after_rejection(&mut self, message: &str) -> Step {
+        if self.sends < self.plan.route.max_attempts {
+            return Step::Again;
+        }
+        let now = self.context.clock.now();
+        let refusal = self.refusal(Code::Busy, message);
+        Step::Refuse(refusal.retry_at(now + RETRY_FULL))
+    }
+
+    fn after_break(&mut self, code: Code, message: &str) -> Step {
+        self.verdict = Verdict::MayHaveRun;
+        if self.may_repeat() {
+            return Step::Again;
+        }
+        Step::Refuse(self.refusal(code, message))
+    }
+
+    fn log_attempt(&self, server: &units::backend::Server, end: &End) {
+        let (outcome, reason) = match end {
+            End::Answered(answer) if answer.is_failure => ("failed", answer.head.status.as_str()),
+            End::Answered(_) => return,
+            End::Unsent(reason) => ("unsent", reason.as_str()),
+            End::Full => ("full", ""),
+            End::Moved => ("moved", ""),
+            End::Broken(reason) => ("broken", reason.as_str()),
+            End::Late => ("late", ""),
+        };
+        let waited = self.context.clock.now().since(self.plan.arrived);
+        logging::event!(
+            info,
+            "attempt_failed",
+            request = self.plan.head.id,
+            route = self.plan.route.name,
+            pool = self.plan.pool,
+            server = server,
+            outcome = outcome,
+            reason = reason,
+            waited_ms = waited.as_millis(),
+            config = self.plan.version
+        );
+    }
+
+    /// Logs the final refusal of the request.
+    pub fn log_refusal(&self, refusal: &Refusal) {
+        let waited = self.context.clock.now().since(self.plan.arrived);
+        logging::event!(
+            info,
+            "request_refused",
+            request = self.plan.head.id,
+            route = self.plan.route.name,
+            pool = self.plan.pool,
+            code = refusal.code,
+            verdict = refusal.verdict,
+            sends = self.sends,
+            unreachable = self.unreachable,
+            waited_ms = waited.as_millis(),
+            config = self.plan.version
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/intake.rs
@@ -0,0 +1,133 @@
+//! The checks of a request before any server hears of it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{Request, body::Body as _, body::Incoming};
+use tokio::time;
+use units::time::Instant;
+use verdict::{Code, Refusal};
+use xxhash_rust::xxh3;
+
+use super::{Context, Exchange, exchange, not_ready};
+use crate::{
+    headers,
+    pool::Demand,
+    protocol::{Head, Protocol},
+    route::{Route, Table, Tenancy},
+};
+
+/// How long a caller may stay silent in the middle of a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Checks a request and reads its body.
+///
+/// # Errors
+///
+/// A refusal; the request has not run.
+pub async fn take<P: Protocol>(
+    context: &Arc<Context<P>>,
+    request: Request<Incoming>,
+) -> Result<Exchange<P>, Refusal> {
+    let arrived = context.clock.now();
+    let (mut parts, body) = request.into_parts();
+    let table = context.table.borrow().clone().ok_or_else(not_ready)?;
+    let head = context.protocol.read(&parts)?;
+    let checked = check(&table, &head, parts.uri.path(), &body);
+    let (route, tenancy) = checked.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    let body = read(body, table.limits.body_bytes).await;
+    let body = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    headers::strip(&mut parts.headers);
+    parts.headers.remove(hyper::header::CONTENT_LENGTH);
+    let hash = xxh3::xxh3_64(head.id.as_bytes());
+    let pool = route.pool(hash).cloned();
+    let pool = pool.ok_or_else(|| Refusal::not_run(Code::NoServer, "The route has no service."))?;
+    let is_engine = table
+        .services
+        .get(&pool)
+        .is_some_and(|service| service.cache_tokens > 0);
+    Ok(Exchange::new(
+        Arc::clone(context),
+        exchange::Plan {
+            deadline: deadline(arrived, &route, &head),
+            caller_deadline: head.patience.map(|wait| arrived + wait.duration()),
+            arrived,
+            version: table.version,
+            is_engine,
+            pool,
+            route,
+            tenancy,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            demand: Demand {
+                parts: head.parts.clone(),
+                ..Demand::default()
+            },
+            head,
+        },
+    ))
+}
+
+type Checked = (Arc<Route>, Option<Arc<Tenancy>>);
+
+fn check(table: &Table, head: &Head, path: &str, body: &Incoming) -> Result<Checked, Refusal> {
+    let route = table
+        .find(&head.host, path)
+        .ok_or_else(|| Refusal::not_run(Code::UnknownRoute, "No route matches."))?;
+    let tenancy = match &head.key {
+        Some(key) => table.holder(key).cloned(),
+        None => None,
+    };
+    if tenancy.is_none() && table.needs_key && !route.is_anonymous {
+        return Err(Refusal::not_run(Code::BadKey, "The key is not known."));
+    }
+    // A length over the limit is refused before its body is waited for.
+    if body.size_hint().lower() > table.limits.body_bytes {
+        return Err(too_large());
+    }
+    Ok((Arc::clone(route), tenancy))
+}
+
+async fn read(body: Incoming, limit: u64) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, limit).collect();
+    match time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(Refusal::not_run(
+            Code::Malformed,
+            format!("The body could not be read: {error}"),
+        )),
+        Err(_) => Err(Refusal::not_run(
+            Code::SlowCaller,
+            "The body took too long to arrive.",
+        )),
+    }
+}
+
+fn too_large() -> Refusal {
+    Refusal::not_run(Code::TooLarge, "The body is over the limit.")
+}
+
+/// When the final answer is due: the route's time limit, or the caller's if that is sooner.
+fn deadline(arrived: Instant, route: &Route, head: &Head) -> Instant {
+    let limit = head
+        .patience
+        .map_or(route.timeout, |wait| wait.min(route.timeout));
+    arrived + limit.duration()
+}
+
+fn log_refusal(head: &Head, table: &Table, refusal: &Refusal) {
+    logging::event!(
+        info,
+        "request_rejected",
+        request = head.id,
+        host = head.host,
+        code = refusal.code,
+        verdict = refusal.verdict,
+        config = table.version
+    );
+}
--- a/crates/router/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -16,11 +16,11 @@
 impl Phase {
     /// Waits until `phase` is reached.
     pub async fn reached(receiver: &mut watch::Receiver<Self>, phase: Self) {
-        if receiver
+        let is_lost = receiver
             .wait_for(|current| *current >= phase)
             .await
-            .is_err()
-        {
+            .is_err();
+        if is_lost {
             // The sender is gone only at the process's end.
             std::future::pending::<()>().await;
         }
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -1,7 +1,8 @@
 //! Log lines of key=value pairs, one line for each event.
 //!
 //! The level comes from `WEIR_LOG` (`error`, `warn`, `info`, `debug`, `trace` or
-//! a filter of `env_logger`); without it, `info`. Lines go to standard error:
+//! a filter of `env_logger`); without it, `info`. Lines go to standard error, or to
+//! standard output by [`init_stdout`]:
 //!
 //! ```text
 //! time=2026-12-03T00:03:20.151Z level=info process=weir-router event=request_done status=200
@@ -14,17 +15,39 @@
 //! logging::event!(info, "request_done", status = 200, path = "/v1/chat/completions");
 //! ```
 
+mod sink;
+
 use std::{fmt, io::Write};
 
 pub use log;
+pub use sink::Sink;
 
 /// The environment variable that holds the filter.
 pub const VARIABLE: &str = "WEIR_LOG";
 
 /// Starts logging for the process `name`; a second call changes nothing.
 pub fn init(name: &'static str) {
+    start(name, env_logger::Target::Stderr);
+}
+
+/// Starts logging to standard output, which never blocks the process.
+///
+/// Lines wait in a bounded queue for a thread that writes them. When nobody
+/// reads them, the least important are left out and counted.
+pub fn init_stdout(name: &'static str) {
+    let sink = sink::Sink::start(std::io::stdout());
+    start(name, env_logger::Target::Pipe(Box::new(sink)));
+}
+
+/// Waits a moment for the lines of [`init_stdout`] that are not written yet.
+pub fn flush() {
+    std::thread::sleep(sink::PAUSE * 2);
+}
+
+fn start(name: &'static str, target: env_logger::Target) {
     let filter = env_logger::Env::new().filter_or(VARIABLE, "info");
     let started = env_logger::Builder::from_env(filter)
+        .target(target)
         .format(move |buffer, record| {
             let time = buffer.timestamp_millis();
             let level = record.level().as_str().to_ascii_lowercase();
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -4,22 +4,18 @@
 pub mod load;
 pub mod relay;
 
-use std::{io, net, sync::Arc, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::Bytes;
+pub use gateway::connection::{Connection, Failure};
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1, header};
-use hyper_util::rt::TokioIo;
-use storage::traffic::{Metered, Traffic};
-use tokio::{net::TcpStream, time};
+use hyper::{Request, header};
 use units::request;
 use verdict::{Code, Refusal};
 use wire::hop;
 
 use crate::{answer::Answer, clock::Clock, owner};
 
-/// How long a connection attempt may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a backend server may stay without any byte of an answer before its
 /// connection is examined.
 pub const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
@@ -27,74 +23,6 @@
 /// The header that carries the attempt to the backend server and back.
 pub const ATTEMPT_HEADER: &str = "x-weir-attempt";
 
-/// A connection to a backend server that carries one request at a time.
-#[derive(Debug)]
-pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-}
-
-impl Connection {
-    /// Opens a connection.
-    ///
-    /// # Errors
-    ///
-    /// When the server does not accept it in time. Nothing was sent.
-    pub async fn open(address: net::SocketAddr) -> io::Result<Self> {
-        Self::metered(address, Arc::default()).await
-    }
-
-    /// The same, with a count of the bytes that it carries.
-    ///
-    /// # Errors
-    ///
-    /// As [`Connection::open`].
-    pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        let stream = Metered::new(stream, traffic);
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        tokio::spawn(driver);
-        Ok(Self { sender })
-    }
-
-    /// Whether it can take another request.
-    pub fn is_usable(&self) -> bool {
-        self.sender.is_ready()
-    }
-
-    /// Sends a request and waits for the head of the answer.
-    ///
-    /// # Errors
-    ///
-    /// [`Failure::Unsent`] when no byte of the request has left.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Failure> {
-        if self.sender.ready().await.is_err() {
-            return Err(Failure::Unsent(Box::new(request)));
-        }
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(request) => Err(Failure::Unsent(Box::new(request))),
-                None => Err(Failure::Broken(error.into_error())),
-            },
-        }
-    }
-}
-
-/// Why there is no answer.
-#[derive(Debug)]
-pub enum Failure {
-    /// The connection was closed before any byte of the request left.
-    Unsent(Box<Request<Full<Bytes>>>),
-    /// The connection broke after the request may have left.
-    Broken(hyper::Error),
-}
-
 /// Runs an admitted request on its backend server.
 ///
 /// The answer's head is returned as soon as it is there; its body follows
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -60,6 +60,16 @@
 }
 
 impl Raw {
+    /// A setting of the name `name` in a settings file.
+    pub fn entry(name: &'static str, text: Option<String>) -> Self {
+        Self {
+            flag: "",
+            variable: name,
+            text,
+            secret: false,
+        }
+    }
+
     /// The text that was given, by flag or by environment variable.
     pub fn as_str(&self) -> Option<&str> {
         self.text.as_deref()
--- a/crates/units/src/time.rs
+++ b/crates/units/src/time.rs
@@ -1,6 +1,6 @@
 //! Instants that do not depend on a clock.
 
-use std::{fmt, ops, time};
+use std::{fmt, num, ops, str, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -64,3 +64,30 @@
         write!(f, "{}us", self.0)
     }
 }
+
+/// A length of time in whole milliseconds, as settings and protocols name it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The same length as the standard library's type.
+    pub const fn duration(self) -> time::Duration {
+        time::Duration::from_millis(self.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl str::FromStr for Millis {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
