Tell peers loads and versions, and reload the settings

Ruled out: the bound itself, which held for each router's own requests. Change: sealed datagrams every 200 ms with loads and versions; a router that is behind asks a peer; the key is drawn once into the store's own table. SIGHUP and a slow poll read the settings again.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,10 +16,11 @@
 use crate::{
     budget::Budget,
     clock::Clock,
+    peers,
     pool::{Demand, Denial, Outcome, Part, Parts, Pool},
     roster::Roster,
     route::Table,
-    settings::Settings,
+    settings::{Bounds, Settings},
 };
 
 /// What a request asks for.
@@ -67,9 +68,11 @@
     /// The routers that share bounds, this one included, have changed.
     Members(Vec<host::Id>),
     /// What another router has in flight.
-    Peer(host::Id, Vec<Load>),
+    Peer(host::Id, Vec<peers::Load>),
     /// Another router fell silent.
     PeerLost(host::Id),
+    /// The bounds of the deployment have changed.
+    Bounds(Bounds),
     /// Asks for what this router has in flight.
     Loads(oneshot::Sender<Vec<Load>>),
 }
@@ -103,7 +106,7 @@
     pools: BTreeMap<pool::Id, Pool>,
     budgets: HashMap<pool::Id, Budget>,
     members: Vec<host::Id>,
-    peers: BTreeMap<host::Id, Vec<Load>>,
+    peers: BTreeMap<host::Id, Vec<peers::Load>>,
 }
 
 impl Dispatch {
@@ -159,6 +162,7 @@
                 self.peers.remove(&host);
                 self.sum_peers();
             }
+            Message::Bounds(bounds) => self.set_bounds(bounds),
             Message::Loads(reply) => drop(reply.send(self.loads())),
         }
     }
@@ -252,13 +256,24 @@
         self.table = table;
     }
 
+    fn set_bounds(&mut self, bounds: Bounds) {
+        self.settings.bounds = bounds;
+        self.budgets.clear();
+        for pool in self.pools.values_mut() {
+            pool.set_bounds(bounds);
+        }
+    }
+
     fn sum_peers(&mut self) {
-        let mut sums: HashMap<&backend::Server, u32> = HashMap::new();
+        let mut sums: HashMap<u32, u32> = HashMap::new();
         for load in self.peers.values().flatten() {
-            *sums.entry(&load.server).or_default() += load.running;
+            *sums.entry(load.server).or_default() += u32::from(load.running);
         }
         for pool in self.pools.values_mut() {
-            pool.set_elsewhere(|server| sums.get(server).copied().unwrap_or(0));
+            pool.set_elsewhere(|server| {
+                let hash = peers::Load::hash(server);
+                sums.get(&hash).copied().unwrap_or(0)
+            });
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/mirror.rs
@@ -0,0 +1,109 @@
+//! This router's copy of the rows of one topic.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::source::{Batch, Row};
+
+/// How many removals are remembered against stale reads.
+const MAX_REMOVED: usize = 4096;
+
+/// Rows that only ever give way to rows of a higher version.
+///
+/// Reads of the store may be stale, and what another router passes on may be
+/// older than what is known here. Were it taken over as it comes, a
+/// configuration that was in force could come back.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    rows: BTreeMap<String, Row>,
+    removed: BTreeMap<String, u64>,
+    newest: u64,
+}
+
+impl Mirror {
+    /// Takes in a batch and returns the rows that changed, removed ones without a value.
+    pub fn merge(&mut self, batch: &Batch) -> Vec<Row> {
+        let mut changed: Vec<Row> = Vec::new();
+        for row in &batch.rows {
+            if self.put(row) {
+                changed.push(row.clone());
+            }
+        }
+        if batch.is_whole {
+            changed.extend(self.drop_missing(batch));
+        }
+        changed
+    }
+
+    fn put(&mut self, row: &Row) -> bool {
+        let known = self.rows.get(&row.key).map(|known| known.version);
+        let removed = self.removed.get(&row.key).copied();
+        if known.max(removed).is_some_and(|known| row.version <= known) {
+            return false;
+        }
+        self.newest = self.newest.max(row.version);
+        if row.value.is_some() {
+            self.removed.remove(&row.key);
+            self.rows.insert(row.key.clone(), row.clone());
+        } else {
+            self.rows.remove(&row.key);
+            self.remember_removal(row.key.clone(), row.version);
+        }
+        true
+    }
+
+    /// Rows that a whole read does not list are gone, unless they are newer than the read.
+    fn drop_missing(&mut self, batch: &Batch) -> Vec<Row> {
+        let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
+        let is_missing =
+            |row: &&Row| !listed.contains(row.key.as_str()) && row.version < batch.version;
+        let missing: Vec<String> = self
+            .rows
+            .values()
+            .filter(is_missing)
+            .map(|row| row.key.clone())
+            .collect();
+        for key in &missing {
+            self.rows.remove(key);
+            self.remember_removal(key.clone(), batch.version);
+        }
+        let removal = |key| Row {
+            key,
+            version: batch.version,
+            value: None,
+        };
+        missing.into_iter().map(removal).collect()
+    }
+
+    fn remember_removal(&mut self, key: String, version: u64) {
+        self.removed.insert(key, version);
+        while self.removed.len() > MAX_REMOVED {
+            self.removed.pop_first();
+        }
+    }
+
+    /// The rows.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// The version of the newest change.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// All changes after a version, as a router passes them on.
+    pub fn since(&self, version: u64) -> Batch {
+        let rows = self.rows.values().filter(|row| row.version > version);
+        let removed = self.removed.iter().filter(|&(_, &at)| at > version);
+        let removed = removed.map(|(key, &version)| Row {
+            key: key.clone(),
+            version,
+            value: None,
+        });
+        Batch {
+            rows: rows.cloned().chain(removed).collect(),
+            version: self.newest,
+            is_whole: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,256 @@
+//! What routers tell each other: which versions they know, and what they have in flight.
+
+mod digest;
+mod fetch;
+mod roll;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, oneshot, watch},
+    time,
+};
+use units::host;
+use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
+
+pub use digest::{Digest, Load, Versions};
+pub use roll::Roll;
+
+use crate::{
+    clock::Clock,
+    dispatch,
+    follow::Event,
+    mirror::Mirror,
+    source::{Member, Secret, Topic},
+};
+
+/// How often a router tells some others.
+///
+/// Loads are older than this by half on average; at 100 requests a second on
+/// 15 servers a server gets about one request in that time.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// How many others are told each time: all of a fleet of up to nine routers.
+const FAN_OUT: usize = 8;
+/// The largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 2048;
+
+/// The rows that can be passed on.
+pub type Mirrors = BTreeMap<Topic, Mirror>;
+
+/// What the task works with.
+#[derive(Debug)]
+pub struct Inputs {
+    /// This router.
+    pub own: Member,
+    /// The registered routers.
+    pub members: watch::Receiver<Arc<Vec<Member>>>,
+    /// What this router knows of the store.
+    pub mirrors: watch::Receiver<Arc<Mirrors>>,
+}
+
+/// Whom the task tells.
+#[derive(Clone, Debug)]
+pub struct Outputs {
+    /// The task that chooses servers.
+    pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    /// The task that knows what is stored.
+    pub events: mpsc::Sender<Event>,
+}
+
+/// Talks to the other routers until the process ends.
+pub async fn run(
+    clock: Clock,
+    socket: UdpSocket,
+    listener: TcpListener,
+    secret: Secret,
+    inputs: Inputs,
+    outputs: Outputs,
+) {
+    let Secret { key, boot } = secret;
+    logging::event!(info, "peers_started", address = inputs.own.address);
+    tokio::spawn(fetch::serve(listener, key.clone(), inputs.mirrors.clone()));
+    let task = Task {
+        clock,
+        sealer: Sealer::new(&key, &inputs.own.host, boot),
+        opener: Opener::new(&key, &inputs.own.host, boot),
+        boots: BTreeMap::new(),
+        roll: Roll::default(),
+        socket,
+        key,
+        inputs,
+        outputs,
+        rounds: 0,
+    };
+    task.run().await;
+}
+
+struct Task {
+    clock: Clock,
+    sealer: Sealer,
+    opener: Opener,
+    /// The starts of the others, by the tags of their hosts.
+    boots: BTreeMap<Tag, Boot>,
+    roll: Roll,
+    socket: UdpSocket,
+    key: Key,
+    inputs: Inputs,
+    outputs: Outputs,
+    rounds: usize,
+}
+
+impl Task {
+    async fn run(mut self) {
+        let mut ticks = time::interval(INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, _)) => self.hear(&buffer[..length]),
+                    // A peer that is gone shows as an error of the send before.
+                    Err(error) => logging::event!(debug, "peer_unreachable", reason = error),
+                },
+            }
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        for host in self.roll.silent(now) {
+            logging::event!(info, "peer_lost", peer = host);
+            self.tell(dispatch::Message::PeerLost(host));
+        }
+        let versions = self.versions();
+        if let Some(host) = self.roll.ahead(versions, now) {
+            self.fetch(&host, versions);
+        }
+        let loads = self.loads().await;
+        let digest = Digest::new(self.inputs.own.host.clone(), versions, &loads);
+        let Ok(payload) = digest.encode() else {
+            logging::event!(warn, "digest_too_long", loads = loads.len());
+            return;
+        };
+        for member in self.targets() {
+            let tag = Tag::new(&member.host);
+            let audience = match self.boots.get(&tag) {
+                Some(&boot) => Audience::Process(tag, boot),
+                None => Audience::Anyone,
+            };
+            let datagram = self.sealer.seal(&payload, audience);
+            // A datagram may be lost in any case; the next one follows soon.
+            if let Err(error) = self.socket.send_to(&datagram, member.address).await {
+                logging::event!(
+                    debug,
+                    "peer_unreachable",
+                    peer = member.host,
+                    reason = error
+                );
+            }
+        }
+    }
+
+    /// The members whose turn it is.
+    fn targets(&mut self) -> Vec<Member> {
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let own = &self.inputs.own.host;
+        let others: Vec<&Member> = members
+            .iter()
+            .filter(|member| member.host != *own)
+            .collect();
+        let start = self.rounds * FAN_OUT;
+        self.rounds = self.rounds.wrapping_add(1);
+        let turn = others.iter().cycle().skip(start % others.len().max(1));
+        turn.take(FAN_OUT.min(others.len()))
+            .copied()
+            .cloned()
+            .collect()
+    }
+
+    fn versions(&self) -> Versions {
+        let mirrors = self.inputs.mirrors.borrow();
+        let newest = |topic| mirrors.get(&topic).map_or(0, Mirror::newest);
+        Versions {
+            configuration: newest(Topic::Configuration),
+            servers: newest(Topic::Servers),
+        }
+    }
+
+    async fn loads(&self) -> Vec<dispatch::Load> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(dispatch::Message::Loads(reply));
+        // The task ends only with the process.
+        answer.await.unwrap_or_default()
+    }
+
+    fn hear(&mut self, datagram: &[u8]) {
+        let now = self.clock.now();
+        let opened = match self.opener.open(datagram) {
+            Ok(opened) => opened,
+            Err(error) => {
+                logging::event!(debug, "datagram_refused", reason = error);
+                return;
+            }
+        };
+        self.boots.insert(opened.tag, opened.boot);
+        // What is not meant for this very process may be a replay.
+        if !opened.fresh {
+            return;
+        }
+        let Ok(digest) = Digest::decode(opened.payload) else {
+            logging::event!(debug, "digest_malformed");
+            return;
+        };
+        if Tag::new(&digest.host) != opened.tag {
+            return;
+        }
+        let others = self.inputs.members.borrow().len();
+        let patience = INTERVAL * u32::try_from(3 * others.div_ceil(FAN_OUT)).unwrap_or(u32::MAX);
+        if self.roll.heard(&digest, now, patience.max(LEAST_PATIENCE)) {
+            logging::event!(info, "peer_heard", peer = digest.host);
+        }
+        self.tell(dispatch::Message::Peer(digest.host, digest.loads));
+    }
+
+    fn tell(&self, message: dispatch::Message) {
+        // As above.
+        drop(self.outputs.dispatch.send(message));
+    }
+
+    /// Asks a router that knows more than this one.
+    fn fetch(&self, host: &host::Id, versions: Versions) {
+        let Some(address) = self.address(host) else {
+            return;
+        };
+        logging::event!(
+            info,
+            "peer_ahead",
+            peer = host,
+            configuration = versions.configuration,
+            servers = versions.servers
+        );
+        let key = self.key.clone();
+        let events = self.outputs.events.clone();
+        tokio::spawn(async move {
+            match fetch::ask(address, &key, versions).await {
+                Ok(batches) => {
+                    for (topic, batch) in batches {
+                        // As above.
+                        drop(events.send(Event::Batch(topic, batch)).await);
+                    }
+                }
+                Err(error) => logging::event!(info, "peer_fetch_failed", reason = error),
+            }
+        });
+    }
+
+    fn address(&self, host: &host::Id) -> Option<SocketAddr> {
+        let members = self.inputs.members.borrow();
+        let member = members.iter().find(|member| member.host == *host)?;
+        Some(member.address)
+    }
+}
+
+/// The least time after which a router that is not heard counts as lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
--- /dev/null
+++ b/crates/gateway/src/peers/digest.rs
@@ -0,0 +1,97 @@
+//! The datagram by which a router tells others what it knows.
+
+use serde::{Deserialize, Serialize};
+use units::{backend, host};
+use xxhash_rust::xxh3;
+
+use crate::dispatch;
+
+/// The longest payload, in bytes: with its seal it fits one packet on usual links.
+const MAX_PAYLOAD: usize = 1300;
+
+/// The newest changes that a router knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Of the configuration.
+    pub configuration: u64,
+    /// Of the registered servers.
+    pub servers: u64,
+}
+
+impl Versions {
+    /// Whether one of them is higher than in `other`.
+    pub fn is_ahead_of(self, other: Self) -> bool {
+        self.configuration > other.configuration || self.servers > other.servers
+    }
+}
+
+/// Requests that a router has at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// A hash of the server's name.
+    pub server: u32,
+    /// Requests in flight.
+    pub running: u16,
+}
+
+impl Load {
+    /// The hash that stands for a server.
+    pub fn hash(server: &backend::Server) -> u32 {
+        (xxh3::xxh3_64(server.as_str().as_bytes()) >> 32) as u32
+    }
+}
+
+/// What one router tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The router.
+    pub host: host::Id,
+    /// The newest changes that it knows.
+    pub versions: Versions,
+    /// What it has in flight; servers without a request are left out.
+    pub loads: Vec<Load>,
+}
+
+/// A digest that cannot be sent or read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl Digest {
+    /// The digest of a router with these requests in flight.
+    pub fn new(host: host::Id, versions: Versions, loads: &[dispatch::Load]) -> Self {
+        let loads = loads.iter().map(|load| Load {
+            server: Load::hash(&load.server),
+            running: u16::try_from(load.running).unwrap_or(u16::MAX),
+        });
+        Self {
+            host,
+            versions,
+            loads: loads.collect(),
+        }
+    }
+
+    /// Encodes the digest.
+    ///
+    /// # Errors
+    ///
+    /// When it does not fit one datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, Malformed> {
+        let bytes = postcard::to_stdvec(self).map_err(|_| Malformed)?;
+        if bytes.len() > MAX_PAYLOAD {
+            return Err(Malformed);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a digest.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are not one.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
+        if bytes.len() > MAX_PAYLOAD {
+            return Err(Malformed);
+        }
+        postcard::from_bytes(bytes).map_err(|_| Malformed)
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -115,6 +115,11 @@
         self.service = service;
     }
 
+    /// Takes over new bounds.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Sets the servers that may get work.
     pub fn set_servers<'a>(&mut self, entries: impl Iterator<Item = &'a roster::Entry>) {
         let mut old = std::mem::take(&mut self.servers);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -80,25 +80,6 @@
         }
     }
 
-    /// Takes in all rows of the table as of `revision`: what isn't in it is gone.
-    pub fn replace(&mut self, entries: Vec<Entry>, revision: u64, now: Instant) -> bool {
-        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.server.clone()).collect();
-        let mut changed = false;
-        for entry in entries {
-            changed |= self.put(entry);
-        }
-        let missing: Vec<_> = self
-            .entries
-            .values()
-            .filter(|entry| !listed.contains(&entry.server) && entry.revision < revision)
-            .map(|entry| entry.server.clone())
-            .collect();
-        for server in missing {
-            changed |= self.remove(&server, revision, now);
-        }
-        changed
-    }
-
     fn put(&mut self, entry: Entry) -> bool {
         let known = self.entries.get(&entry.server).map(|known| known.revision);
         let removed = self.removed.get(&entry.server).copied();
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 use units::{availability, host, time::Instant};
+use wire::seal::{Boot, Key};
 
 use crate::{roster, route};
 
@@ -116,6 +117,18 @@
     pub address: SocketAddr,
 }
 
+/// What routers prove themselves to each other with.
+#[derive(Clone, Debug)]
+pub struct Secret {
+    /// The key that all routers share.
+    pub key: Key,
+    /// Tells the starts of one router apart; a later start has a higher one.
+    ///
+    /// It comes from the store, since the time of day may jump back between
+    /// two starts, and others would then take the new one for a replay.
+    pub boot: Boot,
+}
+
 /// The store and the form of its rows.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Reads all rows of a topic.
@@ -133,6 +146,10 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<Batch, Error>> + Send;
 
+    /// Reads the key that all routers share, and draws it if there is none.
+    fn secret(&self, deadline: time::Instant)
+    -> impl Future<Output = Result<Secret, Error>> + Send;
+
     /// Registers a router. The call may be repeated.
     fn register(
         &self,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt as _};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
     task::JoinHandle,
@@ -13,16 +13,16 @@
 
 use crate::{
     clock::Clock,
-    dispatch::Dispatch,
+    dispatch::{self, Dispatch},
     follow::Follow,
     listener,
     metrics::Metrics,
-    observer,
+    observer, peers,
     protocol::Protocol,
     serve::Context,
     settings::Settings,
     shutdown::Phase,
-    source::{Member, Source, Topic},
+    source::{Member, Secret, Source, Topic},
     state::{self, State},
 };
 
@@ -36,6 +36,8 @@
 const REGISTER_LIMIT: Duration = Duration::from_secs(1);
 /// The pause after one that failed.
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
+/// How often the settings are read again without being told.
+const REREAD: Duration = Duration::from_secs(5);
 /// The most connections of callers.
 const MAX_CONNECTIONS: usize = 1500;
 
@@ -48,6 +50,8 @@
     Readiness,
     /// It could not listen for questions about its metrics.
     Metrics,
+    /// It could not listen for other routers.
+    Peers,
     /// It cannot be told to end.
     Signals,
 }
@@ -58,6 +62,7 @@
             Self::Callers => "cannot listen for callers",
             Self::Readiness => "cannot listen for the balancer",
             Self::Metrics => "cannot listen for questions about metrics",
+            Self::Peers => "cannot listen for other routers",
             Self::Signals => "cannot receive signals",
         })
     }
@@ -73,6 +78,7 @@
     phase: watch::Sender<Phase>,
     callers: JoinHandle<()>,
     members: watch::Receiver<Arc<Vec<Member>>>,
+    dispatch: mpsc::UnboundedSender<dispatch::Message>,
 }
 
 impl<S: Source> Router<S> {
@@ -95,18 +101,26 @@
         let questions = TcpListener::bind(settings.metrics)
             .await
             .change_context(Error::Metrics)?;
+        let peer_listener = TcpListener::bind(settings.peers)
+            .await
+            .change_context(Error::Peers)?;
+        let peer_socket = UdpSocket::bind(settings.peers)
+            .await
+            .change_context(Error::Peers)?;
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::default());
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let (table_sender, table) = watch::channel(None);
         let (readiness_sender, readiness_receiver) = watch::channel(state::Readiness::default());
         let (members_sender, members) = watch::channel(Arc::default());
+        let (mirrors_sender, mirrors) = watch::channel(Arc::default());
         let (dispatch, handle, messages) = Dispatch::new(clock, settings.clone());
         tokio::spawn(dispatch.run(messages));
         let outputs = state::Outputs {
             table: table_sender,
             readiness: readiness_sender,
             members: members_sender,
+            mirrors: mirrors_sender,
             dispatch: handle.clone(),
             metrics: Arc::clone(&metrics),
         };
@@ -118,6 +132,25 @@
             let follow = Follow::new(source.clone(), topic, events.clone(), metrics);
             tokio::spawn(follow.run());
         }
+        let own = Member {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers,
+        };
+        let inputs = peers::Inputs {
+            own: own.clone(),
+            members: members.clone(),
+            mirrors,
+        };
+        let outputs = peers::Outputs {
+            dispatch: handle.clone(),
+            events,
+        };
+        let store = source.clone();
+        tokio::spawn(async move {
+            let secret = secret(store).await;
+            peers::run(clock, peer_socket, peer_listener, secret, inputs, outputs).await;
+        });
         let sources = observer::Sources {
             readiness: readiness_receiver,
             phase: phase_receiver.clone(),
@@ -129,32 +162,61 @@
             protocol,
             clock,
             table,
-            dispatch: handle,
+            dispatch: handle.clone(),
             phase: phase_receiver.clone(),
             metrics,
         });
         let callers = listener::serve(callers, context, MAX_CONNECTIONS, phase_receiver);
-        tokio::spawn(register(source.clone(), settings.clone(), members.clone()));
+        tokio::spawn(register(source.clone(), own, members.clone()));
         Ok(Self {
             source,
             settings,
             phase,
             callers: tokio::spawn(callers),
             members,
+            dispatch: handle,
         })
     }
 
+    /// Takes over settings that may change while the process runs: its bounds
+    /// and its grace period. Addresses stay as they are.
+    pub fn reload(&mut self, settings: &Settings) {
+        if settings.bounds == self.settings.bounds && settings.grace == self.settings.grace {
+            return;
+        }
+        logging::event!(info, "settings_reloaded", grace_ms = settings.grace);
+        self.settings.bounds = settings.bounds;
+        self.settings.grace = settings.grace;
+        let message = dispatch::Message::Bounds(settings.bounds);
+        // The task ends only with the process.
+        drop(self.dispatch.send(message));
+    }
+
     /// Runs until the process is told to end, then shuts down gracefully.
     ///
+    /// `read` reads the settings again: when the process is told that they
+    /// have changed, and now and then, since they may change in silence.
+    ///
     /// # Errors
     ///
     /// When the process cannot be told to end.
-    pub async fn run_until_signalled(self) -> Result<(), Report<Error>> {
+    pub async fn run_until_signalled<F>(mut self, read: F) -> Result<(), Report<Error>>
+    where
+        F: Fn() -> Option<Settings>,
+    {
         let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signals)?;
         let mut interrupt = signal(SignalKind::interrupt()).change_context(Error::Signals)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        let mut hangup = signal(SignalKind::hangup()).change_context(Error::Signals)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => {}
+                () = time::sleep(REREAD) => {}
+            }
+            if let Some(settings) = read() {
+                self.reload(&settings);
+            }
         }
         self.shut_down().await;
         Ok(())
@@ -186,20 +248,27 @@
     }
 }
 
+/// Reads the key of the fleet, until it is there.
+async fn secret<S: Source>(source: S) -> Secret {
+    loop {
+        let deadline = time::Instant::now() + REGISTER_LIMIT;
+        match source.secret(deadline).await {
+            Ok(secret) => return secret,
+            Err(error) => logging::event!(info, "secret_unavailable", reason = error),
+        }
+        time::sleep(REGISTER_PAUSE).await;
+    }
+}
+
 /// How many events of the store may wait to be taken in.
 const EVENTS: usize = 64;
 
 /// Registers this router until the store lists it, and again whenever it is missing.
 async fn register<S: Source>(
     source: S,
-    settings: Settings,
+    own: Member,
     mut members: watch::Receiver<Arc<Vec<Member>>>,
 ) {
-    let own = Member {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        address: settings.peers,
-    };
     loop {
         let is_listed = members.borrow_and_update().contains(&own);
         if is_listed {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,22 +1,20 @@
 //! The task that knows what is stored, and tells the others when it changes.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-    sync::Arc,
-};
+use std::{collections::BTreeSet, fmt, sync::Arc};
 
 use tokio::{
     sync::{mpsc, watch},
     time,
 };
-use units::{backend, host, time::Instant};
+use units::{backend, time::Instant};
 
 use crate::{
     clock::Clock,
     dispatch,
     follow::Event,
     metrics::Metrics,
+    mirror::Mirror,
+    peers::Mirrors,
     roster::{Change, Roster},
     route::Table,
     source::{Batch, Directive, Member, Row, Source, Topic},
@@ -53,6 +51,8 @@
     pub readiness: watch::Sender<Readiness>,
     /// Those who need the other routers.
     pub members: watch::Sender<Arc<Vec<Member>>>,
+    /// Those who pass rows on to other routers.
+    pub mirrors: watch::Sender<Arc<Mirrors>>,
     /// The task that chooses servers.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// What is counted.
@@ -60,19 +60,14 @@
 }
 
 /// All that is stored, as far as this router knows.
-///
-/// Rows only ever give way to rows of a higher version: reads may be stale,
-/// and a configuration that was in force must not come back.
 #[derive(Debug)]
 pub struct State<S> {
     source: S,
     clock: Clock,
     outputs: Outputs,
-    directives: BTreeMap<String, Row>,
-    removed: BTreeMap<String, u64>,
+    mirrors: Mirrors,
     table_version: u64,
     roster: Roster,
-    members: BTreeMap<host::Id, (Member, u64)>,
     readiness: Readiness,
 }
 
@@ -83,11 +78,9 @@
             source,
             clock,
             outputs,
-            directives: BTreeMap::new(),
-            removed: BTreeMap::new(),
+            mirrors: Mirrors::new(),
             table_version: 0,
             roster: Roster::default(),
-            members: BTreeMap::new(),
             readiness: Readiness::default(),
         }
     }
@@ -107,81 +100,47 @@
         }
     }
 
-    /// Takes in what following the store brought.
+    /// Takes in what following the store, or another router, brought.
     pub fn take(&mut self, event: Event) {
-        let now = self.clock.now();
         match event {
-            Event::Batch(Topic::Configuration, batch) => self.configure(batch),
-            Event::Batch(Topic::Servers, batch) => self.register(batch, now),
-            Event::Batch(Topic::Routers, batch) => self.enroll(batch),
-            Event::Returned(Topic::Servers) => self.roster.store_returned(now),
+            Event::Batch(topic, batch) => self.merge(topic, &batch),
+            Event::Returned(Topic::Servers) => self.roster.store_returned(self.clock.now()),
             Event::Returned(_) | Event::Lost(_) => {}
         }
     }
 
-    fn expire(&mut self) {
-        if self.roster.expire(self.clock.now()) {
-            self.publish_roster();
-        }
-    }
-
-    fn configure(&mut self, batch: Batch) {
-        let mut changed = self.merge(&batch);
-        if batch.is_whole {
-            changed |= self.drop_missing(&batch);
+    fn merge(&mut self, topic: Topic, batch: &Batch) {
+        let changed = self.mirrors.entry(topic).or_default().merge(batch);
+        if changed.is_empty() {
+            return;
         }
-        if changed {
-            self.publish_configuration();
+        match topic {
+            Topic::Configuration => self.publish_configuration(),
+            Topic::Servers => self.register(&changed),
+            Topic::Routers => self.publish_members(),
         }
+        self.outputs
+            .mirrors
+            .send_replace(Arc::new(self.mirrors.clone()));
     }
 
-    fn merge(&mut self, batch: &Batch) -> bool {
-        let mut changed = false;
-        for row in &batch.rows {
-            let known = self.directives.get(&row.key).map(|known| known.version);
-            let removed = self.removed.get(&row.key).copied();
-            if known.max(removed).is_some_and(|known| row.version <= known) {
-                continue;
-            }
-            changed = true;
-            if row.value.is_some() {
-                self.removed.remove(&row.key);
-                self.directives.insert(row.key.clone(), row.clone());
-            } else {
-                self.directives.remove(&row.key);
-                self.removed.insert(row.key.clone(), row.version);
-            }
-        }
-        changed
+    fn rows(&self, topic: Topic) -> impl Iterator<Item = &Row> {
+        self.mirrors.get(&topic).into_iter().flat_map(Mirror::rows)
     }
 
-    fn drop_missing(&mut self, batch: &Batch) -> bool {
-        let listed: BTreeSet<&String> = batch.rows.iter().map(|row| &row.key).collect();
-        let before = self.directives.len();
-        self.directives
-            .retain(|key, row| listed.contains(key) || row.version > batch.version);
-        self.directives.len() != before
+    fn expire(&mut self) {
+        if self.roster.expire(self.clock.now()) {
+            self.publish_roster();
+        }
     }
 
     fn publish_configuration(&mut self) {
         let mut zones = BTreeSet::new();
-        for row in self.directives.values() {
+        let mut tables = Vec::new();
+        for row in self.rows(Topic::Configuration) {
             match self.source.directive(row) {
-                Ok(Directive::Table(table)) if row.version > self.table_version => {
-                    self.table_version = row.version;
-                    logging::event!(
-                        info,
-                        "configuration_in_force",
-                        config = table.version,
-                        row = row.version
-                    );
-                    self.outputs.metrics.set_config(table.version);
-                    let table = Arc::from(table);
-                    let message = dispatch::Message::Table(Arc::clone(&table));
-                    tell(&self.outputs.dispatch, message);
-                    self.outputs.table.send_replace(Some(table));
-                }
-                Ok(Directive::Table(_) | Directive::Unknown) => {}
+                Ok(Directive::Table(table)) => tables.push((row.version, table)),
+                Ok(Directive::Unknown) => {}
                 Ok(Directive::Evacuation(zone)) => {
                     zones.insert(zone);
                 }
@@ -190,6 +149,9 @@
                 }
             }
         }
+        for (version, table) in tables {
+            self.put_in_force(version, table);
+        }
         if self.roster.set_evacuated(zones.clone()) {
             let zones: Vec<_> = zones.iter().map(|zone| zone.as_str()).collect();
             logging::event!(info, "zones_out", zones = zones.join(","));
@@ -198,19 +160,32 @@
         self.publish_readiness();
     }
 
-    fn register(&mut self, batch: Batch, now: Instant) {
-        let mut entries = Vec::new();
+    fn put_in_force(&mut self, version: u64, table: Box<Table>) {
+        if version <= self.table_version {
+            return;
+        }
+        self.table_version = version;
+        logging::event!(
+            info,
+            "configuration_in_force",
+            config = table.version,
+            row = version
+        );
+        self.outputs.metrics.set_config(table.version);
+        let table = Arc::from(table);
+        let message = dispatch::Message::Table(Arc::clone(&table));
+        tell(&self.outputs.dispatch, message);
+        self.outputs.table.send_replace(Some(table));
+    }
+
+    fn register(&mut self, rows: &[Row]) {
+        let now = self.clock.now();
         let mut changed = false;
-        for row in &batch.rows {
-            match self.entry(row, now) {
-                Some(Change::Present(entry)) if batch.is_whole => entries.push(entry),
-                Some(change) => changed |= self.roster.apply(change, now),
-                None => {}
+        for row in rows {
+            if let Some(change) = self.entry(row, now) {
+                changed |= self.roster.apply(change, now);
             }
         }
-        if batch.is_whole {
-            changed |= self.roster.replace(entries, batch.version, now);
-        }
         if changed {
             self.publish_roster();
         }
@@ -249,34 +224,16 @@
         self.publish_readiness();
     }
 
-    fn enroll(&mut self, batch: Batch) {
-        for row in &batch.rows {
-            let Ok(host) = row.key.parse::<host::Id>() else {
-                continue;
-            };
-            match row.value.as_ref().map(|_| self.source.member(row)) {
-                Some(Ok(member)) => {
-                    self.members.insert(host, (member, row.version));
-                }
-                Some(Err(error)) => {
+    fn publish_members(&mut self) {
+        let mut members = Vec::new();
+        for row in self.rows(Topic::Routers) {
+            match self.source.member(row) {
+                Ok(member) => members.push(member),
+                Err(error) => {
                     logging::event!(warn, "row_malformed", key = row.key, reason = error);
                 }
-                None => {
-                    self.members.remove(&host);
-                }
             }
         }
-        if batch.is_whole {
-            let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
-            self.members.retain(|host, (_, version)| {
-                listed.contains(host.as_str()) || *version > batch.version
-            });
-        }
-        let members: Vec<_> = self
-            .members
-            .values()
-            .map(|(member, _)| member.clone())
-            .collect();
         if **self.outputs.members.borrow() == members {
             return;
         }
@@ -289,7 +246,8 @@
 
     fn publish_sizes(&self) {
         let metrics = &self.outputs.metrics;
-        metrics.set_sizes(self.roster.len(), self.members.len());
+        let members = self.outputs.members.borrow().len();
+        metrics.set_sizes(self.roster.len(), members);
     }
 
     fn publish_readiness(&mut self) {
--- a/crates/router/src/hop.rs
+++ b/crates/router/src/hop.rs
@@ -2,11 +2,12 @@
 
 pub mod client;
 pub mod head;
-pub mod link;
 pub mod server;
 
 use std::time::Duration;
 
+pub use gateway::link;
+
 use units::time;
 use verdict::Refusal;
 use wire::hop;
