Count servers that are out in the mean of their service

Ruled out: late loads of peers; the servers over the bound were so for seconds. Change: the bound follows the mean of all servers of the service; where so few are left that nobody can keep to it, they are used evenly.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -120,6 +120,9 @@
 const LEAST_COPY: u64 = 200;
 /// How much of the room above the mean is used, since peers' loads are late.
 const BOUND_USED: f64 = 0.75;
+/// How far above the mean of the used servers one of them may be when there are
+/// so few that the bound cannot be kept.
+const EVEN_MULTIPLE: f64 = 1.15;
 /// Requests above the multiple of the mean that the deployment allows.
 const BOUND_EXTRA: f64 = 3.0;
 
@@ -281,21 +284,16 @@
 
     /// The most requests that one server may hold.
     ///
-    /// The mean is that of the servers that are not cold: cold ones hold little,
-    /// and would otherwise push the bound of the others down.
+    /// The mean is that of all servers of the service, also of those that get
+    /// nothing new. When so few are left that nobody can keep to it, these are
+    /// used evenly.
     fn bound(&self, now: Instant) -> f64 {
-        let warm = || {
-            let servers = self.servers.values();
-            servers.filter(|server| !server.is_cold(now) && !server.is_leaving())
-        };
-        let count = warm().count();
-        if count == 0 {
-            return f64::INFINITY;
-        }
-        let load: u32 = warm().map(Server::load).sum();
-        let mean = f64::from(load) / count as f64;
-        let above = (self.bounds.load_multiple - 1.0) * mean + BOUND_EXTRA;
-        mean + above * BOUND_USED
+        let all = mean(self.servers.values());
+        let above = (self.bounds.load_multiple - 1.0) * all + BOUND_EXTRA;
+        let fence = all + above * BOUND_USED;
+        let is_used = |server: &&Server| !server.is_leaving() && !server.is_cold(now);
+        let even = mean(self.servers.values().filter(is_used)) * EVEN_MULTIPLE + 1.0;
+        fence.max(even)
     }
 
     fn cold_bound(&self) -> fence::Bound {
@@ -437,6 +435,14 @@
     }
 }
 
+/// The mean load of some servers; zero if there are none.
+fn mean<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
+    let (count, load) = servers.fold((0_u32, 0), |(count, load), server| {
+        (count + 1, load + server.load())
+    });
+    f64::from(load) / f64::from(count.max(1))
+}
+
 /// How long a first ejection lasts: a few of the shortest faults that were seen (4 to 6 s).
 const EJECTION: Duration = Duration::from_millis(1500);
 /// How long the longest ejection lasts.
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -68,6 +68,49 @@
     assert!(most <= bounds().load_multiple * mean + 3.0, "{loads:?}");
 }
 
+/// A zone is taken out, and its servers idle. The rest carries its load, and
+/// the mean over all servers of the service falls below what each of the others
+/// holds: one of these is over the bound sooner than their own mean says.
+#[test]
+fn servers_that_are_out_count_in_the_mean() {
+    let mut entries = dozen();
+    for entry in &mut entries {
+        entry.is_draining = entry.zone.as_str() == "b";
+    }
+    let mut pool = pool(&entries);
+    for topic in 0..24 {
+        run(&mut pool, topic, topic, START);
+    }
+    for own in 0..120 {
+        run(&mut pool, 7, 100 + own, START);
+        let loads: Vec<u32> = pool.servers().map(|server| server.load()).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / 12.0;
+        let most = f64::from(loads.iter().copied().max().expect("a server"));
+        assert!(most <= bounds().load_multiple * mean + 3.0, "{loads:?}");
+    }
+}
+
+/// Most servers are out, so that the bound cannot be kept by anyone: the few
+/// that are left hold more than twice the mean of all. Refusing requests that
+/// they have room for would help nobody.
+#[test]
+fn few_servers_that_are_left_are_used_evenly() {
+    let mut entries = dozen();
+    for (index, entry) in entries.iter_mut().enumerate() {
+        entry.is_draining = index >= 3;
+    }
+    let mut pool = pool(&entries);
+    for own in 0..90 {
+        run(&mut pool, 7, own, START);
+    }
+    let loads = pool
+        .servers()
+        .filter(|server| !server.is_leaving())
+        .map(|server| server.load());
+    let loads: Vec<u32> = loads.collect();
+    assert!(loads.iter().all(|&load| load <= 40), "{loads:?}");
+}
+
 /// Several routers choose the same server in the same moment, as each sees
 /// only its own few requests there. Its load passes the bound, though every
 /// router kept to it.
