--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -88,7 +88,7 @@
     ///
     /// When an address cannot be listened on.
     pub async fn start<P: Protocol>(
-        settings: Settings,
+        mut settings: Settings,
         protocol: P,
         source: S,
     ) -> Result<Self, Report<Error>> {
@@ -104,9 +104,20 @@
         let peer_listener = TcpListener::bind(settings.peers)
             .await
             .change_context(Error::Peers)?;
-        let peer_socket = UdpSocket::bind(settings.peers)
-            .await
-            .change_context(Error::Peers)?;
+        let peers = peer_listener.local_addr().change_context(Error::Peers)?;
+        let peer_socket = UdpSocket::bind(peers).await.change_context(Error::Peers)?;
+        settings.callers = callers.local_addr().change_context(Error::Callers)?;
+        settings.readiness = readiness.local_addr().change_context(Error::Readiness)?;
+        settings.metrics = questions.local_addr().change_context(Error::Metrics)?;
+        settings.peers = peer_socket.local_addr().change_context(Error::Peers)?;
+        logging::event!(
+            info,
+            "listening",
+            callers = settings.callers,
+            readiness = settings.readiness,
+            metrics = settings.metrics,
+            peers = settings.peers
+        );
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::default());
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
@@ -181,6 +192,11 @@
         })
     }
 
+    /// The settings, with the addresses that it listens on.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Takes over settings that may change while the process runs: its bounds
     /// and its grace period. Addresses stay as they are.
     pub fn reload(&mut self, settings: &Settings) {
