--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -2,6 +2,7 @@
 
 pub mod choice;
 pub mod direct;
+pub mod entry;
 pub mod owned;
 
 use std::fmt;
@@ -11,6 +12,8 @@
 pub enum Name {
     /// Entry, owner, engine: the product's policy.
     Chosen,
+    /// Entry routers that decide with the gateway's pool.
+    Entry,
     /// Any engine.
     Random,
     /// The less loaded of any two, by lagging reports.
@@ -23,8 +26,9 @@
 
 impl Name {
     /// All of them.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Chosen,
+        Self::Entry,
         Self::Random,
         Self::TwoChoices,
         Self::Modulo,
@@ -36,6 +40,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Chosen => "chosen",
+            Self::Entry => "entry",
             Self::Random => "random",
             Self::TwoChoices => "two_choices",
             Self::Modulo => "modulo",
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -9,6 +9,7 @@
         self,
         choice::{Any, Choice, Modulo, RendezvousLocal, TwoChoices},
         direct::{self, Direct},
+        entry::{self, Entry},
         owned::{self, Chosen},
     },
     script::Script,
@@ -63,6 +64,7 @@
     pub fn run(&self, policy: policy::Name) -> Stats {
         match policy {
             policy::Name::Chosen => self.chosen(),
+            policy::Name::Entry => self.entry(),
             policy::Name::Random => self.direct(Any),
             policy::Name::TwoChoices => self.direct(TwoChoices),
             policy::Name::Modulo => self.direct(Modulo),
@@ -84,6 +86,12 @@
         World::new(core, policy, &self.script).run().0
     }
 
+    fn entry(&self) -> Stats {
+        let core: Core<entry::Event> = self.core();
+        let policy = Entry::new(&core);
+        World::new(core, policy, &self.script).run().0
+    }
+
     fn direct<C: Choice>(&self, choice: C) -> Stats {
         let core: Core<direct::Event> = self.core();
         let policy = Direct::new(choice, self.deployment.routers, self.deployment.engines);
