Let requests wait for full servers in a fair line

Change: a line in front of each service, built from admission's fair queue and shares; a workspace over its share leaves a quarter of the slots; a hopeless request is refused at once with the time by which those ahead are served, spread by half; a crowd gives way to a quiet workspace. Waiting for a cold server's next opening moves there.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -46,5 +46,7 @@
     Action, Actions, Bound, Decision, Handover, Offered, Outcome, Report, Snapshot, Standing,
     State, Ticket,
 };
+pub use queue::{Queue, Waiting};
 pub use server::Server;
 pub use settings::Settings;
+pub use share::Shares;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -22,7 +22,8 @@
 
 /// A ticket that waits.
 #[derive(Clone, Debug)]
-pub(crate) struct Waiting {
+pub struct Waiting {
+    /// The ticket.
     pub ticket: Ticket,
     /// The last instant at which starting it still makes sense.
     pub latest_start: Instant,
@@ -119,7 +120,7 @@
     }
 
     /// The cost of the tickets of `workspace` that wait.
-    pub(crate) fn cost_of(&self, workspace: &workspace::Id) -> Cost {
+    pub fn cost_of(&self, workspace: &workspace::Id) -> Cost {
         let flow = self.index.get(workspace);
         flow.map_or(Cost(0), |&flow| {
             self.flows[flow].costs.iter().copied().sum()
@@ -127,7 +128,7 @@
     }
 
     /// The cost that is served before a ticket of `workspace` offered now.
-    pub(crate) fn ahead(&self, workspace: &workspace::Id, priority: request::Priority) -> Cost {
+    pub fn ahead(&self, workspace: &workspace::Id, priority: request::Priority) -> Cost {
         let Some(&flow) = self.index.get(workspace) else {
             return self.ahead_of(0, self.weight_of(workspace));
         };
@@ -154,7 +155,7 @@
     }
 
     /// Charges a workspace for a ticket that did not wait in this queue.
-    pub(crate) fn charge(&mut self, workspace: &workspace::Id, cost: Cost) {
+    pub fn charge(&mut self, workspace: &workspace::Id, cost: Cost) {
         let flow = self.flow(workspace);
         self.unlink(flow);
         let start = self.flows[flow].start.max(self.virtual_time);
@@ -167,7 +168,7 @@
     }
 
     /// Adds a ticket. A lower priority orders it `step` later for each step.
-    pub(crate) fn push(&mut self, waiting: Waiting, step: Duration, now: Instant) {
+    pub fn push(&mut self, waiting: Waiting, step: Duration, now: Instant) {
         let flow = self.flow(&waiting.ticket.workspace);
         let ticket = &waiting.ticket;
         let below = request::Priority::Interactive as u32 - ticket.priority as u32;
@@ -190,13 +191,13 @@
     }
 
     /// The next ticket of each workspace, in the order in which they are served.
-    pub(crate) fn heads(&self) -> impl Iterator<Item = &Waiting> {
+    pub fn heads(&self) -> impl Iterator<Item = &Waiting> {
         let flows = self.backlogged.iter().map(|&(_, flow)| &self.flows[flow]);
         flows.filter_map(|flow| flow.waiting.values().next())
     }
 
     /// Takes a ticket to serve it, and charges its workspace.
-    pub(crate) fn serve(&mut self, attempt: request::Attempt) -> Option<Waiting> {
+    pub fn serve(&mut self, attempt: request::Attempt) -> Option<Waiting> {
         let flow = self.places.get(&attempt)?.flow;
         let start = self.flows[flow].start;
         self.virtual_time = self.virtual_time.max(start);
@@ -209,14 +210,14 @@
     }
 
     /// Takes a ticket out without serving it.
-    pub(crate) fn remove(&mut self, attempt: request::Attempt) -> Option<Waiting> {
+    pub fn remove(&mut self, attempt: request::Attempt) -> Option<Waiting> {
         let waiting = self.detach(attempt)?;
         self.forget_idle();
         Some(waiting)
     }
 
     /// Takes the next ticket whose latest start has passed.
-    pub(crate) fn pop_expired(&mut self, now: Instant) -> Option<Waiting> {
+    pub fn pop_expired(&mut self, now: Instant) -> Option<Waiting> {
         let &(latest_start, attempt) = self.expiry.first()?;
         if latest_start > now {
             return None;
@@ -225,13 +226,13 @@
     }
 
     /// When the next ticket expires.
-    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+    pub fn next_expiry(&self) -> Option<Instant> {
         self.expiry.first().map(|&(instant, _)| instant)
     }
 
     /// Takes the last ticket of the workspace that has the most, if that is
     /// more than `workspace` would have with one more.
-    pub(crate) fn displace(&mut self, workspace: &workspace::Id) -> Option<Waiting> {
+    pub fn displace(&mut self, workspace: &workspace::Id) -> Option<Waiting> {
         let &(length, flow) = self.longest.last()?;
         if length <= self.len_of(workspace) + 1 {
             return None;
@@ -242,7 +243,7 @@
 
     /// Takes the tickets out for which `misses` holds, given the cost that is
     /// served before each.
-    pub(crate) fn sweep(&mut self, misses: impl Fn(&Waiting, Cost) -> bool) -> Vec<Waiting> {
+    pub fn sweep(&mut self, misses: impl Fn(&Waiting, Cost) -> bool) -> Vec<Waiting> {
         let mut missed = Vec::new();
         for &(start, flow) in &self.backlogged {
             let flow = &self.flows[flow];
@@ -260,7 +261,7 @@
     }
 
     /// Forgets all charges, when the server is idle and nobody has to wait.
-    pub(crate) fn settle(&mut self) {
+    pub fn settle(&mut self) {
         if self.is_empty() {
             self.virtual_time = self.idle.last().map_or(self.virtual_time, |last| last.0);
             self.forget_idle();
@@ -268,7 +269,7 @@
     }
 
     /// The weight of a workspace.
-    pub(crate) fn weight_of(&self, workspace: &workspace::Id) -> u64 {
+    pub fn weight_of(&self, workspace: &workspace::Id) -> u64 {
         let weight = self.weights.get(workspace).copied().unwrap_or(1);
         u64::from(weight.max(1))
     }
--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -38,7 +38,7 @@
 /// average over some time, since the requests of a steady workspace come in
 /// clusters too.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Shares {
+pub struct Shares {
     tenants: BTreeMap<workspace::Id, Tenant>,
     /// Workspaces without a running request by the end of their activity.
     leaving: BTreeSet<(Instant, workspace::Id)>,
--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -1,15 +1,16 @@
-//! Entry routers that decide with [`gateway::pool::Pool`] and tell each other their loads.
+//! Entry routers that decide with [`gateway::line::Line`] and tell each other their loads.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use gateway::{
-    pool::{Demand, Outcome, Part, Pool},
+    line::{Ask, Line, Offered},
+    pool::{Demand, Fleet, Outcome, Part, Place, Pool},
     roster, route,
     settings::Bounds,
 };
 use placement::{Topology, topology};
 use smallvec::smallvec;
-use units::{availability, backend, cost::Cost, host, request, time::Instant};
+use units::{availability, backend, cost::Cost, host, request, time::Instant, workspace};
 use verdict::Verdict;
 
 use crate::{
@@ -20,10 +21,10 @@
 
 /// How often a router tells the others of its requests in flight.
 const TELL_EVERY: Duration = Duration::from_millis(200);
-/// How long a request waits before it is placed again when no engine has room.
-const WAIT: Duration = Duration::from_millis(20);
-/// How often a request is placed before it is given up.
-const TRIES: u32 = 50;
+/// How long a request waits for a place: half of what callers wait for an answer.
+const WAIT: Duration = Duration::from_secs(30);
+/// The most engines that a request is sent to.
+const TRIES: usize = 4;
 /// What the bound of the deployments that are measured against allows.
 const BOUNDS: Bounds = Bounds {
     load_multiple: 2.0,
@@ -45,6 +46,8 @@
     Told(Vec<Vec<u32>>),
     /// A request is placed again.
     Again(usize),
+    /// A router looks at the requests that wait.
+    Wake(usize),
 }
 
 /// A request at an engine.
@@ -59,12 +62,13 @@
 /// Routers that decide with a pool of their own.
 #[derive(Debug)]
 pub struct Entry {
-    pools: Vec<Pool>,
-    hosts: Vec<host::Id>,
+    lines: Vec<Line>,
+    fleets: Vec<Fleet>,
     /// Requests in flight by router and engine.
     running: Vec<Vec<u32>>,
     sent: BTreeMap<request::Attempt, Sent>,
-    demands: BTreeMap<usize, (Demand, u32)>,
+    demands: BTreeMap<usize, Demand>,
+    workspaces: Vec<workspace::Id>,
 }
 
 impl Entry {
@@ -72,19 +76,34 @@
     pub fn new(core: &Core<Event>) -> Self {
         let routers = core.deployment.routers;
         let engines = core.deployment.engines;
-        let pools = (0..routers).map(|router| {
+        let lines = (0..routers).map(|router| {
             let mut pool = Pool::new(zone(core.router_zone(router)), BOUNDS);
             pool.set_service(route::Service {
                 cold_per_s: COLD_PER_S,
                 cache_tokens: 1,
             });
             set_servers(&mut pool, core, core.known(router));
-            pool
+            Line::new(pool)
         });
-        let host = |router| format!("router-{router:02}").parse().expect("a valid name");
+        let host = |router| -> host::Id {
+            let name = format!("router-{router:02}");
+            name.parse().expect("a valid name")
+        };
+        let members: Vec<host::Id> = (0..routers).map(host).collect();
+        let fleet = |router: usize| Fleet {
+            own: members[router].clone(),
+            members: members.clone(),
+        };
+        let workspace = |index| {
+            let name = format!("workspace-{index}");
+            name.parse().expect("a valid name")
+        };
         Self {
-            pools: pools.collect(),
-            hosts: (0..routers).map(host).collect(),
+            lines: lines.collect(),
+            fleets: (0..routers).map(fleet).collect(),
+            workspaces: (0..core.deployment.workspaces.len())
+                .map(workspace)
+                .collect(),
             running: vec![vec![0; engines]; routers],
             sent: BTreeMap::new(),
             demands: BTreeMap::new(),
@@ -94,27 +113,57 @@
     fn place(&mut self, core: &mut Core<Event>, request: usize, now: Instant) {
         let arrival = core.arrivals[request];
         let router = usize::from(arrival.router);
-        let (demand, tries) = self.demands.entry(request).or_insert_with(|| {
-            let part = Part {
-                key: arrival.chat,
-                tokens: arrival.prompt,
-            };
-            let demand = Demand {
-                parts: smallvec![part],
-                ..Demand::default()
-            };
-            (demand, 0)
+        let part = Part {
+            key: arrival.chat,
+            tokens: arrival.prompt,
+        };
+        let demand = self.demands.entry(request).or_insert_with(|| Demand {
+            parts: smallvec![part],
+            ..Demand::default()
         });
-        *tries += 1;
-        let placed = self.pools[router].admit(demand, &self.hosts[router], &self.hosts, now);
-        match placed {
-            Ok(place) => {
-                let engine = core.engine(&place.server);
-                demand.tried.push(place.server);
-                self.send(core, request, router, engine, place.unread, now);
+        if demand.tried.len() >= TRIES {
+            self.give_up(core, request);
+            return;
+        }
+        let ask = Ask {
+            attempt: request::Attempt(request as u64),
+            workspace: self.workspaces[usize::from(arrival.workspace)].clone(),
+            cost: Cost(u64::from(arrival.prompt) + u64::from(arrival.output) * OUTPUT_TOKEN),
+            rank: 1,
+            latest_start: now + WAIT,
+            demand: demand.clone(),
+        };
+        match self.lines[router].offer(ask, &self.fleets[router], now) {
+            Offered::Placed(place) => self.placed(core, request, place, now),
+            Offered::Waits => self.wake(core, router, now),
+            Offered::Refused(_) => self.give_up(core, request),
+        }
+    }
+
+    fn placed(&mut self, core: &mut Core<Event>, request: usize, place: Place, now: Instant) {
+        let router = usize::from(core.arrivals[request].router);
+        let engine = core.engine(&place.server);
+        if let Some(demand) = self.demands.get_mut(&request) {
+            demand.tried.push(place.server);
+        }
+        self.send(core, request, router, engine, place.unread, now);
+    }
+
+    /// Gives places that came free to those that wait at a router.
+    fn serve(&mut self, core: &mut Core<Event>, router: usize, now: Instant) {
+        for (attempt, result) in self.lines[router].serve(&self.fleets[router], now) {
+            let request = attempt.0 as usize;
+            match result {
+                Ok(place) => self.placed(core, request, place, now),
+                Err(_) => self.give_up(core, request),
             }
-            Err(_) if *tries < TRIES => core.push(now + WAIT, Event::Again(request)),
-            Err(_) => self.give_up(core, request),
+        }
+        self.wake(core, router, now);
+    }
+
+    fn wake(&self, core: &mut Core<Event>, router: usize, now: Instant) {
+        if let Some(at) = self.lines[router].next_wake() {
+            core.push(at.max(now), Event::Wake(router));
         }
     }
 
@@ -147,14 +196,26 @@
         core.end(request, if reached { End::Lost } else { End::Refused });
     }
 
-    fn leave(&mut self, core: &Core<Event>, sent: &Sent, outcome: Outcome, now: Instant) {
+    fn leave(
+        &mut self,
+        core: &mut Core<Event>,
+        request: usize,
+        sent: &Sent,
+        outcome: Outcome,
+        now: Instant,
+    ) {
         self.running[sent.router][sent.engine] -= 1;
         let name = &core.names[sent.engine];
+        let workspace = usize::from(core.arrivals[request].workspace);
+        let workspace = &self.workspaces[workspace];
         // Only the change of a server's standing is told, which nobody needs here.
-        let _ = self.pools[sent.router].ended(name, outcome, now);
+        let _ = self.lines[sent.router].ended(name, workspace, outcome, now);
+        self.serve(core, sent.router, now);
     }
 }
 
+/// What a token put out costs, in tokens read.
+const OUTPUT_TOKEN: u64 = 20;
 /// Requests a second that a cold engine of the bench bears: its limit of four
 /// requests that take about half a second each.
 const COLD_PER_S: f64 = 8.0;
@@ -205,11 +266,12 @@
             Verdict::NotRun => Outcome::Unreachable,
             Verdict::MayHaveRun => Outcome::Failed,
         };
-        if let Some(server) = self.pools[sent.router].server_mut(&core.names[sent.engine]) {
+        let pool = self.lines[sent.router].pool_mut();
+        if let Some(server) = pool.server_mut(&core.names[sent.engine]) {
             server.read(sent.unread);
         }
-        self.leave(core, &sent, outcome, now);
         let request = Core::<Event>::request(failure.attempt);
+        self.leave(core, request, &sent, outcome, now);
         let latency = core.latency(
             core.engine_zone(failure.engine),
             core.router_zone(sent.router),
@@ -223,11 +285,11 @@
         };
         let name: &backend::Server = &core.names[engine];
         let request = Core::<Event>::request(run.job.attempt);
-        let Some(server) = self.pools[sent.router].server_mut(name) else {
+        let Some(server) = self.lines[sent.router].pool_mut().server_mut(name) else {
             return;
         };
         server.read(sent.unread);
-        if let Some((demand, _)) = self.demands.get(&request) {
+        if let Some(demand) = self.demands.get(&request) {
             server.remember(&demand.parts, now);
         }
         let waited = run.first_token_at.since(sent.sent_at);
@@ -239,14 +301,15 @@
         let Some(sent) = self.sent.remove(&run.job.attempt) else {
             return;
         };
-        self.leave(core, &sent, Outcome::Completed, now);
-        self.demands
-            .remove(&Core::<Event>::request(run.job.attempt));
+        let request = Core::<Event>::request(run.job.attempt);
+        self.demands.remove(&request);
+        self.leave(core, request, &sent, Outcome::Completed, now);
     }
 
-    fn learned(&mut self, core: &mut Core<Event>, router: usize, _: Instant) {
+    fn learned(&mut self, core: &mut Core<Event>, router: usize, now: Instant) {
         let topology = core.known(router).clone();
-        set_servers(&mut self.pools[router], core, &topology);
+        set_servers(self.lines[router].pool_mut(), core, &topology);
+        self.serve(core, router, now);
     }
 
     fn handle(&mut self, core: &mut Core<Event>, event: Event, now: Instant) {
@@ -258,21 +321,25 @@
                     core.push(now + TELL_EVERY, Event::Tell);
                 }
             }
-            Event::Told(told) => self.hear(core, &told),
+            Event::Told(told) => self.hear(core, &told, now),
             Event::Again(request) => self.place(core, request, now),
+            Event::Wake(router) => self.serve(core, router, now),
         }
     }
 }
 
 impl Entry {
-    fn hear(&mut self, core: &Core<Event>, told: &[Vec<u32>]) {
+    fn hear(&mut self, core: &mut Core<Event>, told: &[Vec<u32>], now: Instant) {
         let sum = |engine: usize| -> u32 { told.iter().map(|running| running[engine]).sum() };
         let sums: Vec<u32> = (0..core.names.len()).map(sum).collect();
-        for (pool, own) in self.pools.iter_mut().zip(told) {
-            pool.set_elsewhere(|name| {
+        for (line, own) in self.lines.iter_mut().zip(told) {
+            line.pool_mut().set_elsewhere(|name| {
                 let engine = core.engine(name);
                 sums[engine] - own[engine]
             });
         }
+        for router in 0..told.len() {
+            self.serve(core, router, now);
+        }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,16 +8,20 @@
     time::Duration,
 };
 
-use tokio::sync::{mpsc, oneshot};
-use units::{backend, cost::Cost, host, pool, time::Instant};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+use units::{backend, cost::Cost, host, pool, request, time::Instant, workspace};
 
 pub use permit::Permit;
 
 use crate::{
     budget::Budget,
     clock::Clock,
+    line::{self, Ask, Line, Offered},
     peers,
-    pool::{Demand, Denial, Outcome, Part, Parts, Pool},
+    pool::{Demand, Fleet, Outcome, Part, Parts, Place, Pool},
     roster::Roster,
     route::Table,
     settings::{Bounds, Settings},
@@ -28,6 +32,14 @@
 pub struct Order {
     /// The service.
     pub pool: pool::Id,
+    /// Who is charged for it.
+    pub workspace: workspace::Id,
+    /// The work that it means.
+    pub cost: Cost,
+    /// How urgent it is; zero is the most urgent.
+    pub rank: u8,
+    /// When it is too late to start it.
+    pub latest_start: Instant,
     /// What placement needs to know.
     pub demand: Demand,
     /// Whether a server has had the request before.
@@ -37,12 +49,17 @@
 /// Why a request is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// No server takes it now.
-    Denied(Denial),
+    /// No server takes it.
+    Denied(line::Refusal),
+    /// The service is not known.
+    Unknown,
     /// The repeats of the service are used up.
     Budget,
 }
 
+/// How a request is told what became of it.
+type Reply = oneshot::Sender<Result<Permit, Refusal>>;
+
 /// How many requests of one router are at a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -56,7 +73,7 @@
 #[derive(Debug)]
 pub enum Message {
     /// A request wants a server.
-    Acquire(Order, oneshot::Sender<Result<Permit, Refusal>>),
+    Acquire(Order, Reply),
     /// The first byte of a request's answer has come.
     FirstByte(Ticket),
     /// A request has left a server.
@@ -90,6 +107,8 @@
     pub unread: Cost,
     /// The prompt.
     pub parts: Parts,
+    /// Who is charged for it.
+    pub workspace: workspace::Id,
     /// When it was sent.
     pub sent_at: Instant,
     /// Whether its first byte has come.
@@ -103,9 +122,11 @@
     settings: Settings,
     handle: mpsc::UnboundedSender<Message>,
     table: Arc<Table>,
-    pools: BTreeMap<pool::Id, Pool>,
+    lines: BTreeMap<pool::Id, Line>,
     budgets: HashMap<pool::Id, Budget>,
-    members: Vec<host::Id>,
+    fleet: Fleet,
+    pending: HashMap<request::Attempt, (Order, Reply)>,
+    attempts: u64,
     peers: BTreeMap<host::Id, Vec<peers::Load>>,
 }
 
@@ -122,12 +143,17 @@
         let (handle, messages) = mpsc::unbounded_channel();
         let dispatch = Self {
             clock,
+            fleet: Fleet {
+                own: settings.host.clone(),
+                members: Vec::new(),
+            },
             settings,
             handle: handle.clone(),
             table: Arc::default(),
-            pools: BTreeMap::new(),
+            lines: BTreeMap::new(),
             budgets: HashMap::new(),
-            members: Vec::new(),
+            pending: HashMap::new(),
+            attempts: 0,
             peers: BTreeMap::new(),
         };
         (dispatch, handle, messages)
@@ -135,25 +161,33 @@
 
     /// Runs until nobody can tell it anything any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        while let Some(message) = messages.recv().await {
-            self.take(message);
+        loop {
+            let wake = self.next_wake();
+            let at = self.clock.at(wake.unwrap_or(Instant::NEVER));
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = time::sleep_until(at), if wake.is_some() => self.serve_all(),
+            }
         }
     }
 
+    fn next_wake(&self) -> Option<Instant> {
+        self.lines.values().filter_map(Line::next_wake).min()
+    }
+
     /// Takes in one message.
     pub fn take(&mut self, message: Message) {
         let now = self.clock.now();
         match message {
-            Message::Acquire(order, reply) => {
-                let answer = self.acquire(order, now);
-                // A caller that left meanwhile drops the permit, which gives the place back.
-                drop(reply.send(answer));
-            }
+            Message::Acquire(order, reply) => self.acquire(order, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
             Message::Ended(ticket, outcome) => self.ended(&ticket, outcome, now),
             Message::Roster(roster) => self.set_roster(&roster),
             Message::Table(table) => self.set_table(table),
-            Message::Members(members) => self.members = members,
+            Message::Members(members) => self.fleet.members = members,
             Message::Peer(host, loads) => {
                 self.peers.insert(host, loads);
                 self.sum_peers();
@@ -167,25 +201,55 @@
         }
     }
 
-    fn acquire(&mut self, order: Order, now: Instant) -> Result<Permit, Refusal> {
-        let pool = self
-            .pools
-            .get_mut(&order.pool)
-            .ok_or(Refusal::Denied(Denial::Empty))?;
-        let members = &self.members;
-        let budget = self
-            .budgets
-            .entry(order.pool.clone())
-            .or_insert_with(|| Budget::new(self.settings.bounds.repeats, members.len(), now));
-        // A router that has not registered does not know its share.
-        if order.is_repeat && (members.is_empty() || !budget.take(members.len(), now)) {
-            return Err(Refusal::Budget);
+    fn acquire(&mut self, order: Order, reply: Reply, now: Instant) {
+        if order.is_repeat && !self.take_repeat(&order.pool, now) {
+            answer(reply, Err(Refusal::Budget));
+            return;
+        }
+        let Some(line) = self.lines.get_mut(&order.pool) else {
+            answer(reply, Err(Refusal::Unknown));
+            return;
+        };
+        self.attempts += 1;
+        let ask = Ask {
+            attempt: request::Attempt(self.attempts),
+            workspace: order.workspace.clone(),
+            cost: order.cost,
+            rank: order.rank,
+            latest_start: order.latest_start,
+            demand: order.demand.clone(),
+        };
+        let attempt = ask.attempt;
+        match line.offer(ask, &self.fleet, now) {
+            Offered::Placed(place) => {
+                let permit = self.permit(order, place, now);
+                answer(reply, Ok(permit));
+            }
+            Offered::Refused(refusal) => answer(reply, Err(Refusal::Denied(refusal))),
+            Offered::Waits => {
+                self.pending.insert(attempt, (order, reply));
+            }
         }
-        let place = pool
-            .admit(&order.demand, &self.settings.host, members, now)
-            .map_err(Refusal::Denied)?;
+    }
+
+    /// Takes a repeat from this router's share.
+    fn take_repeat(&mut self, pool: &pool::Id, now: Instant) -> bool {
+        let members = self.fleet.members.len();
+        // A router that has not registered does not know its share.
+        members > 0 && self.budget(pool, now).take(members, now)
+    }
+
+    fn budget(&mut self, pool: &pool::Id, now: Instant) -> &mut Budget {
+        let members = self.fleet.members.len();
+        let allowance = self.settings.bounds.repeats;
+        let budget = || Budget::new(allowance, members, now);
+        self.budgets.entry(pool.clone()).or_insert_with(budget)
+    }
+
+    fn permit(&mut self, order: Order, place: Place, now: Instant) -> Permit {
         if !order.is_repeat {
-            budget.first_arrival(members.len());
+            let members = self.fleet.members.len();
+            self.budget(&order.pool, now).first_arrival(members);
         }
         let ticket = Ticket {
             pool: order.pool,
@@ -193,17 +257,51 @@
             born: place.born,
             unread: place.unread,
             parts: order.demand.parts,
+            workspace: order.workspace,
             sent_at: now,
             is_read: false,
         };
-        Ok(Permit::new(ticket, place, self.handle.clone()))
+        Permit::new(ticket, place, self.handle.clone())
+    }
+
+    fn serve_all(&mut self) {
+        let names: Vec<pool::Id> = self.lines.keys().cloned().collect();
+        for name in names {
+            self.serve(&name);
+        }
+    }
+
+    /// Gives places of one service that came free to those that wait.
+    fn serve(&mut self, name: &pool::Id) {
+        let now = self.clock.now();
+        let Some(line) = self.lines.get_mut(name) else {
+            return;
+        };
+        if line.is_empty() {
+            return;
+        }
+        // Callers that left while they waited get no place.
+        let left = self.pending.extract_if(|_, (_, reply)| reply.is_closed());
+        for (attempt, _) in left {
+            line.cancel(attempt);
+        }
+        for (attempt, result) in line.serve(&self.fleet, now) {
+            let Some((order, reply)) = self.pending.remove(&attempt) else {
+                continue;
+            };
+            let result = match result {
+                Ok(place) => Ok(self.permit(order, place, now)),
+                Err(refusal) => Err(Refusal::Denied(refusal)),
+            };
+            answer(reply, result);
+        }
     }
 
     fn first_byte(&mut self, ticket: &Ticket, now: Instant) {
-        let Some(pool) = self.pools.get_mut(&ticket.pool) else {
+        let Some(line) = self.lines.get_mut(&ticket.pool) else {
             return;
         };
-        let Some(server) = pool.server_mut(&ticket.server) else {
+        let Some(server) = line.pool_mut().server_mut(&ticket.server) else {
             return;
         };
         server.read(ticket.unread);
@@ -214,10 +312,10 @@
     }
 
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
-        let Some(pool) = self.pools.get_mut(&ticket.pool) else {
+        let Some(line) = self.lines.get_mut(&ticket.pool) else {
             return;
         };
-        if let Some(server) = pool.server_mut(&ticket.server)
+        if let Some(server) = line.pool_mut().server_mut(&ticket.server)
             && !ticket.is_read
         {
             server.read(ticket.unread);
@@ -226,7 +324,8 @@
                 server.sample(now.since(ticket.sent_at), expected(ticket), now);
             }
         }
-        if let Some(standing) = pool.ended(&ticket.server, outcome, now) {
+        let standing = line.ended(&ticket.server, &ticket.workspace, outcome, now);
+        if let Some(standing) = standing {
             logging::event!(
                 info,
                 "server_standing",
@@ -236,30 +335,32 @@
                 outcome = outcome
             );
         }
+        self.serve(&ticket.pool);
     }
 
     fn set_roster(&mut self, roster: &Roster) {
-        let mut names: Vec<pool::Id> = self.pools.keys().cloned().collect();
+        let mut names: Vec<pool::Id> = self.lines.keys().cloned().collect();
         names.extend(roster.all().map(|(entry, _)| entry.pool.clone()));
         names.sort_unstable();
         names.dedup();
         for name in names {
-            let pool = self.pools.entry(name.clone()).or_insert_with(|| {
+            let line = self.lines.entry(name.clone()).or_insert_with(|| {
                 let mut pool = Pool::new(self.settings.zone.clone(), self.settings.bounds);
                 if let Some(service) = self.table.services.get(&name) {
                     pool.set_service(service.clone());
                 }
-                pool
+                Line::new(pool)
             });
-            pool.set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
+            line.pool_mut()
+                .set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
         }
         self.sum_peers();
     }
 
     fn set_table(&mut self, table: Arc<Table>) {
         for (name, service) in &table.services {
-            if let Some(pool) = self.pools.get_mut(name) {
-                pool.set_service(service.clone());
+            if let Some(line) = self.lines.get_mut(name) {
+                line.pool_mut().set_service(service.clone());
             }
         }
         self.table = table;
@@ -268,8 +369,8 @@
     fn set_bounds(&mut self, bounds: Bounds) {
         self.settings.bounds = bounds;
         self.budgets.clear();
-        for pool in self.pools.values_mut() {
-            pool.set_bounds(bounds);
+        for line in self.lines.values_mut() {
+            line.pool_mut().set_bounds(bounds);
         }
     }
 
@@ -278,16 +379,17 @@
         for load in self.peers.values().flatten() {
             *sums.entry(load.server).or_default() += u32::from(load.running);
         }
-        for pool in self.pools.values_mut() {
-            pool.set_elsewhere(|server| {
+        for line in self.lines.values_mut() {
+            line.pool_mut().set_elsewhere(|server| {
                 let hash = peers::Load::hash(server);
                 sums.get(&hash).copied().unwrap_or(0)
             });
         }
+        self.serve_all();
     }
 
     fn loads(&self) -> Vec<Load> {
-        let servers = self.pools.values().flat_map(Pool::servers);
+        let servers = self.lines.values().flat_map(|line| line.pool().servers());
         servers
             .filter(|server| server.running() > 0)
             .map(|server| Load {
@@ -298,6 +400,11 @@
     }
 }
 
+fn answer(reply: Reply, result: Result<Permit, Refusal>) {
+    // A caller that left meanwhile drops the permit, which gives the place back.
+    drop(reply.send(result));
+}
+
 /// The time to the first byte that a request's prompt explains.
 fn expected(ticket: &Ticket) -> Duration {
     // Reading at half the usual speed is not held against a server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fence;
 pub mod follow;
 pub mod headers;
+pub mod line;
 pub mod link;
 pub mod listener;
 pub mod metrics;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -40,6 +40,17 @@
     pub parts: Parts,
     /// Servers that had the request before.
     pub tried: SmallVec<[backend::Server; 2]>,
+    /// Whether a part of each server's slots is kept free for others.
+    pub is_modest: bool,
+}
+
+/// The routers that share bounds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// This router.
+    pub own: host::Id,
+    /// All routers that are registered, this one included once it is.
+    pub members: Vec<host::Id>,
 }
 
 /// Where a request goes.
@@ -186,15 +197,9 @@
     /// # Errors
     ///
     /// Why there is none.
-    pub fn admit(
-        &mut self,
-        demand: &Demand,
-        own: &host::Id,
-        members: &[host::Id],
-        now: Instant,
-    ) -> Result<Place, Denial> {
-        let choice = self.choose(demand, own, members, now)?;
-        let share = self.cold_share(&choice, own, members, now);
+    pub fn admit(&mut self, demand: &Demand, fleet: &Fleet, now: Instant) -> Result<Place, Denial> {
+        let choice = self.choose(demand, fleet, now)?;
+        let share = self.cold_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
         let bound = self.bound(now);
         let server = self.servers.get_mut(&choice).ok_or(Denial::Empty)?;
@@ -248,8 +253,7 @@
     fn choose(
         &self,
         demand: &Demand,
-        own: &host::Id,
-        members: &[host::Id],
+        fleet: &Fleet,
         now: Instant,
     ) -> Result<backend::Server, Denial> {
         let untried = || {
@@ -268,16 +272,18 @@
             return Err(Denial::Empty);
         }
         let bound = self.bound(now);
-        candidates.retain(|server| server.has_room() && f64::from(server.load() + 1) <= bound);
+        candidates.retain(|server| {
+            server.has_room(demand.is_modest) && f64::from(server.load() + 1) <= bound
+        });
         if candidates.is_empty() {
             return Err(Denial::Full);
         }
         let opens_at = candidates
             .iter()
-            .filter(|server| self.is_fenced(server, own, members, now))
+            .filter(|server| self.is_fenced(server, fleet, now))
             .map(|server| server.opens_at())
             .min();
-        candidates.retain(|server| !self.is_fenced(server, own, members, now));
+        candidates.retain(|server| !self.is_fenced(server, fleet, now));
         let best = self.cheapest(&candidates, demand, now);
         best.ok_or(Denial::Cold(opens_at.unwrap_or(now)))
     }
@@ -307,28 +313,21 @@
     fn cold_share(
         &self,
         server: &backend::Server,
-        own: &host::Id,
-        members: &[host::Id],
+        fleet: &Fleet,
         now: Instant,
     ) -> Option<fence::Share> {
         let is_cold = self.servers.get(server)?.is_cold(now);
         if !is_cold || self.service.cold_per_s <= 0.0 {
             return None;
         }
-        fence::share(self.cold_bound(), own, members, server)
+        fence::share(self.cold_bound(), &fleet.own, &fleet.members, server)
     }
 
-    fn is_fenced(
-        &self,
-        server: &Server,
-        own: &host::Id,
-        members: &[host::Id],
-        now: Instant,
-    ) -> bool {
+    fn is_fenced(&self, server: &Server, fleet: &Fleet, now: Instant) -> bool {
         if !server.is_cold(now) || self.service.cold_per_s <= 0.0 {
             return false;
         }
-        let share = fence::share(self.cold_bound(), own, members, server.name());
+        let share = fence::share(self.cold_bound(), &fleet.own, &fleet.members, server.name());
         share.is_none() || !server.is_open(now)
     }
 
@@ -421,6 +420,12 @@
         }
     }
 
+    /// Slots of the servers that get work.
+    pub fn slots(&self) -> u32 {
+        let used = self.servers.values().filter(|server| !server.is_leaving());
+        used.map(Server::slots).sum()
+    }
+
     /// The servers, by name.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -41,6 +41,9 @@
     }
 }
 
+/// One part in this many of a server's slots is kept for workspaces that use
+/// less than their share; as in `admission`, where it was measured.
+const KEPT_SLOTS: u32 = 4;
 /// How long a server that refused a connection gets nothing; doubled with each further refusal.
 const AWAY: Duration = Duration::from_millis(400);
 /// The longest such time.
@@ -151,9 +154,19 @@
         self.elsewhere = load;
     }
 
-    /// Whether a slot is free.
-    pub fn has_room(&self) -> bool {
-        self.load() < self.entry.slots
+    /// How many requests it runs at once.
+    pub fn slots(&self) -> u32 {
+        self.entry.slots
+    }
+
+    /// Whether a slot is free, besides those kept for others if `is_modest`.
+    pub fn has_room(&self, is_modest: bool) -> bool {
+        let kept = if is_modest {
+            self.entry.slots / KEPT_SLOTS
+        } else {
+            0
+        };
+        self.load() + kept < self.entry.slots
     }
 
     /// Whether it is cold, or may have started anew.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hyper::{HeaderMap, StatusCode, http::request};
-use units::{backend, time::Millis, workspace};
+use units::{backend, cost::Cost, time::Millis, workspace};
 use verdict::Refusal;
 
 use crate::pool::Parts;
@@ -21,6 +21,8 @@
     pub patience: Option<Millis>,
     /// The prompt; empty for a plain service.
     pub parts: Parts,
+    /// The work that it means, in prompt tokens.
+    pub cost: Cost,
     /// The event after which a stream is to go on.
     pub last_event: Option<String>,
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
     header,
 };
 use tokio::sync::{mpsc, watch};
+use units::workspace;
 use verdict::{Code, Refusal};
 
 pub use exchange::Exchange;
@@ -36,6 +37,8 @@
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// How far the process has come in its life.
     pub phase: watch::Receiver<Phase>,
+    /// Who is charged for requests without a key.
+    pub anonymous: workspace::Id,
     /// What is counted.
     pub metrics: Arc<Metrics>,
     /// How old the views are that decide.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
-use tokio::{sync::oneshot, time};
+use tokio::sync::oneshot;
 use units::{
     pool,
     time::{Instant, Millis},
+    workspace,
 };
 use verdict::{Code, Refusal, Verdict};
 
@@ -23,10 +24,10 @@
 
 /// How many servers that cannot be reached a request meets before it is given up.
 const MAX_UNREACHABLE: u32 = 4;
-/// How many times a request waits for a cold server's next opening.
-const MAX_WAITS: u32 = 3;
-/// The longest wait for a cold server's next opening.
-const LONGEST_WAIT: Duration = Duration::from_millis(250);
+/// A request waits for a place up to this many times its target.
+const WAIT_TARGETS: u32 = 2;
+/// The least such time.
+const LEAST_WAIT: Duration = Duration::from_millis(200);
 /// When a caller may come back that met a full service: about one short answer later.
 const RETRY_FULL: Duration = Duration::from_millis(150);
 /// When a caller may come back that met no server at all: an entry takes about as long to return.
@@ -79,7 +80,6 @@
     verdict: Verdict,
     sends: u32,
     unreachable: u32,
-    waits: u32,
     /// A server's failure, to be passed on if no other server answers.
     failure: Option<Box<Answer>>,
 }
@@ -100,7 +100,6 @@
             verdict: Verdict::NotRun,
             sends: 0,
             unreachable: 0,
-            waits: 0,
             failure: None,
         }
     }
@@ -134,8 +133,7 @@
     pub async fn answer(&mut self, last_event: Option<&str>) -> Result<Box<Answer>, Refusal> {
         loop {
             let permit = match self.acquire().await {
-                Ok(Some(permit)) => permit,
-                Ok(None) => continue,
+                Ok(permit) => permit,
                 Err(refusal) => return self.failure.take().ok_or(refusal),
             };
             let place = permit.place().clone();
@@ -198,56 +196,64 @@
         self.plan.deadline.min(now + silence.max(LEAST_SILENCE))
     }
 
-    /// A place at a server; `None` when a wait has passed and it is time to ask again.
-    async fn acquire(&mut self) -> Result<Option<Permit>, Refusal> {
+    /// A place at a server, waited for while there is hope.
+    async fn acquire(&mut self) -> Result<Permit, Refusal> {
         let now = self.context.clock.now();
         if now + LEAST_TIME >= self.plan.deadline {
             return Err(self.refusal(Code::Deadline, "The time was up."));
         }
         let order = Order {
             pool: self.plan.pool.clone(),
+            workspace: self.workspace(),
+            cost: self.plan.head.cost,
+            rank: self.rank(),
+            latest_start: self.latest_start(now),
             demand: self.plan.demand.clone(),
             is_repeat: self.sends > 0,
         };
         let (reply, answer) = oneshot::channel();
         let asked = self.context.dispatch.send(Message::Acquire(order, reply));
-        let refused = match (asked, answer.await) {
-            (Ok(()), Ok(Ok(permit))) => return Ok(Some(permit)),
-            (Ok(()), Ok(Err(refused))) => refused,
-            _ => return Err(self.refusal(Code::Internal, "The router is ending.")),
-        };
-        match refused {
-            dispatch::Refusal::Denied(Denial::Cold(at)) => self.wait_for_cold(at, now).await,
-            other => Err(self.denied(other, now)),
+        match (asked, answer.await) {
+            (Ok(()), Ok(Ok(permit))) => Ok(permit),
+            (Ok(()), Ok(Err(refused))) => Err(self.denied(refused)),
+            _ => Err(self.refusal(Code::Internal, "The router is ending.")),
         }
     }
 
-    async fn wait_for_cold(
-        &mut self,
-        at: Instant,
-        now: Instant,
-    ) -> Result<Option<Permit>, Refusal> {
-        let is_soon = at <= now + LONGEST_WAIT && at < self.plan.deadline;
-        if !is_soon || self.waits >= MAX_WAITS {
-            let refusal = self.refusal(Code::Busy, "All servers with room are starting.");
-            return Err(refusal.retry_at(at.max(now + RETRY_FULL)));
+    fn workspace(&self) -> workspace::Id {
+        match &self.plan.tenancy {
+            Some(holder) => holder.workspace.clone(),
+            None => self.context.anonymous.clone(),
         }
-        self.waits += 1;
-        time::sleep_until(self.context.clock.at(at)).await;
-        Ok(None)
     }
 
-    fn denied(&self, refused: dispatch::Refusal, now: Instant) -> Refusal {
+    /// Until when the request may wait for a place.
+    ///
+    /// Later than some times its target the answer is worth little, and a
+    /// refusal has to leave the caller time to come back.
+    fn latest_start(&self, now: Instant) -> Instant {
+        let targets = self.plan.route.target.duration() * WAIT_TARGETS;
+        let half = self.plan.deadline.since(now) / 2;
+        now + half.min(targets.max(LEAST_WAIT))
+    }
+
+    fn denied(&self, refused: dispatch::Refusal) -> Refusal {
+        let now = self.context.clock.now();
         match refused {
             dispatch::Refusal::Budget => self
                 .refusal(Code::RetryBudget, "The repeats of the service are used up.")
                 .retry_at(now + RETRY_FULL),
-            dispatch::Refusal::Denied(Denial::Empty) => self
-                .refusal(Code::NoServer, "No server takes the request.")
+            dispatch::Refusal::Unknown => self
+                .refusal(Code::NoServer, "No server of the service is known.")
                 .retry_at(now + RETRY_EMPTY),
-            dispatch::Refusal::Denied(Denial::Full | Denial::Cold(_)) => self
-                .refusal(Code::Busy, "All servers are at their limit.")
-                .retry_at(now + RETRY_FULL),
+            dispatch::Refusal::Denied(refusal) => {
+                let (code, message) = match refusal.denial {
+                    Denial::Empty => (Code::NoServer, "No server takes the request."),
+                    Denial::Full => (Code::Busy, "All servers are at their limit."),
+                    Denial::Cold(_) => (Code::Busy, "All servers with room are starting."),
+                };
+                self.refusal(code, message).retry_at(refusal.retry_at)
+            }
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use units::{availability, host, time::Millis};
+use units::{availability, host, time::Millis, workspace};
 
 use crate::budget;
 
@@ -21,6 +21,8 @@
     pub peers: SocketAddr,
     /// Where its metrics are read.
     pub metrics: SocketAddr,
+    /// Who is charged for requests without a key.
+    pub anonymous: workspace::Id,
     /// Bounds that are summed over all routers.
     pub bounds: Bounds,
     /// How long a stopped process has until it is killed.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -172,6 +172,7 @@
         tokio::spawn(observer::serve(readiness, sources.clone()));
         tokio::spawn(observer::serve(questions, sources));
         let context = Arc::new(Context {
+            anonymous: settings.anonymous.clone(),
             protocol,
             clock,
             table,
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -8,4 +8,5 @@
 mod placing;
 mod roster;
 mod route;
+mod waiting;
 mod world;
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -5,10 +5,10 @@
 use gateway::pool::{Denial, Outcome, Place, Pool};
 use units::time::Instant;
 
-use crate::world::{START, bounds, demand, entry, host, members, pool, server};
+use crate::world::{START, bounds, demand, entry, fleet, pool, server};
 
 fn admit(pool: &mut Pool, topic: u64, own: u64, now: Instant) -> Result<Place, Denial> {
-    pool.admit(&demand(topic, own), &host("r0"), &members(6), now)
+    pool.admit(&demand(topic, own), &fleet(), now)
 }
 
 /// Admits a request and lets its first byte come.
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -1,11 +1,11 @@
 //! Servers and requests for tests.
 
 use gateway::{
-    pool::{Demand, Part, Pool},
+    pool::{Demand, Fleet, Part, Pool},
     roster, route,
     settings::Bounds,
 };
-use units::{backend, chat, host, time::Instant};
+use units::{backend, chat, host, time::Instant, workspace};
 
 /// The moment at which tests begin.
 pub const START: Instant = Instant::from_millis(1_000);
@@ -20,11 +20,24 @@
     name.parse().expect("a name")
 }
 
+/// A workspace's name.
+pub fn workspace(name: &str) -> workspace::Id {
+    name.parse().expect("a name")
+}
+
 /// The routers `r0` to `r(count - 1)`.
 pub fn members(count: usize) -> Vec<host::Id> {
     (0..count).map(|index| host(&format!("r{index}"))).collect()
 }
 
+/// This router `r0` among six.
+pub fn fleet() -> Fleet {
+    Fleet {
+        own: host("r0"),
+        members: members(6),
+    }
+}
+
 /// An entry of the service `llm` in `zone`.
 pub fn entry(name: &str, zone: &str) -> roster::Entry {
     let port = 1000 + name.bytes().map(u16::from).sum::<u16>();
