Let a few routers watch the store for all

Change: six routers watch, chosen among those whose heartbeats are heard; the others learn of changes by digests, sent at once when something changed, and ask for the rows. A lost watcher is replaced in turn, 60 ms apart; while the store is away twelve try at most. Who a digest comes from is known by its address.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use rand::RngExt;
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 
 use crate::{
     metrics::Metrics,
@@ -51,6 +54,9 @@
     topic: Topic,
     events: mpsc::Sender<Event>,
     metrics: Arc<Metrics>,
+    /// Whether this router watches the store, or leaves it to others.
+    is_watching: watch::Receiver<bool>,
+    is_served: watch::Sender<bool>,
     after: Option<u64>,
     failures: u32,
 }
@@ -62,12 +68,16 @@
         topic: Topic,
         events: mpsc::Sender<Event>,
         metrics: Arc<Metrics>,
+        is_watching: watch::Receiver<bool>,
+        is_served: watch::Sender<bool>,
     ) -> Self {
         Self {
             source,
             topic,
             events,
             metrics,
+            is_watching,
+            is_served,
             after: None,
             failures: 0,
         }
@@ -77,6 +87,11 @@
     pub async fn run(mut self) {
         time::sleep(spread(START_SPREAD)).await;
         while !self.events.is_closed() {
+            // Everything is read once at the start, whoever watches later.
+            if self.after.is_some() && self.is_watching.wait_for(|watches| *watches).await.is_err()
+            {
+                return;
+            }
             let result = self.call().await;
             self.take(result).await;
         }
@@ -97,6 +112,7 @@
         match result {
             Ok(batch) => {
                 self.metrics.called(self.topic.name(), "ok");
+                self.is_served.send_replace(true);
                 self.returned().await;
                 self.after = self.after.max(Some(batch.version));
                 self.tell(Event::Batch(self.topic, batch)).await;
@@ -128,6 +144,7 @@
     }
 
     async fn lost(&mut self, reason: &str) {
+        self.is_served.send_replace(false);
         if self.failures == 0 {
             logging::event!(warn, "store_lost", topic = self.topic, reason = reason);
             self.tell(Event::Lost(self.topic)).await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod digest;
 mod fetch;
+mod readers;
 mod roll;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -11,10 +12,11 @@
     sync::{mpsc, oneshot, watch},
     time,
 };
-use units::host;
+use units::{host, time::Instant};
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
 pub use digest::{Digest, Load, Versions};
+pub use readers::{Readers, WATCHERS, Watcher};
 pub use roll::Roll;
 
 use crate::{
@@ -23,6 +25,7 @@
     follow::Event,
     mirror::Mirror,
     source::{Member, Secret, Topic},
+    state::Ages,
 };
 
 /// How often a router tells some others.
@@ -47,6 +50,8 @@
     pub members: watch::Receiver<Arc<Vec<Member>>>,
     /// What this router knows of the store.
     pub mirrors: watch::Receiver<Arc<Mirrors>>,
+    /// Whether the store answers this router.
+    pub is_served: watch::Receiver<bool>,
 }
 
 /// Whom the task tells.
@@ -56,6 +61,10 @@
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// The task that knows what is stored.
     pub events: mpsc::Sender<Event>,
+    /// Those that follow the store, when they are to do it.
+    pub is_watching: watch::Sender<bool>,
+    /// How old the views are.
+    pub ages: Arc<Ages>,
 }
 
 /// Talks to the other routers until the process ends.
@@ -76,6 +85,7 @@
         opener: Opener::new(&key, &inputs.own.host, boot),
         boots: BTreeMap::new(),
         roll: Roll::default(),
+        readers: Readers::new(&inputs.own.host, boot.0),
         socket,
         key,
         inputs,
@@ -92,6 +102,7 @@
     /// The starts of the others, by the tags of their hosts.
     boots: BTreeMap<Tag, Boot>,
     roll: Roll,
+    readers: Readers,
     socket: UdpSocket,
     key: Key,
     inputs: Inputs,
@@ -107,8 +118,13 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
+                changed = self.inputs.mirrors.changed() => match changed {
+                    // News goes out at once, and not only with the next round.
+                    Ok(()) => self.send().await,
+                    Err(_) => return,
+                },
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, _)) => self.hear(&buffer[..length]),
+                    Ok((length, from)) => self.hear(&buffer[..length], from),
                     // A peer that is gone shows as an error of the send before.
                     Err(error) => logging::event!(debug, "peer_unreachable", reason = error),
                 },
@@ -122,12 +138,54 @@
             logging::event!(info, "peer_lost", peer = host);
             self.tell(dispatch::Message::PeerLost(host));
         }
+        self.watch_or_not().await;
+        self.catch_up();
+        self.send().await;
+    }
+
+    /// Watches the store, or leaves it to others.
+    async fn watch_or_not(&mut self) {
+        let now = self.clock.now();
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let hosts: Vec<host::Id> = members.iter().map(|member| member.host.clone()).collect();
+        let is_watching = self.readers.decide(&hosts, now);
+        let changed = self.outputs.is_watching.send_if_modified(|before| {
+            let changed = *before != is_watching;
+            *before = is_watching;
+            changed
+        });
+        if changed {
+            logging::event!(info, "store_watch", watching = is_watching);
+        }
+        let is_served = is_watching && *self.inputs.is_served.borrow();
+        if self.readers.has_returned(is_served) && !is_watching {
+            // As above.
+            drop(
+                self.outputs
+                    .events
+                    .send(Event::Returned(Topic::Servers))
+                    .await,
+            );
+        }
+    }
+
+    /// Asks another router for what this one has missed.
+    fn catch_up(&mut self) {
+        let now = self.clock.now();
         let versions = self.versions();
-        if let Some(host) = self.roll.ahead(versions, now) {
-            self.fetch(&host, versions);
+        let is_watching = *self.outputs.is_watching.borrow();
+        if let Some(address) = self.roll.ahead(versions, is_watching, now) {
+            self.fetch(address, versions);
         }
+    }
+
+    async fn send(&mut self) {
+        let now = self.clock.now();
+        let is_served = *self.inputs.is_served.borrow();
+        let watchers = self.readers.tell(is_served, now);
         let loads = self.loads().await;
-        let digest = Digest::new(self.inputs.own.host.clone(), versions, &loads);
+        let own = self.inputs.own.host.clone();
+        let digest = Digest::new(own, self.versions(), watchers, &loads);
         let Ok(payload) = digest.encode() else {
             logging::event!(warn, "digest_too_long", loads = loads.len());
             return;
@@ -174,6 +232,7 @@
         Versions {
             configuration: newest(Topic::Configuration),
             servers: newest(Topic::Servers),
+            routers: newest(Topic::Routers),
         }
     }
 
@@ -184,7 +243,7 @@
         answer.await.unwrap_or_default()
     }
 
-    fn hear(&mut self, datagram: &[u8]) {
+    fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
         let now = self.clock.now();
         let opened = match self.opener.open(datagram) {
             Ok(opened) => opened,
@@ -207,28 +266,44 @@
         }
         let others = self.inputs.members.borrow().len();
         let patience = INTERVAL * u32::try_from(3 * others.div_ceil(FAN_OUT)).unwrap_or(u32::MAX);
-        if self.roll.heard(&digest, now, patience.max(LEAST_PATIENCE)) {
+        if self
+            .roll
+            .heard(&digest, from, now, patience.max(LEAST_PATIENCE))
+        {
             logging::event!(info, "peer_heard", peer = digest.host);
         }
+        self.readers.hear(&digest.watchers, now);
+        let is_watching = *self.outputs.is_watching.borrow();
+        if !is_watching {
+            self.follow_peer(&digest, now);
+        }
         self.tell(dispatch::Message::Peer(digest.host, digest.loads));
     }
 
+    /// Keeps up with a router that knows the store's word.
+    fn follow_peer(&mut self, digest: &Digest, now: Instant) {
+        if digest.versions.is_ahead_of(self.versions()) {
+            self.catch_up();
+        } else if digest.watchers.iter().any(|watcher| watcher.is_served) {
+            self.outputs.ages.confirm(Topic::Configuration, now);
+            self.outputs.ages.confirm(Topic::Servers, now);
+        }
+    }
+
     fn tell(&self, message: dispatch::Message) {
         // As above.
         drop(self.outputs.dispatch.send(message));
     }
 
     /// Asks a router that knows more than this one.
-    fn fetch(&self, host: &host::Id, versions: Versions) {
-        let Some(address) = self.address(host) else {
-            return;
-        };
+    fn fetch(&self, address: SocketAddr, versions: Versions) {
         logging::event!(
             info,
             "peer_ahead",
-            peer = host,
+            peer = address,
             configuration = versions.configuration,
-            servers = versions.servers
+            servers = versions.servers,
+            routers = versions.routers
         );
         let key = self.key.clone();
         let events = self.outputs.events.clone();
@@ -244,12 +319,6 @@
             }
         });
     }
-
-    fn address(&self, host: &host::Id) -> Option<SocketAddr> {
-        let members = self.inputs.members.borrow();
-        let member = members.iter().find(|member| member.host == *host)?;
-        Some(member.address)
-    }
 }
 
 /// The least time after which a router that is not heard counts as lost.
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -4,6 +4,7 @@
 use units::{backend, host};
 use xxhash_rust::xxh3;
 
+use super::Watcher;
 use crate::dispatch;
 
 /// The longest payload, in bytes: with its seal it fits one packet on usual links.
@@ -16,12 +17,16 @@
     pub configuration: u64,
     /// Of the registered servers.
     pub servers: u64,
+    /// Of the registered routers.
+    pub routers: u64,
 }
 
 impl Versions {
     /// Whether one of them is higher than in `other`.
     pub fn is_ahead_of(self, other: Self) -> bool {
-        self.configuration > other.configuration || self.servers > other.servers
+        self.configuration > other.configuration
+            || self.servers > other.servers
+            || self.routers > other.routers
     }
 }
 
@@ -48,6 +53,8 @@
     pub host: host::Id,
     /// The newest changes that it knows.
     pub versions: Versions,
+    /// The routers that watch the store, as far as it knows.
+    pub watchers: Vec<Watcher>,
     /// What it has in flight; servers without a request are left out.
     pub loads: Vec<Load>,
 }
@@ -58,7 +65,12 @@
 
 impl Digest {
     /// The digest of a router with these requests in flight.
-    pub fn new(host: host::Id, versions: Versions, loads: &[dispatch::Load]) -> Self {
+    pub fn new(
+        host: host::Id,
+        versions: Versions,
+        watchers: Vec<Watcher>,
+        loads: &[dispatch::Load],
+    ) -> Self {
         let loads = loads.iter().map(|load| Load {
             server: Load::hash(&load.server),
             running: u16::try_from(load.running).unwrap_or(u16::MAX),
@@ -66,6 +78,7 @@
         Self {
             host,
             versions,
+            watchers,
             loads: loads.collect(),
         }
     }
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -139,7 +139,7 @@
         let after = match topic {
             Topic::Configuration => versions.configuration,
             Topic::Servers => versions.servers,
-            Topic::Routers => continue,
+            Topic::Routers => versions.routers,
         };
         let batch = mirror.since(after);
         link.writer
--- /dev/null
+++ b/crates/gateway/src/peers/readers.rs
@@ -0,0 +1,176 @@
+//! Which routers watch the store for all.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use units::{host, time::Instant};
+use xxhash_rust::xxh3;
+
+/// How many routers watch the store, whatever the size of the fleet.
+///
+/// Every watching router is told of every change, so the calls to the store
+/// grow with their number. Six leave three after half the fleet was killed.
+pub const WATCHERS: usize = 6;
+/// How many may try at a time while the store is away.
+const MOST_TRYING: usize = 2 * WATCHERS;
+/// How long a watcher is taken for alive after its last new heartbeat.
+///
+/// Heartbeats reach a fleet of a hundred within three rounds of 200 ms.
+const ALIVE: Duration = Duration::from_millis(1400);
+/// How much later each next router in order takes over from one that is lost.
+///
+/// Without it all would begin to watch at the same moment.
+const TURN: Duration = Duration::from_millis(60);
+/// How long a router watches at least, so that the watchers do not alternate.
+const LEAST_TERM: Duration = Duration::from_secs(4);
+
+/// A watcher as routers tell each other of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watcher {
+    /// A hash of its host's name.
+    pub host: u32,
+    /// Its heartbeats, which go on growing over restarts.
+    pub beat: u64,
+    /// Whether the store answers it.
+    pub is_served: bool,
+}
+
+impl Watcher {
+    /// The hash that stands for a host.
+    pub fn hash(host: &host::Id) -> u32 {
+        (xxh3::xxh3_64(host.as_str().as_bytes()) >> 32) as u32
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    beat: u64,
+    is_served: bool,
+    alive_until: Instant,
+}
+
+/// The watchers that a router hears of, and whether it is one itself.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    own: u32,
+    records: BTreeMap<u32, Record>,
+    missing_since: Option<Instant>,
+    /// Until when this router watches at least, while it does.
+    term_ends: Option<Instant>,
+    beat: u64,
+    /// Whether some watcher was served at the last look.
+    was_served: bool,
+}
+
+impl Readers {
+    /// No watcher is known. `epoch` is higher at each start of the process.
+    pub fn new(own: &host::Id, epoch: u64) -> Self {
+        Self {
+            own: Watcher::hash(own),
+            records: BTreeMap::new(),
+            missing_since: None,
+            term_ends: None,
+            beat: epoch,
+            was_served: false,
+        }
+    }
+
+    /// Takes in what another router tells. Only a new heartbeat counts, so that
+    /// a watcher that died is not kept alive by those who tell of it.
+    pub fn hear(&mut self, watchers: &[Watcher], now: Instant) {
+        for watcher in watchers.iter().filter(|watcher| watcher.host != self.own) {
+            let known = self.records.get(&watcher.host);
+            if known.is_some_and(|known| known.beat >= watcher.beat) {
+                continue;
+            }
+            let record = Record {
+                beat: watcher.beat,
+                is_served: watcher.is_served,
+                alive_until: now + ALIVE,
+            };
+            self.records.insert(watcher.host, record);
+        }
+    }
+
+    /// The watchers to tell others of. `is_served` says whether the store
+    /// answers this router, if it watches.
+    pub fn tell(&mut self, is_served: bool, now: Instant) -> Vec<Watcher> {
+        self.records.retain(|_, record| now < record.alive_until);
+        let mut watchers: Vec<Watcher> = self
+            .records
+            .iter()
+            .map(|(&host, record)| Watcher {
+                host,
+                beat: record.beat,
+                is_served: record.is_served,
+            })
+            .collect();
+        if self.term_ends.is_some() {
+            self.beat += 1;
+            watchers.push(Watcher {
+                host: self.own,
+                beat: self.beat,
+                is_served,
+            });
+        }
+        watchers
+    }
+
+    /// Whether this router is to watch the store, given the registered routers.
+    pub fn decide(&mut self, members: &[host::Id], now: Instant) -> bool {
+        self.records.retain(|_, record| now < record.alive_until);
+        let served = self.served();
+        if let Some(ends) = self.term_ends {
+            if now >= ends && self.is_spare(&served) {
+                self.term_ends = None;
+            }
+        } else if self.is_missed(&served, members, now) {
+            self.term_ends = Some(now + LEAST_TERM);
+            self.missing_since = None;
+        }
+        self.term_ends.is_some()
+    }
+
+    /// Whether the store has begun to answer some watcher since the last look.
+    pub fn has_returned(&mut self, is_served: bool) -> bool {
+        let is_served = is_served || !self.served().is_empty();
+        let has_returned = is_served && !self.was_served;
+        self.was_served = is_served;
+        has_returned
+    }
+
+    fn served(&self) -> BTreeSet<u32> {
+        let served = self.records.iter().filter(|(_, record)| record.is_served);
+        served.map(|(&host, _)| host).collect()
+    }
+
+    /// Whether enough others watch that come before this router in order.
+    fn is_spare(&self, served: &BTreeSet<u32>) -> bool {
+        served.iter().filter(|&&host| host < self.own).count() >= WATCHERS
+    }
+
+    /// Whether too few watch, and it is this router's turn to take over.
+    fn is_missed(&mut self, served: &BTreeSet<u32>, members: &[host::Id], now: Instant) -> bool {
+        // Before the others are known, each router would take itself for the first.
+        if !members
+            .iter()
+            .any(|member| Watcher::hash(member) == self.own)
+        {
+            return false;
+        }
+        if served.len() >= WATCHERS || self.records.len() >= MOST_TRYING {
+            self.missing_since = None;
+            return false;
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        let hashes = members.iter().map(Watcher::hash);
+        let before = hashes.filter(|hash| *hash < self.own && !self.records.contains_key(hash));
+        let turn = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        // The first few take over at once.
+        let turn = turn.saturating_sub(u32::try_from(WATCHERS - served.len()).unwrap_or(0));
+        now >= since + TURN * turn
+    }
+}
--- a/crates/gateway/src/peers/roll.rs
+++ b/crates/gateway/src/peers/roll.rs
@@ -1,6 +1,6 @@
 //! Which routers are heard, and which of them know more.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use units::{host, time::Instant};
 
@@ -12,11 +12,13 @@
 /// other. One that is still behind after this long cannot reach the store, or
 /// its connection to it went silent.
 const BEHIND: Duration = Duration::from_millis(150);
-/// How long to wait between two questions.
-const ASK_PAUSE: Duration = Duration::from_millis(300);
+/// How long to wait between two questions: an answer takes a few milliseconds.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
+    /// Where its datagrams come from; it may not be known as a member yet.
+    address: SocketAddr,
     versions: Versions,
     silent_at: Instant,
 }
@@ -31,8 +33,15 @@
 
 impl Roll {
     /// A router was heard. It counts as silent after `patience`. Returns whether it is new.
-    pub fn heard(&mut self, digest: &Digest, now: Instant, patience: Duration) -> bool {
+    pub fn heard(
+        &mut self,
+        digest: &Digest,
+        address: SocketAddr,
+        now: Instant,
+        patience: Duration,
+    ) -> bool {
         let record = Record {
+            address,
             versions: digest.versions,
             silent_at: now + patience,
         };
@@ -53,24 +62,29 @@
         silent
     }
 
-    /// A router to ask for what this one, which knows `own`, has missed.
-    pub fn ahead(&mut self, own: Versions, now: Instant) -> Option<host::Id> {
+    /// The address of a router to ask for what this one, which knows `own`, has missed. One
+    /// that `is_watching` waits a moment for the store's own word.
+    pub fn ahead(&mut self, own: Versions, is_watching: bool, now: Instant) -> Option<SocketAddr> {
         let ahead = self
             .records
             .iter()
             .filter(|(_, record)| record.versions.is_ahead_of(own))
-            .max_by_key(|(_, record)| (record.versions.configuration, record.versions.servers))
-            .map(|(host, _)| host.clone());
-        let Some(host) = ahead else {
+            .max_by_key(|(_, record)| {
+                let versions = record.versions;
+                (versions.configuration, versions.servers, versions.routers)
+            })
+            .map(|(_, record)| record.address);
+        let Some(address) = ahead else {
             self.behind_since = None;
             return None;
         };
         let since = *self.behind_since.get_or_insert(now);
-        if now < since + BEHIND || now < self.ask_at {
+        let patience = if is_watching { BEHIND } else { Duration::ZERO };
+        if now < since + patience || now < self.ask_at {
             return None;
         }
         self.ask_at = now + ASK_PAUSE;
-        Some(host)
+        Some(address)
     }
 
     /// How many routers are heard.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock::Clock,
     dispatch::{self, Dispatch},
-    follow::Follow,
+    follow::{self, Follow},
     listener,
     metrics::Metrics,
     observer, peers,
@@ -22,7 +22,7 @@
     serve::Context,
     settings::Settings,
     shutdown::Phase,
-    source::{Member, Secret, Source, Topic},
+    source::{self, Batch, Member, Secret, Source, Topic},
     state::{self, State},
 };
 
@@ -140,9 +140,17 @@
         let (events, event_receiver) = mpsc::channel(EVENTS);
         let state = State::new(source.clone(), clock, outputs);
         tokio::spawn(state.run(event_receiver));
+        let (watching_sender, is_watching) = watch::channel(false);
+        let (served_sender, is_served) = watch::channel(false);
         for topic in Topic::ALL {
-            let metrics = Arc::clone(&metrics);
-            let follow = Follow::new(source.clone(), topic, events.clone(), metrics);
+            let follow = Follow::new(
+                source.clone(),
+                topic,
+                events.clone(),
+                Arc::clone(&metrics),
+                is_watching.clone(),
+                served_sender.clone(),
+            );
             tokio::spawn(follow.run());
         }
         let own = Member {
@@ -150,14 +158,18 @@
             zone: settings.zone.clone(),
             address: settings.peers,
         };
+        let event_sender = events.clone();
         let inputs = peers::Inputs {
             own: own.clone(),
             members: members.clone(),
             mirrors,
+            is_served,
         };
         let outputs = peers::Outputs {
             dispatch: handle.clone(),
             events,
+            is_watching: watching_sender,
+            ages: Arc::clone(&ages),
         };
         let store = source.clone();
         tokio::spawn(async move {
@@ -182,7 +194,7 @@
             ages,
         });
         let callers = listener::serve(callers, context, MAX_CONNECTIONS, phase_receiver);
-        tokio::spawn(register(source.clone(), own, members.clone()));
+        tokio::spawn(register(source.clone(), own, members.clone(), event_sender));
         Ok(Self {
             source,
             settings,
@@ -288,6 +300,7 @@
     source: S,
     own: Member,
     mut members: watch::Receiver<Arc<Vec<Member>>>,
+    events: mpsc::Sender<follow::Event>,
 ) {
     loop {
         let is_listed = members.borrow_and_update().contains(&own);
@@ -297,12 +310,23 @@
             }
             continue;
         }
-        let deadline = time::Instant::now() + REGISTER_LIMIT;
-        if let Err(error) = source.register(&own, deadline).await {
-            logging::event!(info, "register_failed", reason = error);
+        match enroll(&source, &own).await {
+            Ok(batch) => {
+                let event = follow::Event::Batch(Topic::Routers, batch);
+                // The task ends only with the process.
+                drop(events.send(event).await);
+            }
+            Err(error) => logging::event!(info, "register_failed", reason = error),
         }
-        // The list follows within a moment; until it does, nothing is missing.
+        // The list is published within a moment; until it is, nothing is missing.
         let listed = time::timeout(REGISTER_PAUSE, members.changed()).await;
         drop(listed);
     }
 }
+
+/// Registers this router and reads who else is registered.
+async fn enroll<S: Source>(source: &S, own: &Member) -> Result<Batch, source::Error> {
+    let deadline = time::Instant::now() + REGISTER_LIMIT;
+    source.register(own, deadline).await?;
+    source.read(Topic::Routers, deadline).await
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,7 +58,8 @@
 }
 
 impl Ages {
-    fn confirm(&self, topic: Topic, now: Instant) {
+    /// The view of a topic is up to date at `now`.
+    pub fn confirm(&self, topic: Topic, now: Instant) {
         let confirmed = match topic {
             Topic::Configuration => &self.configuration_us,
             Topic::Servers => &self.servers_us,
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -1,14 +1,15 @@
 //! What routers tell each other.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use gateway::{
     dispatch,
-    peers::{Digest, Roll, Versions},
+    peers::{Digest, Readers, Roll, Versions, WATCHERS, Watcher},
 };
 use proptest::prelude::*;
+use units::{host, time::Instant};
 
-use crate::world::{START, host, server};
+use crate::world::{START, host, members, server};
 
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -16,14 +17,20 @@
     let versions = Versions {
         configuration,
         servers: 1,
+        routers: 1,
     };
-    Digest::new(host(name), versions, &[])
+    Digest::new(host(name), versions, Vec::new(), &[])
+}
+
+fn at(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
 }
 
 fn own(configuration: u64) -> Versions {
     Versions {
         configuration,
         servers: 1,
+        routers: 1,
     }
 }
 
@@ -32,13 +39,17 @@
 #[test]
 fn a_router_that_is_behind_asks_one_that_is_ahead() {
     let mut roll = Roll::default();
-    roll.heard(&digest("r1", 5), START, PATIENCE);
-    roll.heard(&digest("r2", 6), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), START), None);
+    roll.heard(&digest("r1", 5), at(1), START, PATIENCE);
+    roll.heard(&digest("r2", 6), at(2), START, PATIENCE);
+    assert_eq!(roll.ahead(own(5), true, START), None);
     let later = START + Duration::from_millis(200);
-    assert_eq!(roll.ahead(own(5), later), Some(host("r2")));
+    assert_eq!(roll.ahead(own(5), true, later), Some(at(2)));
     let at_once = later + Duration::from_millis(10);
-    assert_eq!(roll.ahead(own(5), at_once), None, "one question at a time");
+    assert_eq!(
+        roll.ahead(own(5), true, at_once),
+        None,
+        "one question at a time"
+    );
 }
 
 /// The store tells all within a few milliseconds, so being behind for a moment
@@ -46,31 +57,139 @@
 #[test]
 fn a_router_that_catches_up_does_not_ask() {
     let mut roll = Roll::default();
-    roll.heard(&digest("r1", 6), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), START), None);
-    assert_eq!(roll.ahead(own(6), START + Duration::from_millis(100)), None);
-    assert_eq!(roll.ahead(own(5), START + Duration::from_millis(200)), None);
+    roll.heard(&digest("r1", 6), at(1), START, PATIENCE);
+    assert_eq!(roll.ahead(own(5), true, START), None);
+    assert_eq!(
+        roll.ahead(own(6), true, START + Duration::from_millis(100)),
+        None
+    );
+    assert_eq!(
+        roll.ahead(own(5), true, START + Duration::from_millis(200)),
+        None
+    );
 }
 
 /// A router that died would count with its last requests for ever.
 #[test]
 fn a_silent_router_is_forgotten() {
     let mut roll = Roll::default();
-    assert!(roll.heard(&digest("r1", 5), START, PATIENCE));
+    assert!(roll.heard(&digest("r1", 5), at(1), START, PATIENCE));
     assert_eq!(roll.silent(START + PATIENCE - Duration::from_millis(1)), []);
     assert_eq!(roll.silent(START + PATIENCE), [host("r1")]);
     assert!(roll.is_empty());
 }
 
+/// A fleet whose routers hear each other, each round all of them.
+struct Gossip {
+    all: Vec<host::Id>,
+    readers: Vec<Readers>,
+    watching: Vec<bool>,
+    now: Instant,
+}
+
+impl Gossip {
+    fn new(count: usize) -> Self {
+        let all = members(count);
+        Self {
+            readers: all.iter().map(|own| Readers::new(own, 1)).collect(),
+            watching: vec![false; count],
+            now: START,
+            all,
+        }
+    }
+
+    /// One round, in which only the routers of `up` take part.
+    fn round(&mut self, up: &[usize], is_served: bool) {
+        self.now = self.now + Duration::from_millis(200);
+        for &index in up {
+            self.watching[index] = self.readers[index].decide(&self.all, self.now);
+        }
+        let told: Vec<_> = up
+            .iter()
+            .map(|&index| self.readers[index].tell(is_served, self.now))
+            .collect();
+        for &index in up {
+            for watchers in &told {
+                self.readers[index].hear(watchers, self.now);
+            }
+        }
+    }
+
+    fn watching(&self, up: &[usize]) -> usize {
+        up.iter().filter(|&&index| self.watching[index]).count()
+    }
+}
+
+/// Every router that watches the store is told of every change, and each of
+/// these calls is paid for. With a thousand routers the store would be busy
+/// with nothing else.
+#[test]
+fn a_few_routers_watch_the_store_for_all() {
+    for count in [3, 8, 85, 300] {
+        let mut gossip = Gossip::new(count);
+        let up: Vec<_> = (0..count).collect();
+        for _ in 0..60 {
+            gossip.round(&up, true);
+        }
+        assert_eq!(gossip.watching(&up), count.min(WATCHERS), "{count} routers");
+    }
+}
+
+/// All routers that watch are killed at once. Nobody hears of changes until
+/// others take over.
+#[test]
+fn others_take_over_when_watchers_die() {
+    let mut gossip = Gossip::new(85);
+    let all: Vec<_> = (0..85).collect();
+    for _ in 0..60 {
+        gossip.round(&all, true);
+    }
+    let left: Vec<_> = all
+        .into_iter()
+        .filter(|&index| !gossip.watching[index])
+        .collect();
+    for _ in 0..10 {
+        gossip.round(&left, true);
+    }
+    let watching = gossip.watching(&left);
+    assert!(
+        (WATCHERS..=3 * WATCHERS).contains(&watching),
+        "{watching} after two seconds"
+    );
+    for _ in 0..60 {
+        gossip.round(&left, true);
+    }
+    assert_eq!(gossip.watching(&left), WATCHERS);
+}
+
+/// The store answers nobody. If all routers tried, its return would be met by
+/// all of them at once.
+#[test]
+fn few_try_while_the_store_is_away() {
+    let mut gossip = Gossip::new(85);
+    let up: Vec<_> = (0..85).collect();
+    for _ in 0..100 {
+        gossip.round(&up, false);
+    }
+    let trying = gossip.watching(&up);
+    assert!((WATCHERS..=24).contains(&trying), "{trying}");
+}
+
 #[test]
 fn a_digest_of_a_large_fleet_fits_one_datagram() {
+    let watchers = (0..12).map(|host| Watcher {
+        host: u32::MAX - host,
+        beat: u64::MAX,
+        is_served: true,
+    });
+    let watchers = watchers.collect();
     let loads: Vec<_> = (0..120)
         .map(|index| dispatch::Load {
             server: server(&format!("i-{index:016x}")),
             running: 300,
         })
         .collect();
-    let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), &loads);
+    let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), watchers, &loads);
     let bytes = digest.encode().expect("it fits");
     assert_eq!(Digest::decode(&bytes), Ok(digest));
 }
--- a/crates/gateway/tests/decisions/waiting.rs
+++ b/crates/gateway/tests/decisions/waiting.rs
@@ -54,7 +54,7 @@
         .name()
         .clone();
     // How the server stands does not matter here.
-    drop(line.ended(&server, &workspace(owner), Outcome::Completed, now));
+    let _ = line.ended(&server, &workspace(owner), Outcome::Completed, now);
     line.serve(&fleet(), now)
 }
 
