Read large configurations from the store, and ask any router that knows

Ruled out: gaps in what routers pass on (each batch is whole after its version). Change: a router that does not watch reads a new configuration from the store itself, spread over 150 ms, and asks others only when that fails; small rows come from any router that knows; one that did not answer is left out; one question at a time.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
     dispatch,
     follow::Event,
     mirror::Mirror,
-    source::{Member, Secret, Topic},
+    source::{Member, Secret, Source, Topic},
     state::Ages,
 };
 
@@ -68,8 +68,9 @@
 }
 
 /// Talks to the other routers until the process ends.
-pub async fn run(
+pub async fn run<S: Source>(
     clock: Clock,
+    source: S,
     socket: UdpSocket,
     listener: TcpListener,
     secret: Secret,
@@ -79,8 +80,13 @@
     let Secret { key, boot } = secret;
     logging::event!(info, "peers_started", address = inputs.own.address);
     tokio::spawn(fetch::serve(listener, key.clone(), inputs.mirrors.clone()));
+    let (done, ends) = mpsc::channel(4);
     let task = Task {
         clock,
+        source,
+        is_asking: false,
+        store_failed_until: Instant::ZERO,
+        done,
         sealer: Sealer::new(&key, &inputs.own.host, boot),
         opener: Opener::new(&key, &inputs.own.host, boot),
         boots: BTreeMap::new(),
@@ -92,11 +98,25 @@
         outputs,
         rounds: 0,
     };
-    task.run().await;
+    task.run(ends).await;
 }
 
-struct Task {
+/// How a question to the store or to another router ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Answered,
+    StoreFailed,
+    PeerFailed(SocketAddr),
+}
+
+struct Task<S> {
     clock: Clock,
+    source: S,
+    /// Whether a question is under way; there is one at a time.
+    is_asking: bool,
+    /// Until when other routers are asked in place of the store.
+    store_failed_until: Instant,
+    done: mpsc::Sender<End>,
     sealer: Sealer,
     opener: Opener,
     /// The starts of the others, by the tags of their hosts.
@@ -110,8 +130,8 @@
     rounds: usize,
 }
 
-impl Task {
-    async fn run(mut self) {
+impl<S: Source> Task<S> {
+    async fn run(mut self, mut ends: mpsc::Receiver<End>) {
         let mut ticks = time::interval(INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut buffer = [0; MAX_DATAGRAM];
@@ -123,6 +143,7 @@
                     Ok(()) => self.send().await,
                     Err(_) => return,
                 },
+                Some(end) = ends.recv() => self.ended(end),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.hear(&buffer[..length], from),
                     // A peer that is gone shows as an error of the send before.
@@ -169,16 +190,73 @@
         }
     }
 
-    /// Asks another router for what this one has missed.
+    /// Asks for what this router has missed.
+    ///
+    /// The configuration may be large, and its bytes over many slow links
+    /// between routers take longer than one call to the store. What is small
+    /// comes from another router, and everything does while the store is away.
     fn catch_up(&mut self) {
         let now = self.clock.now();
-        let versions = self.versions();
+        if self.is_asking {
+            return;
+        }
+        let own = self.versions();
         let is_watching = *self.outputs.is_watching.borrow();
-        if let Some(address) = self.roll.ahead(versions, is_watching, now) {
-            self.fetch(address, versions);
+        let random = rand::random::<u32>() as usize;
+        let Some(address) = self.roll.ahead(own, is_watching, random, now) else {
+            return;
+        };
+        self.is_asking = true;
+        let newest = self.roll.newest_configuration();
+        let is_store_usable = !is_watching && now >= self.store_failed_until;
+        if newest > own.configuration && is_store_usable {
+            self.ask_store(own.configuration);
+        } else {
+            self.ask_peer(address, own);
         }
     }
 
+    fn ended(&mut self, end: End) {
+        self.is_asking = false;
+        match end {
+            End::Answered => {}
+            End::StoreFailed => self.store_failed_until = self.clock.now() + STORE_PAUSE,
+            End::PeerFailed(address) => self.roll.forget(address),
+        }
+    }
+
+    fn ask_store(&self, known: u64) {
+        let source = self.source.clone();
+        let events = self.outputs.events.clone();
+        let done = self.done.clone();
+        tokio::spawn(async move {
+            time::sleep(STORE_SPREAD.mul_f64(rand::random())).await;
+            let deadline = time::Instant::now() + STORE_LIMIT;
+            let end = match source.read(Topic::Configuration, deadline).await {
+                Ok(batch) => {
+                    let is_news = batch.rows.iter().any(|row| row.version > known);
+                    drop(
+                        events
+                            .send(Event::Relayed(Topic::Configuration, batch))
+                            .await,
+                    );
+                    // A stale answer is no better than none.
+                    if is_news {
+                        End::Answered
+                    } else {
+                        End::StoreFailed
+                    }
+                }
+                Err(error) => {
+                    logging::event!(info, "store_read_failed", reason = error);
+                    End::StoreFailed
+                }
+            };
+            // As above.
+            let _ = done.send(end).await;
+        });
+    }
+
     async fn send(&mut self) {
         let now = self.clock.now();
         let is_served = *self.inputs.is_served.borrow();
@@ -296,7 +374,7 @@
     }
 
     /// Asks a router that knows more than this one.
-    fn fetch(&self, address: SocketAddr, versions: Versions) {
+    fn ask_peer(&self, address: SocketAddr, versions: Versions) {
         logging::event!(
             info,
             "peer_ahead",
@@ -307,19 +385,31 @@
         );
         let key = self.key.clone();
         let events = self.outputs.events.clone();
+        let done = self.done.clone();
         tokio::spawn(async move {
-            match fetch::ask(address, &key, versions).await {
+            let end = match fetch::ask(address, &key, versions).await {
                 Ok(batches) => {
                     for (topic, batch) in batches {
                         // As above.
                         drop(events.send(Event::Relayed(topic, batch)).await);
                     }
+                    End::Answered
                 }
-                Err(error) => logging::event!(info, "peer_fetch_failed", reason = error),
-            }
+                Err(error) => {
+                    logging::event!(info, "peer_fetch_failed", peer = address, reason = error);
+                    End::PeerFailed(address)
+                }
+            };
+            let _ = done.send(end).await;
         });
     }
 }
 
+/// The reads of the store by all routers are spread over this time.
+const STORE_SPREAD: Duration = Duration::from_millis(150);
+/// How long such a read may take.
+const STORE_LIMIT: Duration = Duration::from_millis(800);
+/// How long other routers are asked after a read of the store failed.
+const STORE_PAUSE: Duration = Duration::from_millis(1500);
 /// The least time after which a router that is not heard counts as lost.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
--- a/crates/gateway/src/peers/roll.rs
+++ b/crates/gateway/src/peers/roll.rs
@@ -62,29 +62,52 @@
         silent
     }
 
-    /// The address of a router to ask for what this one, which knows `own`, has missed. One
+    /// A router to ask for what this one, which knows `own`, has missed. One
     /// that `is_watching` waits a moment for the store's own word.
-    pub fn ahead(&mut self, own: Versions, is_watching: bool, now: Instant) -> Option<SocketAddr> {
-        let ahead = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.versions.is_ahead_of(own))
-            .max_by_key(|(_, record)| {
-                let versions = record.versions;
-                (versions.configuration, versions.servers, versions.routers)
-            })
-            .map(|(_, record)| record.address);
-        let Some(address) = ahead else {
+    ///
+    /// Of those that know more, any may be chosen: were it always the one that
+    /// knows most, all routers would ask the same one at the same moment.
+    pub fn ahead(
+        &mut self,
+        own: Versions,
+        is_watching: bool,
+        random: usize,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let records = self.records.values();
+        let ahead: Vec<_> = records
+            .filter(|record| record.versions.is_ahead_of(own))
+            .map(|record| record.address)
+            .collect();
+        if ahead.is_empty() {
             self.behind_since = None;
             return None;
-        };
+        }
         let since = *self.behind_since.get_or_insert(now);
         let patience = if is_watching { BEHIND } else { Duration::ZERO };
         if now < since + patience || now < self.ask_at {
             return None;
         }
         self.ask_at = now + ASK_PAUSE;
-        Some(address)
+        Some(ahead[random % ahead.len()])
+    }
+
+    /// The newest configuration that a router knows.
+    pub fn newest_configuration(&self) -> u64 {
+        let versions = self.records.values().map(|record| record.versions);
+        versions
+            .map(|versions| versions.configuration)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// A router did not answer. It is not asked again before it is heard again.
+    pub fn forget(&mut self, address: SocketAddr) {
+        for record in self.records.values_mut() {
+            if record.address == address {
+                record.versions = Versions::default();
+            }
+        }
     }
 
     /// How many routers are heard.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -173,8 +173,17 @@
         };
         let store = source.clone();
         tokio::spawn(async move {
-            let secret = secret(store).await;
-            peers::run(clock, peer_socket, peer_listener, secret, inputs, outputs).await;
+            let secret = secret(&store).await;
+            peers::run(
+                clock,
+                store,
+                peer_socket,
+                peer_listener,
+                secret,
+                inputs,
+                outputs,
+            )
+            .await;
         });
         let sources = observer::Sources {
             readiness: readiness_receiver,
@@ -281,7 +290,7 @@
 }
 
 /// Reads the key of the fleet, until it is there.
-async fn secret<S: Source>(source: S) -> Secret {
+async fn secret<S: Source>(source: &S) -> Secret {
     loop {
         let deadline = time::Instant::now() + REGISTER_LIMIT;
         match source.secret(deadline).await {
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -40,13 +40,14 @@
 fn a_router_that_is_behind_asks_one_that_is_ahead() {
     let mut roll = Roll::default();
     roll.heard(&digest("r1", 5), at(1), START, PATIENCE);
+    assert_eq!(roll.newest_configuration(), 5);
     roll.heard(&digest("r2", 6), at(2), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), true, START), None);
+    assert_eq!(roll.ahead(own(5), true, 0, START), None);
     let later = START + Duration::from_millis(200);
-    assert_eq!(roll.ahead(own(5), true, later), Some(at(2)));
+    assert_eq!(roll.ahead(own(5), true, 0, later), Some(at(2)));
     let at_once = later + Duration::from_millis(10);
     assert_eq!(
-        roll.ahead(own(5), true, at_once),
+        roll.ahead(own(5), true, 0, at_once),
         None,
         "one question at a time"
     );
@@ -58,17 +59,52 @@
 fn a_router_that_catches_up_does_not_ask() {
     let mut roll = Roll::default();
     roll.heard(&digest("r1", 6), at(1), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), true, START), None);
+    assert_eq!(roll.ahead(own(5), true, 0, START), None);
     assert_eq!(
-        roll.ahead(own(6), true, START + Duration::from_millis(100)),
+        roll.ahead(own(6), true, 0, START + Duration::from_millis(100)),
         None
     );
     assert_eq!(
-        roll.ahead(own(5), true, START + Duration::from_millis(200)),
+        roll.ahead(own(5), true, 0, START + Duration::from_millis(200)),
         None
     );
 }
 
+/// The router that knew most has died. Asked again and again, it would keep
+/// this one from asking another that has the news by now.
+#[test]
+fn a_router_that_does_not_answer_is_not_asked_again() {
+    let mut roll = Roll::default();
+    roll.heard(&digest("r1", 6), at(1), START, PATIENCE);
+    roll.heard(&digest("r2", 6), at(2), START, PATIENCE);
+    let first = roll.ahead(own(5), false, 0, START).expect("one to ask");
+    roll.forget(first);
+    let later = START + Duration::from_millis(100);
+    for random in 0..4 {
+        let later = later + Duration::from_millis(100 * random as u64);
+        let next = roll
+            .ahead(own(5), false, random, later)
+            .expect("one to ask");
+        assert_ne!(next, first);
+    }
+}
+
+/// A change reaches all routers at once. If all asked the same one for it, its
+/// link would carry a large configuration once for each of them.
+#[test]
+fn routers_ask_any_that_knows() {
+    let mut roll = Roll::default();
+    for index in 0..5 {
+        roll.heard(&digest(&format!("r{index}"), 6), at(index), START, PATIENCE);
+    }
+    let asked = (0..50).map(|random| {
+        let now = START + Duration::from_secs(random);
+        roll.ahead(own(5), false, random as usize, now)
+    });
+    let asked: std::collections::BTreeSet<_> = asked.flatten().collect();
+    assert_eq!(asked.len(), 5);
+}
+
 /// A router that died would count with its last requests for ever.
 #[test]
 fn a_silent_router_is_forgotten() {
