Refuse requests that servers die of

Change: a break counts once its server refuses connections or starts anew; after three deaths the request, known by path, key and body, is refused on all routers, which tell each other in their digests. One that completes is cleared.

--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -235,7 +235,7 @@
                 pool: "engines".parse().expect("a valid name"),
                 address: ([127, 0, 0, 1], u16::try_from(index).unwrap_or(0)).into(),
                 zone: member.zone.clone(),
-                slots: u32::try_from(core.deployment.engine.capacity).unwrap_or(u32::MAX),
+                slots: core.deployment.engine.capacity,
                 is_draining: false,
                 cold_until: Instant::ZERO,
                 born: 0,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -88,7 +88,7 @@
             End::Unsent(String::from("closed before the request was sent"))
         }
         Ok(Err(Failure::Broken(error))) => {
-            permit.end(Outcome::Failed);
+            permit.end(Outcome::Broken);
             End::Broken(error.to_string())
         }
         Ok(Ok(response)) => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::{
     budget::Budget,
     clock::Clock,
+    deaths::Deaths,
     line::{self, Ask, Line, Offered},
     peers,
     pool::{Demand, Fleet, Outcome, Part, Parts, Place, Pool},
@@ -44,6 +45,8 @@
     pub demand: Demand,
     /// Whether a server has had the request before.
     pub is_repeat: bool,
+    /// What it has in common with its repeats by the caller.
+    pub fingerprint: request::Fingerprint,
 }
 
 /// Why a request is not sent.
@@ -55,6 +58,8 @@
     Unknown,
     /// The repeats of the service are used up.
     Budget,
+    /// Servers died of the request.
+    Suspect,
 }
 
 /// How a request is told what became of it.
@@ -69,6 +74,15 @@
     pub running: u32,
 }
 
+/// What other routers are told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// Requests in flight; servers without any are left out.
+    pub loads: Vec<Load>,
+    /// Requests that servers lately died of.
+    pub strikes: Vec<recovery::Strike>,
+}
+
 /// What the task is told.
 #[derive(Debug)]
 pub enum Message {
@@ -90,8 +104,10 @@
     PeerLost(host::Id),
     /// The bounds of the deployment have changed.
     Bounds(Bounds),
-    /// Asks for what this router has in flight.
-    Loads(oneshot::Sender<Vec<Load>>),
+    /// Requests that another router saw servers die of.
+    Strikes(Vec<recovery::Strike>),
+    /// Asks for what other routers are told.
+    News(oneshot::Sender<News>),
 }
 
 /// One request at one server.
@@ -109,6 +125,8 @@
     pub parts: Parts,
     /// Who is charged for it.
     pub workspace: workspace::Id,
+    /// What it has in common with its repeats by the caller.
+    pub fingerprint: request::Fingerprint,
     /// When it was sent.
     pub sent_at: Instant,
     /// Whether its first byte has come.
@@ -128,6 +146,7 @@
     pending: HashMap<request::Attempt, (Order, Reply)>,
     attempts: u64,
     peers: BTreeMap<host::Id, Vec<peers::Load>>,
+    deaths: Deaths,
 }
 
 impl Dispatch {
@@ -155,6 +174,7 @@
             pending: HashMap::new(),
             attempts: 0,
             peers: BTreeMap::new(),
+            deaths: Deaths::default(),
         };
         (dispatch, handle, messages)
     }
@@ -197,11 +217,22 @@
                 self.sum_peers();
             }
             Message::Bounds(bounds) => self.set_bounds(bounds),
-            Message::Loads(reply) => drop(reply.send(self.loads())),
+            Message::Strikes(strikes) => self.deaths.learn(&strikes, now),
+            Message::News(reply) => {
+                let news = News {
+                    loads: self.loads(),
+                    strikes: self.deaths.tell(now),
+                };
+                drop(reply.send(news));
+            }
         }
     }
 
     fn acquire(&mut self, order: Order, reply: Reply, now: Instant) {
+        if self.deaths.is_refused(order.fingerprint, now) {
+            answer(reply, Err(Refusal::Suspect));
+            return;
+        }
         if order.is_repeat && !self.take_repeat(&order.pool, now) {
             answer(reply, Err(Refusal::Budget));
             return;
@@ -258,6 +289,7 @@
             unread: place.unread,
             parts: order.demand.parts,
             workspace: order.workspace,
+            fingerprint: order.fingerprint,
             sent_at: now,
             is_read: false,
         };
@@ -312,6 +344,7 @@
     }
 
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
+        self.note_death(ticket, outcome, now);
         let Some(line) = self.lines.get_mut(&ticket.pool) else {
             return;
         };
@@ -338,7 +371,41 @@
         self.serve(&ticket.pool);
     }
 
+    fn note_death(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Broken => {
+                let (server, born) = (&ticket.server, ticket.born);
+                self.deaths
+                    .broke(ticket.fingerprint, server, born, ticket.sent_at, now);
+            }
+            Outcome::Unreachable => self.died(&ticket.server, ticket.born, now),
+            Outcome::Completed => self.deaths.completed(ticket.fingerprint),
+            Outcome::Failed | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
+        }
+    }
+
+    fn died(&mut self, server: &backend::Server, born: u64, now: Instant) {
+        let count = self.deaths.died(server, born, now);
+        if count > 0 {
+            logging::event!(info, "server_died", server = server, requests = count);
+        }
+    }
+
+    /// Starts of servers that are over by what the store says.
+    fn note_ends(&mut self, roster: &Roster) {
+        let now = self.clock.now();
+        let servers = self.lines.values().flat_map(|line| line.pool().servers());
+        let ended: Vec<_> = servers
+            .filter(|server| roster.born(server.name()) != Some(server.born()))
+            .map(|server| (server.name().clone(), server.born()))
+            .collect();
+        for (server, born) in ended {
+            self.died(&server, born, now);
+        }
+    }
+
     fn set_roster(&mut self, roster: &Roster) {
+        self.note_ends(roster);
         let mut names: Vec<pool::Id> = self.lines.keys().cloned().collect();
         names.extend(roster.all().map(|(entry, _)| entry.pool.clone()));
         names.sort_unstable();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod clock;
 pub mod connection;
+pub mod deaths;
 pub mod dispatch;
 pub mod fence;
 pub mod follow;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -261,11 +261,11 @@
         let now = self.clock.now();
         let is_served = *self.inputs.is_served.borrow();
         let watchers = self.readers.tell(is_served, now);
-        let loads = self.loads().await;
+        let news = self.news().await;
         let own = self.inputs.own.host.clone();
-        let digest = Digest::new(own, self.versions(), watchers, &loads);
+        let digest = Digest::new(own, self.versions(), watchers, news);
         let Ok(payload) = digest.encode() else {
-            logging::event!(warn, "digest_too_long", loads = loads.len());
+            logging::event!(warn, "digest_too_long", loads = digest.loads.len());
             return;
         };
         for member in self.targets() {
@@ -314,9 +314,9 @@
         }
     }
 
-    async fn loads(&self) -> Vec<dispatch::Load> {
+    async fn news(&self) -> dispatch::News {
         let (reply, answer) = oneshot::channel();
-        self.tell(dispatch::Message::Loads(reply));
+        self.tell(dispatch::Message::News(reply));
         // The task ends only with the process.
         answer.await.unwrap_or_default()
     }
@@ -355,6 +355,9 @@
         if !is_watching {
             self.follow_peer(&digest, now);
         }
+        if !digest.strikes.is_empty() {
+            self.tell(dispatch::Message::Strikes(digest.strikes));
+        }
         self.tell(dispatch::Message::Peer(digest.host, digest.loads));
     }
 
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -57,6 +57,8 @@
     pub watchers: Vec<Watcher>,
     /// What it has in flight; servers without a request are left out.
     pub loads: Vec<Load>,
+    /// Requests that servers lately died of.
+    pub strikes: Vec<recovery::Strike>,
 }
 
 /// A digest that cannot be sent or read.
@@ -69,9 +71,9 @@
         host: host::Id,
         versions: Versions,
         watchers: Vec<Watcher>,
-        loads: &[dispatch::Load],
+        news: dispatch::News,
     ) -> Self {
-        let loads = loads.iter().map(|load| Load {
+        let loads = news.loads.iter().map(|load| Load {
             server: Load::hash(&load.server),
             running: u16::try_from(load.running).unwrap_or(u16::MAX),
         });
@@ -80,6 +82,7 @@
             versions,
             watchers,
             loads: loads.collect(),
+            strikes: news.strikes,
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -400,7 +400,7 @@
         let before = self.standing(name, now);
         match outcome {
             Outcome::Completed => self.ejection.succeeded(name, now),
-            Outcome::Failed => self.ejection.failed(name, now),
+            Outcome::Failed | Outcome::Broken => self.ejection.failed(name, now),
             Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
         }
         if let Some(server) = self.servers.get_mut(name) {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -18,6 +18,8 @@
     Completed,
     /// The server failed it.
     Failed,
+    /// The server broke off in the middle of it.
+    Broken,
     /// No connection came about, so nothing was sent.
     Unreachable,
     /// Another server has the address.
@@ -33,6 +35,7 @@
         f.write_str(match self {
             Self::Completed => "completed",
             Self::Failed => "failed",
+            Self::Broken => "broken",
             Self::Unreachable => "unreachable",
             Self::Moved => "moved",
             Self::Full => "full",
@@ -253,7 +256,7 @@
             Outcome::Unreachable => self.refused(now),
             Outcome::Moved => self.away_until = now + MAX_AWAY,
             Outcome::Completed | Outcome::Failed | Outcome::Full => self.refusals = 0,
-            Outcome::Cancelled => {}
+            Outcome::Broken | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -125,7 +125,7 @@
                 Next::Broken(reason) => reason,
             };
             if !self.resume(&failure).await {
-                self.finish(Outcome::Failed, &failure);
+                self.finish(Outcome::Broken, &failure);
                 return Some(Err(Cut::Server));
             }
         }
@@ -197,7 +197,7 @@
                 after = last.as_deref().unwrap_or("none"),
                 reason = reason
             );
-            permit.end(Outcome::Failed);
+            permit.end(Outcome::Broken);
         }
         let Ok(answer) = self.exchange.answer(last.as_deref()).await else {
             return false;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -164,6 +164,11 @@
         self.entries.values().filter(|entry| self.is_usable(entry))
     }
 
+    /// The start of a server that is registered.
+    pub fn born(&self, server: &backend::Server) -> Option<u64> {
+        self.entries.get(server).map(|entry| entry.born)
+    }
+
     /// How many servers are registered.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 use units::{
     pool,
+    request::Fingerprint,
     time::{Instant, Millis},
     workspace,
 };
@@ -68,6 +69,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it has in common with its repeats by the caller.
+    pub fingerprint: Fingerprint,
     /// What placement needs to know, with the servers that had it.
     pub demand: Demand,
 }
@@ -210,6 +213,7 @@
             latest_start: self.latest_start(now),
             demand: self.plan.demand.clone(),
             is_repeat: self.sends > 0,
+            fingerprint: self.plan.fingerprint,
         };
         let (reply, answer) = oneshot::channel();
         let asked = self.context.dispatch.send(Message::Acquire(order, reply));
@@ -243,6 +247,9 @@
             dispatch::Refusal::Budget => self
                 .refusal(Code::RetryBudget, "The repeats of the service are used up.")
                 .retry_at(now + RETRY_FULL),
+            dispatch::Refusal::Suspect => {
+                self.refusal(Code::Suspect, "Servers died while they ran this request.")
+            }
             dispatch::Refusal::Unknown => self
                 .refusal(Code::NoServer, "No server of the service is known.")
                 .retry_at(now + RETRY_EMPTY),
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, body::Body as _, body::Incoming};
 use tokio::time;
-use units::time::Instant;
+use units::{request::Fingerprint, time::Instant};
 use verdict::{Code, Refusal};
 use xxhash_rust::xxh3;
 
@@ -58,6 +58,7 @@
             pool,
             route,
             tenancy,
+            fingerprint: fingerprint(parts.uri.path(), &head, &body),
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
@@ -108,6 +109,17 @@
     }
 }
 
+/// A request that crashes servers comes again with the same path, key and body.
+fn fingerprint(path: &str, head: &Head, body: &[u8]) -> Fingerprint {
+    let mut hasher = xxh3::Xxh3Default::new();
+    hasher.update(path.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(head.key.as_deref().unwrap_or_default().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(body);
+    Fingerprint(hasher.digest())
+}
+
 fn too_large() -> Refusal {
     Refusal::not_run(Code::TooLarge, "The body is over the limit.")
 }
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! What a router decides, without a network.
 
 mod budget;
+mod deaths;
 mod events;
 mod fence;
 mod mirror;
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -19,7 +19,7 @@
         servers: 1,
         routers: 1,
     };
-    Digest::new(host(name), versions, Vec::new(), &[])
+    Digest::new(host(name), versions, Vec::new(), dispatch::News::default())
 }
 
 fn at(port: u16) -> SocketAddr {
@@ -225,7 +225,11 @@
             running: 300,
         })
         .collect();
-    let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), watchers, &loads);
+    let news = dispatch::News {
+        loads,
+        strikes: Vec::new(),
+    };
+    let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), watchers, news);
     let bytes = digest.encode().expect("it fits");
     assert_eq!(Digest::decode(&bytes), Ok(digest));
 }
