Add loads up by zone in large fleets

Ruled out: telling more others each round (26 KB/s a router, two thirds between zones). Change: two routers of each zone add up what its routers tell, exchange the sums with those of other zones and tell all of their own what the fleet has in flight.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -62,6 +62,9 @@
     Suspect,
 }
 
+/// How long a sum over all others counts in place of what single routers told.
+const OTHERS_COUNT: Duration = Duration::from_millis(800);
+
 /// How a request is told what became of it.
 type Reply = oneshot::Sender<Result<Permit, Refusal>>;
 
@@ -100,6 +103,8 @@
     Members(Vec<host::Id>),
     /// What another router has in flight.
     Peer(host::Id, Vec<peers::Load>),
+    /// What all other routers have in flight, added up by some of them.
+    Others(Vec<peers::Load>),
     /// Another router fell silent.
     PeerLost(host::Id),
     /// The bounds of the deployment have changed.
@@ -146,6 +151,9 @@
     pending: HashMap<request::Attempt, (Order, Reply)>,
     attempts: u64,
     peers: BTreeMap<host::Id, Vec<peers::Load>>,
+    /// What all others have in flight, while it is current.
+    others: Vec<peers::Load>,
+    others_until: Instant,
     deaths: Deaths,
 }
 
@@ -174,6 +182,8 @@
             pending: HashMap::new(),
             attempts: 0,
             peers: BTreeMap::new(),
+            others: Vec::new(),
+            others_until: Instant::ZERO,
             deaths: Deaths::default(),
         };
         (dispatch, handle, messages)
@@ -212,6 +222,11 @@
                 self.peers.insert(host, loads);
                 self.sum_peers();
             }
+            Message::Others(loads) => {
+                self.others = loads;
+                self.others_until = now + OTHERS_COUNT;
+                self.sum_peers();
+            }
             Message::PeerLost(host) => {
                 self.peers.remove(&host);
                 self.sum_peers();
@@ -443,7 +458,10 @@
 
     fn sum_peers(&mut self) {
         let mut sums: HashMap<u32, u32> = HashMap::new();
-        for load in self.peers.values().flatten() {
+        let is_current = self.clock.now() < self.others_until;
+        let single = self.peers.values().flatten().filter(|_| !is_current);
+        let added = self.others.iter().filter(|_| is_current);
+        for load in single.chain(added) {
             *sums.entry(load.server).or_default() += u32::from(load.running);
         }
         for line in self.lines.values_mut() {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,20 +4,27 @@
 mod fetch;
 mod readers;
 mod roll;
+pub mod sums;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, oneshot, watch},
     time,
 };
-use units::{host, time::Instant};
+use units::{availability, host, time::Instant};
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
-pub use digest::{Digest, Load, Versions};
+pub use digest::{Digest, Frame, Load, Versions};
 pub use readers::{Readers, WATCHERS, Watcher};
 pub use roll::Roll;
+pub use sums::{Sum, Sums};
 
 use crate::{
     clock::Clock,
@@ -91,6 +98,9 @@
         opener: Opener::new(&key, &inputs.own.host, boot),
         boots: BTreeMap::new(),
         roll: Roll::default(),
+        sums: Sums::default(),
+        own_loads: Vec::new(),
+        started_at: clock.now(),
         readers: Readers::new(&inputs.own.host, boot.0),
         socket,
         key,
@@ -122,6 +132,10 @@
     /// The starts of the others, by the tags of their hosts.
     boots: BTreeMap<Tag, Boot>,
     roll: Roll,
+    sums: Sums,
+    /// What this router last told to those who add up.
+    own_loads: Vec<Load>,
+    started_at: Instant,
     readers: Readers,
     socket: UdpSocket,
     key: Key,
@@ -162,6 +176,89 @@
         self.watch_or_not().await;
         self.catch_up();
         self.send().await;
+        if self.is_large() {
+            self.send_sums().await;
+        }
+    }
+
+    /// Whether the fleet is too large for each to hear each in every round.
+    fn is_large(&self) -> bool {
+        self.inputs.members.borrow().len() > FAN_OUT + 1
+    }
+
+    /// The routers of a zone that add up.
+    fn adders(&self, zone: &availability::Zone) -> Vec<Member> {
+        let now = self.clock.now();
+        let own = &self.inputs.own.host;
+        // Before there was time to hear all of them, none counts as silent.
+        let is_early = now < self.started_at + self.patience();
+        let members = self.inputs.members.borrow();
+        let mut adders: Vec<&Member> = members
+            .iter()
+            .filter(|member| member.zone == *zone)
+            .filter(|member| member.host == *own || is_early || self.roll.has(&member.host))
+            .collect();
+        adders.sort_by_key(|member| sums::hash(member.host.as_str()));
+        adders.into_iter().take(sums::ADDERS).cloned().collect()
+    }
+
+    /// Adds up, if this router is one of those who do.
+    async fn send_sums(&mut self) {
+        let now = self.clock.now();
+        let own_zone = self.inputs.own.zone.clone();
+        let is_adder = self
+            .adders(&own_zone)
+            .iter()
+            .any(|adder| adder.host == self.inputs.own.host);
+        if !is_adder {
+            return;
+        }
+        let sum = self
+            .sums
+            .zone(sums::hash(own_zone.as_str()), &self.own_loads, now);
+        let total = self.sums.total(&sum, now);
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let zones: BTreeSet<_> = members.iter().map(|member| &member.zone).collect();
+        for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
+            for adder in self.adders(zone) {
+                self.send_to(&Frame::Sum(sum.clone()), &adder).await;
+            }
+        }
+        let own = self.inputs.own.host.clone();
+        let near = members.iter().filter(|member| member.zone == own_zone);
+        let frame = Frame::Total(total.clone());
+        for member in near.filter(|member| member.host != own) {
+            self.send_to(&frame, member).await;
+        }
+        self.take_total(&total);
+    }
+
+    /// Takes over what the whole fleet has in flight.
+    fn take_total(&self, total: &[Load]) {
+        let others = sums::without(total, &self.own_loads);
+        self.tell(dispatch::Message::Others(others));
+    }
+
+    async fn send_to(&mut self, frame: &Frame, member: &Member) {
+        let Ok(payload) = frame.encode() else {
+            logging::event!(warn, "digest_too_long", peer = member.host);
+            return;
+        };
+        let tag = Tag::new(&member.host);
+        let audience = match self.boots.get(&tag) {
+            Some(&boot) => Audience::Process(tag, boot),
+            None => Audience::Anyone,
+        };
+        let datagram = self.sealer.seal(&payload, audience);
+        // A datagram may be lost in any case; the next one follows soon.
+        if let Err(error) = self.socket.send_to(&datagram, member.address).await {
+            logging::event!(
+                debug,
+                "peer_unreachable",
+                peer = member.host,
+                reason = error
+            );
+        }
     }
 
     /// Watches the store, or leaves it to others.
@@ -264,26 +361,10 @@
         let news = self.news().await;
         let own = self.inputs.own.host.clone();
         let digest = Digest::new(own, self.versions(), watchers, news);
-        let Ok(payload) = digest.encode() else {
-            logging::event!(warn, "digest_too_long", loads = digest.loads.len());
-            return;
-        };
+        self.own_loads.clone_from(&digest.loads);
+        let frame = Frame::Digest(digest);
         for member in self.targets() {
-            let tag = Tag::new(&member.host);
-            let audience = match self.boots.get(&tag) {
-                Some(&boot) => Audience::Process(tag, boot),
-                None => Audience::Anyone,
-            };
-            let datagram = self.sealer.seal(&payload, audience);
-            // A datagram may be lost in any case; the next one follows soon.
-            if let Err(error) = self.socket.send_to(&datagram, member.address).await {
-                logging::event!(
-                    debug,
-                    "peer_unreachable",
-                    peer = member.host,
-                    reason = error
-                );
-            }
+            self.send_to(&frame, &member).await;
         }
     }
 
@@ -298,10 +379,17 @@
         let start = self.rounds * FAN_OUT;
         self.rounds = self.rounds.wrapping_add(1);
         let turn = others.iter().cycle().skip(start % others.len().max(1));
-        turn.take(FAN_OUT.min(others.len()))
+        let mut targets: Vec<Member> = turn
+            .take(FAN_OUT.min(others.len()))
             .copied()
             .cloned()
-            .collect()
+            .collect();
+        if self.is_large() {
+            let adders = self.adders(&self.inputs.own.zone).into_iter();
+            let more = adders.filter(|adder| adder.host != *own && !targets.contains(adder));
+            targets.extend(more.collect::<Vec<_>>());
+        }
+        targets
     }
 
     fn versions(&self) -> Versions {
@@ -335,19 +423,30 @@
         if !opened.fresh {
             return;
         }
-        let Ok(digest) = Digest::decode(opened.payload) else {
-            logging::event!(debug, "digest_malformed");
-            return;
-        };
-        if Tag::new(&digest.host) != opened.tag {
-            return;
+        match Frame::decode(opened.payload) {
+            Ok(Frame::Digest(digest)) => {
+                let tag = opened.tag;
+                self.hear_digest(digest, tag, from, now);
+            }
+            Ok(Frame::Sum(sum)) => self.sums.heard(sum, now),
+            Ok(Frame::Total(total)) => self.take_total(&total),
+            Err(_) => logging::event!(debug, "digest_malformed"),
         }
+    }
+
+    /// How long a router may stay unheard: until all have had their turn twice.
+    fn patience(&self) -> Duration {
         let others = self.inputs.members.borrow().len();
-        let patience = INTERVAL * u32::try_from(3 * others.div_ceil(FAN_OUT)).unwrap_or(u32::MAX);
-        if self
-            .roll
-            .heard(&digest, from, now, patience.max(LEAST_PATIENCE))
-        {
+        let rounds = u32::try_from(3 * others.div_ceil(FAN_OUT)).unwrap_or(u32::MAX);
+        (INTERVAL * rounds).max(LEAST_PATIENCE)
+    }
+
+    fn hear_digest(&mut self, digest: Digest, tag: Tag, from: SocketAddr, now: Instant) {
+        if Tag::new(&digest.host) != tag {
+            return;
+        }
+        let patience = self.patience();
+        if self.roll.heard(&digest, from, now, patience) {
             logging::event!(info, "peer_heard", peer = digest.host);
         }
         self.readers.hear(&digest.watchers, now);
@@ -358,6 +457,8 @@
         if !digest.strikes.is_empty() {
             self.tell(dispatch::Message::Strikes(digest.strikes));
         }
+        self.sums
+            .told(digest.host.clone(), digest.loads.clone(), now);
         self.tell(dispatch::Message::Peer(digest.host, digest.loads));
     }
 
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -4,7 +4,7 @@
 use units::{backend, host};
 use xxhash_rust::xxh3;
 
-use super::Watcher;
+use super::{Sum, Watcher};
 use crate::dispatch;
 
 /// The longest payload, in bytes: with its seal it fits one packet on usual links.
@@ -61,7 +61,18 @@
     pub strikes: Vec<recovery::Strike>,
 }
 
-/// A digest that cannot be sent or read.
+/// What one datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// What one router tells.
+    Digest(Digest),
+    /// The loads of the sender's zone, for those who add up in other zones.
+    Sum(Sum),
+    /// The loads of the whole fleet, for the routers of the sender's zone.
+    Total(Vec<Load>),
+}
+
+/// A datagram that cannot be sent or read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed;
 
@@ -85,8 +96,10 @@
             strikes: news.strikes,
         }
     }
+}
 
-    /// Encodes the digest.
+impl Frame {
+    /// Encodes the frame.
     ///
     /// # Errors
     ///
@@ -99,7 +112,7 @@
         Ok(bytes)
     }
 
-    /// Decodes a digest.
+    /// Decodes a frame.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/peers/roll.rs
+++ b/crates/gateway/src/peers/roll.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Whether a router is heard.
+    pub fn has(&self, host: &host::Id) -> bool {
+        self.records.contains_key(host)
+    }
+
     /// How many routers are heard.
     pub fn len(&self) -> usize {
         self.records.len()
--- /dev/null
+++ b/crates/gateway/src/peers/sums.rs
@@ -0,0 +1,95 @@
+//! Sums of loads over a fleet that is too large for each to hear each.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use units::{host, time::Instant};
+use xxhash_rust::xxh3;
+
+use super::Load;
+
+/// How long what a router or a zone told counts: three rounds.
+const CURRENT: Duration = Duration::from_millis(700);
+/// How many routers of a zone add up, so that one may die.
+pub const ADDERS: usize = 2;
+
+/// The loads of all routers of one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sum {
+    /// A hash of the zone's name.
+    pub zone: u32,
+    /// Requests in flight at each server.
+    pub loads: Vec<Load>,
+}
+
+/// The hash that stands for a zone, or orders the routers of one.
+pub fn hash(name: &str) -> u32 {
+    (xxh3::xxh3_64(name.as_bytes()) >> 32) as u32
+}
+
+/// What a router that adds up has been told.
+///
+/// In a large fleet a router hears each other one every few seconds. By then a
+/// prompt that many callers send at once has filled its server: every router
+/// placed by what it saw itself. So each tells its loads to two routers of its
+/// zone, these exchange the sums of their zones, and tell all of their own zone
+/// what the fleet has in flight.
+#[derive(Clone, Debug, Default)]
+pub struct Sums {
+    routers: BTreeMap<host::Id, (Vec<Load>, Instant)>,
+    zones: BTreeMap<u32, (Vec<Load>, Instant)>,
+}
+
+impl Sums {
+    /// A router of the own zone told its loads.
+    pub fn told(&mut self, host: host::Id, loads: Vec<Load>, now: Instant) {
+        self.routers.insert(host, (loads, now + CURRENT));
+    }
+
+    /// Another zone's sum has come.
+    pub fn heard(&mut self, sum: Sum, now: Instant) {
+        self.zones.insert(sum.zone, (sum.loads, now + CURRENT));
+    }
+
+    /// The sum of the own zone, of which the own loads are a part.
+    pub fn zone(&mut self, zone: u32, own: &[Load], now: Instant) -> Sum {
+        self.routers.retain(|_, (_, until)| now < *until);
+        let routers = self.routers.values().map(|(loads, _)| loads.as_slice());
+        Sum {
+            zone,
+            loads: add(routers.chain([own])),
+        }
+    }
+
+    /// The sum over all zones, the own one given.
+    pub fn total(&mut self, own: &Sum, now: Instant) -> Vec<Load> {
+        self.zones
+            .retain(|zone, (_, until)| now < *until && *zone != own.zone);
+        let zones = self.zones.values().map(|(loads, _)| loads.as_slice());
+        add(zones.chain([own.loads.as_slice()]))
+    }
+}
+
+/// What others have in flight: a total less the own part.
+pub fn without(total: &[Load], own: &[Load]) -> Vec<Load> {
+    let own: BTreeMap<u32, u16> = own.iter().map(|load| (load.server, load.running)).collect();
+    let others = total.iter().map(|load| Load {
+        server: load.server,
+        running: load
+            .running
+            .saturating_sub(own.get(&load.server).copied().unwrap_or(0)),
+    });
+    others.filter(|load| load.running > 0).collect()
+}
+
+fn add<'a>(lists: impl Iterator<Item = &'a [Load]>) -> Vec<Load> {
+    let mut sums: BTreeMap<u32, u16> = BTreeMap::new();
+    for load in lists.flatten() {
+        let sum = sums.entry(load.server).or_default();
+        *sum = sum.saturating_add(load.running);
+    }
+    let loads = sums.into_iter();
+    loads
+        .map(|(server, running)| Load { server, running })
+        .collect()
+}
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -4,7 +4,7 @@
 
 use gateway::{
     dispatch,
-    peers::{Digest, Readers, Roll, Versions, WATCHERS, Watcher},
+    peers::{Digest, Frame, Load, Readers, Roll, Sum, Sums, Versions, WATCHERS, Watcher, sums},
 };
 use proptest::prelude::*;
 use units::{host, time::Instant};
@@ -230,8 +230,54 @@
         strikes: Vec::new(),
     };
     let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), watchers, news);
-    let bytes = digest.encode().expect("it fits");
-    assert_eq!(Digest::decode(&bytes), Ok(digest));
+    let frame = Frame::Digest(digest);
+    let bytes = frame.encode().expect("it fits");
+    assert_eq!(Frame::decode(&bytes), Ok(frame));
+}
+
+fn load(server: u32, running: u16) -> Load {
+    Load { server, running }
+}
+
+/// Eighty-five routers have a request or two each at one server. Each alone sees
+/// a server with room, and all together fill it.
+#[test]
+fn loads_of_all_zones_add_up() {
+    let mut adder = Sums::default();
+    for index in 0..28 {
+        adder.told(
+            host(&format!("a{index}")),
+            vec![load(1, 1), load(2, 2)],
+            START,
+        );
+    }
+    for zone in [7, 8] {
+        let loads = vec![load(1, 28)];
+        adder.heard(Sum { zone, loads }, START);
+    }
+    let own = [load(1, 2)];
+    let sum = adder.zone(6, &own, START);
+    assert_eq!(sum.loads, [load(1, 30), load(2, 56)]);
+    let total = adder.total(&sum, START);
+    assert_eq!(total, [load(1, 86), load(2, 56)]);
+    assert_eq!(sums::without(&total, &own), [load(1, 84), load(2, 56)]);
+}
+
+/// A router died, or a zone is cut off. What it told last must not count for ever.
+#[test]
+fn old_loads_do_not_count() {
+    let mut adder = Sums::default();
+    adder.told(host("a1"), vec![load(1, 9)], START);
+    adder.heard(
+        Sum {
+            zone: 7,
+            loads: vec![load(1, 9)],
+        },
+        START,
+    );
+    let later = START + Duration::from_secs(1);
+    let sum = adder.zone(6, &[], later);
+    assert_eq!(adder.total(&sum, later), []);
 }
 
 proptest! {
@@ -240,6 +286,6 @@
     /// Bytes from the network are anything at all.
     #[test]
     fn any_bytes_are_refused_or_read(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        drop(Digest::decode(&bytes));
+        drop(Frame::decode(&bytes));
     }
 }
