Do not wait for entries while the store answers others

Ruled out: late news (the removal was read 0.2 s after it). Change: digests say whether the store has answered the sender, or a watcher, for three seconds; hearing one ends the wait.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -45,6 +45,8 @@
     Lost(Topic),
     /// The store answers again.
     Returned(Topic),
+    /// The store has answered another router all the while.
+    Steady,
 }
 
 /// Follows one topic.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -276,7 +276,7 @@
             logging::event!(info, "store_watch", watching = is_watching);
         }
         let is_served = is_watching && *self.inputs.is_served.borrow();
-        if self.readers.has_returned(is_served) && !is_watching {
+        if self.readers.has_returned(is_served, now) && !is_watching {
             // As above.
             drop(
                 self.outputs
@@ -360,7 +360,13 @@
         let watchers = self.readers.tell(is_served, now);
         let news = self.news().await;
         let own = self.inputs.own.host.clone();
-        let digest = Digest::new(own, self.versions(), watchers, news);
+        let digest = Digest::new(
+            own,
+            self.versions(),
+            self.readers.is_steady(now),
+            watchers,
+            news,
+        );
         self.own_loads.clone_from(&digest.loads);
         let frame = Frame::Digest(digest);
         for member in self.targets() {
@@ -450,6 +456,10 @@
             logging::event!(info, "peer_heard", peer = digest.host);
         }
         self.readers.hear(&digest.watchers, now);
+        if digest.is_steady {
+            // When the queue is full, the next digest says the same.
+            let _ = self.outputs.events.try_send(Event::Steady);
+        }
         let is_watching = *self.outputs.is_watching.borrow();
         if !is_watching {
             self.follow_peer(&digest, now);
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -53,6 +53,8 @@
     pub host: host::Id,
     /// The newest changes that it knows.
     pub versions: Versions,
+    /// Whether the store has answered it, or a watcher that it hears, for some time.
+    pub is_steady: bool,
     /// The routers that watch the store, as far as it knows.
     pub watchers: Vec<Watcher>,
     /// What it has in flight; servers without a request are left out.
@@ -81,6 +83,7 @@
     pub fn new(
         host: host::Id,
         versions: Versions,
+        is_steady: bool,
         watchers: Vec<Watcher>,
         news: dispatch::News,
     ) -> Self {
@@ -91,6 +94,7 @@
         Self {
             host,
             versions,
+            is_steady,
             watchers,
             loads: loads.collect(),
             strikes: news.strikes,
--- a/crates/gateway/src/peers/readers.rs
+++ b/crates/gateway/src/peers/readers.rs
@@ -27,6 +27,10 @@
 /// How long a router watches at least, so that the watchers do not alternate.
 const LEAST_TERM: Duration = Duration::from_secs(4);
 
+/// How long the store has to answer until it counts as steady: longer than
+/// entries that lapsed take to return.
+const STEADY: Duration = Duration::from_secs(3);
+
 /// A watcher as routers tell each other of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Watcher {
@@ -61,8 +65,8 @@
     /// Until when this router watches at least, while it does.
     term_ends: Option<Instant>,
     beat: u64,
-    /// Whether some watcher was served at the last look.
-    was_served: bool,
+    /// Since when some watcher has been served at each look.
+    served_since: Option<Instant>,
 }
 
 impl Readers {
@@ -74,7 +78,7 @@
             missing_since: None,
             term_ends: None,
             beat: epoch,
-            was_served: false,
+            served_since: None,
         }
     }
 
@@ -134,14 +138,24 @@
         self.term_ends.is_some()
     }
 
-    /// Whether the store has begun to answer some watcher since the last look.
-    pub fn has_returned(&mut self, is_served: bool) -> bool {
+    /// Looks whether the store answers this router or a watcher. Returns whether
+    /// it has begun to since the last look.
+    pub fn has_returned(&mut self, is_served: bool, now: Instant) -> bool {
         let is_served = is_served || !self.served().is_empty();
-        let has_returned = is_served && !self.was_served;
-        self.was_served = is_served;
+        let has_returned = is_served && self.served_since.is_none();
+        if is_served {
+            self.served_since.get_or_insert(now);
+        } else {
+            self.served_since = None;
+        }
         has_returned
     }
 
+    /// Whether the store has answered some watcher at each look for some time.
+    pub fn is_steady(&self, now: Instant) -> bool {
+        self.served_since.is_some_and(|since| now >= since + STEADY)
+    }
+
     fn served(&self) -> BTreeSet<u32> {
         let served = self.records.iter().filter(|(_, record)| record.is_served);
         served.map(|(&host, _)| host).collect()
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -72,6 +72,19 @@
         self.lenient_until = now + LAPSE_GRACE;
     }
 
+    /// The store has answered other routers all the while, so that no entry
+    /// lapsed. Returns whether entries were waited for in vain.
+    ///
+    /// A router that alone was cut off cannot tell this from an outage. It
+    /// would go on sending to servers that have left.
+    pub fn store_was_steady(&mut self, now: Instant) -> bool {
+        self.lenient_until = self.lenient_until.min(now);
+        for until in self.lapsing.values_mut() {
+            *until = now;
+        }
+        self.expire(now)
+    }
+
     /// Takes in a change. Returns whether it was news.
     pub fn apply(&mut self, change: Change, now: Instant) -> bool {
         match change {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -152,6 +152,11 @@
             }
             Event::Relayed(topic, batch) => self.merge(topic, &batch),
             Event::Returned(Topic::Servers) => self.roster.store_returned(self.clock.now()),
+            Event::Steady => {
+                if self.roster.store_was_steady(self.clock.now()) {
+                    self.publish_roster();
+                }
+            }
             Event::Returned(_) | Event::Lost(_) => {}
         }
     }
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -19,7 +19,13 @@
         servers: 1,
         routers: 1,
     };
-    Digest::new(host(name), versions, Vec::new(), dispatch::News::default())
+    Digest::new(
+        host(name),
+        versions,
+        true,
+        Vec::new(),
+        dispatch::News::default(),
+    )
 }
 
 fn at(port: u16) -> SocketAddr {
@@ -229,7 +235,13 @@
         loads,
         strikes: Vec::new(),
     };
-    let digest = Digest::new(host("edge-lk-west-a-1"), own(u64::MAX), watchers, news);
+    let digest = Digest::new(
+        host("edge-lk-west-a-1"),
+        own(u64::MAX),
+        true,
+        watchers,
+        news,
+    );
     let frame = Frame::Digest(digest);
     let bytes = frame.encode().expect("it fits");
     assert_eq!(Frame::decode(&bytes), Ok(frame));
--- a/crates/gateway/tests/decisions/roster.rs
+++ b/crates/gateway/tests/decisions/roster.rs
@@ -46,6 +46,23 @@
     assert_eq!(left, [server("s0")]);
 }
 
+/// One router alone was cut off from the store, and a server left just before it
+/// was back. Taken for one whose entry lapsed, the server would go on getting
+/// requests for two seconds.
+#[test]
+fn entries_do_not_lapse_while_others_are_served() {
+    let mut roster = Roster::default();
+    roster.apply(present("s0", 1), START);
+    roster.store_returned(START);
+    roster.apply(absent("s0", 3), START);
+    assert_eq!(roster.usable().count(), 1);
+    let soon = START + Duration::from_millis(200);
+    assert!(roster.store_was_steady(soon));
+    assert!(roster.is_empty());
+    roster.apply(present("s1", 4), soon);
+    assert!(roster.apply(absent("s1", 5), soon), "nor do later ones");
+}
+
 /// A server that said that it leaves does not come back after an outage.
 #[test]
 fn a_leaving_server_does_not_lapse() {
