--- /dev/null
+++ b/crates/gateway/src/peers/task.rs
@@ -0,0 +1,314 @@
+//! The task that talks to the other routers.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, oneshot},
+    time,
+};
+use units::{host, time::Instant};
+use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
+
+use super::{
+    Digest, FAN_OUT, Frame, INTERVAL, Inputs, Load, Outputs, Readers, Roll, Sums, Versions,
+    asking::End,
+};
+use crate::{
+    clock::Clock,
+    dispatch,
+    follow::Event,
+    mirror::Mirror,
+    source::{Member, Source, Topic},
+};
+
+/// The largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 2048;
+/// The least time after which a router that is not heard counts as lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// The task's state.
+pub(super) struct Task<S> {
+    pub(super) clock: Clock,
+    pub(super) source: S,
+    /// Whether a question is under way; there is one at a time.
+    pub(super) is_asking: bool,
+    /// Until when other routers are asked in place of the store.
+    pub(super) store_failed_until: Instant,
+    pub(super) done: mpsc::Sender<End>,
+    pub(super) seals: Seals,
+    /// The starts of the others, by the tags of their hosts.
+    boots: BTreeMap<Tag, Boot>,
+    pub(super) roll: Roll,
+    pub(super) sums: Sums,
+    /// What this router last told to those who add up.
+    pub(super) own_loads: Vec<Load>,
+    pub(super) started_at: Instant,
+    readers: Readers,
+    socket: UdpSocket,
+    pub(super) inputs: Inputs,
+    pub(super) outputs: Outputs,
+    rounds: usize,
+}
+
+/// What proves this router and checks the others.
+pub(super) struct Seals {
+    /// Seals what is sent.
+    pub sealer: Sealer,
+    /// Opens what comes.
+    pub opener: Opener,
+    /// The key that all routers share.
+    pub key: Key,
+}
+
+impl<S: Source> Task<S> {
+    /// A task that has heard nobody, and the ends of its questions.
+    pub fn new(
+        clock: Clock,
+        source: S,
+        socket: UdpSocket,
+        seals: Seals,
+        boot: Boot,
+        inputs: Inputs,
+        outputs: Outputs,
+    ) -> (Self, mpsc::Receiver<End>) {
+        let (done, ends) = mpsc::channel(4);
+        let task = Self {
+            clock,
+            source,
+            is_asking: false,
+            store_failed_until: Instant::ZERO,
+            done,
+            seals,
+            boots: BTreeMap::new(),
+            roll: Roll::default(),
+            sums: Sums::default(),
+            own_loads: Vec::new(),
+            started_at: clock.now(),
+            readers: Readers::new(&inputs.own.host, boot.0),
+            socket,
+            inputs,
+            outputs,
+            rounds: 0,
+        };
+        (task, ends)
+    }
+
+    /// Talks to the others until the process ends.
+    pub async fn run(mut self, mut ends: mpsc::Receiver<End>) {
+        let mut ticks = time::interval(INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                changed = self.inputs.mirrors.changed() => match changed {
+                    // News goes out at once, and not only with the next round.
+                    Ok(()) => self.send().await,
+                    Err(_) => return,
+                },
+                Some(end) = ends.recv() => self.ended(end),
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => self.hear(&buffer[..length], from),
+                    // A peer that is gone shows as an error of the send before.
+                    Err(error) => logging::event!(debug, "peer_unreachable", reason = error),
+                },
+            }
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        for host in self.roll.silent(now) {
+            logging::event!(info, "peer_lost", peer = host);
+            self.tell(dispatch::Message::PeerLost(host));
+        }
+        self.watch_or_not().await;
+        self.catch_up();
+        self.send().await;
+        if self.is_large() {
+            self.send_sums().await;
+        }
+    }
+
+    pub(super) async fn send_to(&mut self, frame: &Frame, member: &Member) {
+        let Ok(payload) = frame.encode() else {
+            logging::event!(warn, "digest_too_long", peer = member.host);
+            return;
+        };
+        let tag = Tag::new(&member.host);
+        let audience = match self.boots.get(&tag) {
+            Some(&boot) => Audience::Process(tag, boot),
+            None => Audience::Anyone,
+        };
+        let datagram = self.seals.sealer.seal(&payload, audience);
+        // A datagram may be lost in any case; the next one follows soon.
+        if let Err(error) = self.socket.send_to(&datagram, member.address).await {
+            logging::event!(
+                debug,
+                "peer_unreachable",
+                peer = member.host,
+                reason = error
+            );
+        }
+    }
+
+    /// Watches the store, or leaves it to others.
+    async fn watch_or_not(&mut self) {
+        let now = self.clock.now();
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let hosts: Vec<host::Id> = members.iter().map(|member| member.host.clone()).collect();
+        let is_watching = self.readers.decide(&hosts, now);
+        let changed = self.outputs.is_watching.send_if_modified(|before| {
+            let changed = *before != is_watching;
+            *before = is_watching;
+            changed
+        });
+        if changed {
+            logging::event!(info, "store_watch", watching = is_watching);
+        }
+        let is_served = is_watching && *self.inputs.is_served.borrow();
+        if self.readers.has_returned(is_served, now) && !is_watching {
+            // As above.
+            drop(
+                self.outputs
+                    .events
+                    .send(Event::Returned(Topic::Servers))
+                    .await,
+            );
+        }
+    }
+
+    async fn send(&mut self) {
+        let now = self.clock.now();
+        let is_served = *self.inputs.is_served.borrow();
+        let watchers = self.readers.tell(is_served, now);
+        let news = self.news().await;
+        let own = self.inputs.own.host.clone();
+        let digest = Digest::new(
+            own,
+            self.versions(),
+            self.readers.is_steady(now),
+            watchers,
+            news,
+        );
+        self.own_loads.clone_from(&digest.loads);
+        let frame = Frame::Digest(digest);
+        for member in self.targets() {
+            self.send_to(&frame, &member).await;
+        }
+    }
+
+    /// The members whose turn it is.
+    fn targets(&mut self) -> Vec<Member> {
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let own = &self.inputs.own.host;
+        let others: Vec<&Member> = members
+            .iter()
+            .filter(|member| member.host != *own)
+            .collect();
+        let start = self.rounds * FAN_OUT;
+        self.rounds = self.rounds.wrapping_add(1);
+        let turn = others.iter().cycle().skip(start % others.len().max(1));
+        let mut targets: Vec<Member> = turn
+            .take(FAN_OUT.min(others.len()))
+            .copied()
+            .cloned()
+            .collect();
+        if self.is_large() {
+            let adders = self.adders(&self.inputs.own.zone).into_iter();
+            let more = adders.filter(|adder| adder.host != *own && !targets.contains(adder));
+            targets.extend(more.collect::<Vec<_>>());
+        }
+        targets
+    }
+
+    pub(super) fn versions(&self) -> Versions {
+        let mirrors = self.inputs.mirrors.borrow();
+        let newest = |topic| mirrors.get(&topic).map_or(0, Mirror::newest);
+        Versions {
+            configuration: newest(Topic::Configuration),
+            servers: newest(Topic::Servers),
+            routers: newest(Topic::Routers),
+        }
+    }
+
+    async fn news(&self) -> dispatch::News {
+        let (reply, answer) = oneshot::channel();
+        self.tell(dispatch::Message::News(reply));
+        // The task ends only with the process.
+        answer.await.unwrap_or_default()
+    }
+
+    fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
+        let now = self.clock.now();
+        let opened = match self.seals.opener.open(datagram) {
+            Ok(opened) => opened,
+            Err(error) => {
+                logging::event!(debug, "datagram_refused", reason = error);
+                return;
+            }
+        };
+        self.boots.insert(opened.tag, opened.boot);
+        // What is not meant for this very process may be a replay.
+        if !opened.fresh {
+            return;
+        }
+        match Frame::decode(opened.payload) {
+            Ok(Frame::Digest(digest)) => {
+                let tag = opened.tag;
+                self.hear_digest(digest, tag, from, now);
+            }
+            Ok(Frame::Sum(sum)) => self.sums.heard(sum, now),
+            Ok(Frame::Total(total)) => self.take_total(&total),
+            Err(_) => logging::event!(debug, "digest_malformed"),
+        }
+    }
+
+    /// How long a router may stay unheard: until all have had their turn twice.
+    pub(super) fn patience(&self) -> Duration {
+        let others = self.inputs.members.borrow().len();
+        let rounds = u32::try_from(3 * others.div_ceil(FAN_OUT)).unwrap_or(u32::MAX);
+        (INTERVAL * rounds).max(LEAST_PATIENCE)
+    }
+
+    fn hear_digest(&mut self, digest: Digest, tag: Tag, from: SocketAddr, now: Instant) {
+        if Tag::new(&digest.host) != tag {
+            return;
+        }
+        let patience = self.patience();
+        if self.roll.heard(&digest, from, now, patience) {
+            logging::event!(info, "peer_heard", peer = digest.host);
+        }
+        self.readers.hear(&digest.watchers, now);
+        if digest.is_steady {
+            // When the queue is full, the next digest says the same.
+            let _ = self.outputs.events.try_send(Event::Steady);
+        }
+        let is_watching = *self.outputs.is_watching.borrow();
+        if !is_watching {
+            self.follow_peer(&digest, now);
+        }
+        if !digest.strikes.is_empty() {
+            self.tell(dispatch::Message::Strikes(digest.strikes));
+        }
+        self.sums
+            .told(digest.host.clone(), digest.loads.clone(), now);
+        self.tell(dispatch::Message::Peer(digest.host, digest.loads));
+    }
+
+    /// Keeps up with a router that knows the store's word.
+    fn follow_peer(&mut self, digest: &Digest, now: Instant) {
+        if digest.versions.is_ahead_of(self.versions()) {
+            self.catch_up();
+        } else if digest.watchers.iter().any(|watcher| watcher.is_served) {
+            self.outputs.ages.confirm(Topic::Configuration, now);
+            self.outputs.ages.confirm(Topic::Servers, now);
+        }
+    }
+
+    pub(super) fn tell(&self, message: dispatch::Message) {
+        // As above.
+        drop(self.outputs.dispatch.send(message));
+    }
+}
