Bound connections and bodies by the limits of the machine

Cause: 1,500 connections and any number of bodies of 4 MB were taken whatever the machine's descriptors and memory; a process over its memory is killed.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,11 +13,12 @@
     body::{Frame, Incoming},
     header,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use units::workspace;
 use verdict::{Code, Refusal};
 
 pub use exchange::Exchange;
+pub use intake::BODY_UNIT;
 
 use crate::{
     clock::Clock, dispatch, metrics::Metrics, protocol::Protocol, refusal, relay, route::Table,
@@ -39,6 +40,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Who is charged for requests without a key.
     pub anonymous: workspace::Id,
+    /// Memory for the bodies of requests, in units of [`BODY_UNIT`].
+    pub memory: Arc<Semaphore>,
     /// What is counted.
     pub metrics: Arc<Metrics>,
     /// How old the views are that decide.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use units::{
     pool,
     request::Fingerprint,
@@ -69,6 +69,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// The body's share of the memory for all bodies.
+    pub _held: Option<Arc<OwnedSemaphorePermit>>,
     /// What it has in common with its repeats by the caller.
     pub fingerprint: Fingerprint,
     /// What placement needs to know, with the servers that had it.
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -2,10 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::{Request, body::Body as _, body::Incoming};
-use tokio::time;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time,
+};
 use units::{request::Fingerprint, time::Instant};
 use verdict::{Code, Refusal};
 use xxhash_rust::xxh3;
@@ -36,8 +39,8 @@
     let head = context.protocol.read(&parts)?;
     let checked = check(&table, &head, parts.uri.path(), &body);
     let (route, tenancy) = checked.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
-    let body = read(body, table.limits.body_bytes).await;
-    let body = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    let body = read(body, table.limits.body_bytes, &context.memory).await;
+    let (body, held) = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
     headers::strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
     let hash = xxh3::xxh3_64(head.id.as_bytes());
@@ -63,6 +66,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            _held: held.map(Arc::new),
             demand: Demand {
                 parts: head.parts.clone(),
                 ..Demand::default()
@@ -92,16 +96,16 @@
     Ok((Arc::clone(route), tenancy))
 }
 
-async fn read(body: Incoming, limit: u64) -> Result<Bytes, Refusal> {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, limit).collect();
-    match time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => Err(Refusal::not_run(
-            Code::Malformed,
-            format!("The body could not be read: {error}"),
-        )),
+/// A body and its share of the memory for bodies.
+type Held = (Bytes, Option<OwnedSemaphorePermit>);
+
+/// Reads a body within the limit of its size and of the memory for all bodies.
+///
+/// Bodies are kept until their answers end. Many large ones at once would take
+/// more memory than the process has, and it would be killed with every request.
+async fn read(body: Incoming, limit: u64, memory: &Arc<Semaphore>) -> Result<Held, Refusal> {
+    match time::timeout(BODY_TIMEOUT, collect(body, limit, memory)).await {
+        Ok(collected) => collected,
         Err(_) => Err(Refusal::not_run(
             Code::SlowCaller,
             "The body took too long to arrive.",
@@ -109,6 +113,56 @@
     }
 }
 
+async fn collect(mut body: Incoming, limit: u64, memory: &Arc<Semaphore>) -> Result<Held, Refusal> {
+    let expected = body.size_hint().lower().min(limit);
+    let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or(0));
+    let mut held: Option<OwnedSemaphorePermit> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Refusal::not_run(
+                Code::Malformed,
+                format!("The body could not be read: {error}"),
+            )
+        })?;
+        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        if bytes.len() as u64 > limit {
+            return Err(too_large());
+        }
+        hold(&mut held, bytes.len(), memory)?;
+    }
+    Ok((bytes.freeze(), held))
+}
+
+/// Takes as much of the memory for bodies as `length` bytes need.
+fn hold(
+    held: &mut Option<OwnedSemaphorePermit>,
+    length: usize,
+    memory: &Arc<Semaphore>,
+) -> Result<(), Refusal> {
+    let needed = length.div_ceil(BODY_UNIT);
+    let has = held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+    let more = u32::try_from(needed.saturating_sub(has)).unwrap_or(u32::MAX);
+    if more == 0 {
+        return Ok(());
+    }
+    let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(more) else {
+        let message = "There is no memory for the body now.";
+        return Err(Refusal::not_run(Code::Busy, message));
+    };
+    match held {
+        Some(held) => held.merge(permit),
+        None => *held = Some(permit),
+    }
+    Ok(())
+}
+
+/// The unit in which memory for bodies is counted, in bytes.
+pub const BODY_UNIT: usize = 1024;
+
+fn too_large() -> Refusal {
+    Refusal::not_run(Code::TooLarge, "The body is over the limit.")
+}
+
 /// A request that crashes servers comes again with the same path, key and body.
 fn fingerprint(path: &str, head: &Head, body: &[u8]) -> Fingerprint {
     let mut hasher = xxh3::Xxh3Default::new();
@@ -120,10 +174,6 @@
     Fingerprint(hasher.digest())
 }
 
-fn too_large() -> Refusal {
-    Refusal::not_run(Code::TooLarge, "The body is over the limit.")
-}
-
 /// When the final answer is due: the route's time limit, or the caller's if that is sooner.
 fn deadline(arrived: Instant, route: &Route, head: &Head) -> Instant {
     let limit = head
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,10 @@
     pub anonymous: workspace::Id,
     /// Bounds that are summed over all routers.
     pub bounds: Bounds,
+    /// The most connections of callers. Each may need another one to a server.
+    pub connections: usize,
+    /// Memory for the bodies of requests, in bytes.
+    pub body_memory: usize,
     /// How long a stopped process has until it is killed.
     pub grace: Millis,
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,7 +6,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
-    sync::{mpsc, watch},
+    sync::{Semaphore, mpsc, watch},
     task::JoinHandle,
     time,
 };
@@ -19,7 +19,7 @@
     metrics::Metrics,
     observer, peers,
     protocol::Protocol,
-    serve::Context,
+    serve::{BODY_UNIT, Context},
     settings::Settings,
     shutdown::Phase,
     source::{self, Batch, Member, Secret, Source, Topic},
@@ -38,8 +38,6 @@
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
 /// How often the settings are read again without being told.
 const REREAD: Duration = Duration::from_secs(5);
-/// The most connections of callers.
-const MAX_CONNECTIONS: usize = 1500;
 
 /// A router that could not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -199,10 +197,11 @@
             table,
             dispatch: handle.clone(),
             phase: phase_receiver.clone(),
+            memory: Arc::new(Semaphore::new(settings.body_memory / BODY_UNIT)),
             metrics,
             ages,
         });
-        let callers = listener::serve(callers, context, MAX_CONNECTIONS, phase_receiver);
+        let callers = listener::serve(callers, context, settings.connections, phase_receiver);
         tokio::spawn(register(source.clone(), own, members.clone(), event_sender));
         Ok(Self {
             source,
