--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time;
 
 use crate::{
-    connection::{Connection, Failure, Guard},
+    connection::{Connection, Failure},
     dispatch::Permit,
     pool::Outcome,
     protocol::{Judgement, Protocol},
@@ -31,8 +31,6 @@
     pub body: Incoming,
     /// The place that it takes at the server.
     pub permit: Permit,
-    /// Keeps its connection open.
-    pub guard: Guard,
     /// Whether the server failed the request.
     pub is_failure: bool,
 }
@@ -80,7 +78,6 @@
         return End::Unsent(String::from("the time was up before it was sent"));
     }
     let sent = time::timeout_at(deadline, connection.send(request)).await;
-    let guard = connection.into_guard();
     match sent {
         Err(_) => End::Late,
         Ok(Err(Failure::Unsent(_))) => {
@@ -94,24 +91,17 @@
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
             let judgement = protocol.judge(id, head.status, &head.headers);
-            judged(judgement, head, body, permit, guard)
+            judged(judgement, head, body, permit)
         }
     }
 }
 
-fn judged(
-    judgement: Judgement,
-    head: response::Parts,
-    body: Incoming,
-    permit: Permit,
-    guard: Guard,
-) -> End {
+fn judged(judgement: Judgement, head: response::Parts, body: Incoming, permit: Permit) -> End {
     match judgement {
         Judgement::Answer | Judgement::Failure => End::Answered(Box::new(Answer {
             head,
             body,
             permit,
-            guard,
             is_failure: judgement == Judgement::Failure,
         })),
         Judgement::Full | Judgement::NotRun => {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use storage::traffic::{Metered, Traffic};
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio::{net::TcpStream, time};
 
 /// How long a connection attempt may take.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -21,20 +21,6 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: JoinHandle<()>,
-}
-
-/// Closes its connection when it is dropped.
-///
-/// A server notices that a caller has left by the close of the connection
-/// alone. A driver that is left to itself may go on reading.
-#[derive(Debug)]
-pub struct Guard(JoinHandle<()>);
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
 }
 
 impl Connection {
@@ -73,12 +59,14 @@
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-        let driver = tokio::spawn(async move {
+        // It ends when the sender, or the body of an answer that is not read to
+        // its end, is dropped: servers notice by the close that a caller has left.
+        tokio::spawn(async move {
             if let Err(error) = driver.await {
                 logging::event!(debug, "backend_connection_ended", reason = error);
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self { sender })
     }
 
     /// Whether it can take another request.
@@ -106,11 +94,6 @@
             },
         }
     }
-
-    /// Ties the connection's life to the value that is returned.
-    pub fn into_guard(self) -> Guard {
-        Guard(self.driver)
-    }
 }
 
 /// Why there is no answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,8 +17,8 @@
 pub use events::Splitter;
 
 use crate::{
-    attempt::Answer, connection::Guard, dispatch::Permit, listener::Busy, pool::Outcome,
-    protocol::Protocol, route::Kind, serve::Exchange,
+    attempt::Answer, dispatch::Permit, listener::Busy, pool::Outcome, protocol::Protocol,
+    route::Kind, serve::Exchange,
 };
 
 /// A stream that can go on elsewhere does so after this many of its longest
@@ -62,9 +62,9 @@
 #[derive(Debug)]
 struct Relay<P> {
     exchange: Exchange<P>,
-    body: Incoming,
+    /// The rest of the answer; none while the stream is between two servers.
+    body: Option<Incoming>,
     permit: Option<Permit>,
-    guard: Option<Guard>,
     /// Splits the events of a stream that another server can continue.
     splitter: Option<Splitter>,
     first_byte_at: Option<Instant>,
@@ -86,9 +86,8 @@
     let relay = Relay {
         status: answer.head.status.as_u16(),
         is_failure: answer.is_failure,
-        body: answer.body,
+        body: Some(answer.body),
         permit: Some(answer.permit),
-        guard: Some(answer.guard),
         splitter: is_events.then(Splitter::default),
         first_byte_at: None,
         is_over: false,
@@ -144,7 +143,10 @@
         } else {
             deadline
         };
-        match time::timeout_at(clock.at(until), self.body.frame()).await {
+        let Some(body) = &mut self.body else {
+            return Next::End;
+        };
+        match time::timeout_at(clock.at(until), body.frame()).await {
             Err(_) if until < deadline => Next::Silent,
             Err(_) => Next::Late,
             Ok(None) => Next::End,
@@ -187,7 +189,8 @@
             return false;
         };
         let last = splitter.restart();
-        self.guard = None;
+        // This closes the connection.
+        self.body = None;
         if let Some(permit) = self.permit.take() {
             logging::event!(
                 info,
@@ -205,9 +208,8 @@
         if !answer.head.status.is_success() {
             return false;
         }
-        self.body = answer.body;
+        self.body = Some(answer.body);
         self.permit = Some(answer.permit);
-        self.guard = Some(answer.guard);
         true
     }
 
