--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -1,6 +1,6 @@
 //! Sums of loads over a fleet that is too large for each to hear each.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use units::{host, time::Instant};
@@ -82,6 +82,13 @@
     others.filter(|load| load.running > 0).collect()
 }
 
+/// The most servers that a sum tells of, so that it fits one datagram.
+const MOST_SERVERS: usize = 180;
+
+/// Adds up, and keeps the busiest servers if there are many.
+///
+/// Only the busiest are near their bound. Left out, the others count with what
+/// a router has there itself, which makes the mean and so the bound too small.
 fn add<'a>(lists: impl Iterator<Item = &'a [Load]>) -> Vec<Load> {
     let mut sums: BTreeMap<u32, u16> = BTreeMap::new();
     for load in lists.flatten() {
@@ -89,7 +96,12 @@
         *sum = sum.saturating_add(load.running);
     }
     let loads = sums.into_iter();
-    loads
+    let mut loads: Vec<Load> = loads
         .map(|(server, running)| Load { server, running })
-        .collect()
+        .collect();
+    if loads.len() > MOST_SERVERS {
+        loads.sort_by_key(|load| Reverse(load.running));
+        loads.truncate(MOST_SERVERS);
+    }
+    loads
 }
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -275,6 +275,21 @@
     assert_eq!(sums::without(&total, &own), [load(1, 84), load(2, 56)]);
 }
 
+/// Three thousand servers do not fit one datagram. Were the sum not told at all,
+/// every router would see only its own requests.
+#[test]
+fn a_sum_over_many_servers_tells_of_the_busiest() {
+    let mut adder = Sums::default();
+    let own: Vec<_> = (0..3000)
+        .map(|server| load(server, (server % 700) as u16))
+        .collect();
+    let sum = adder.zone(6, &own, START);
+    let least = sum.loads.iter().map(|load| load.running).min();
+    assert!(least >= Some(600), "{least:?}");
+    assert!(Frame::Sum(sum.clone()).encode().is_ok());
+    assert!(Frame::Total(adder.total(&sum, START)).encode().is_ok());
+}
+
 /// A router died, or a zone is cut off. What it told last must not count for ever.
 #[test]
 fn old_loads_do_not_count() {
