Do not count old loads of short requests against a server's slots

Loads of others are up to 400 ms old there, its requests take 30 ms. Change: for a plain service only a router's own requests take slots; a server that is full says so. The bound on load stays.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -272,8 +272,14 @@
             return Err(Denial::Empty);
         }
         let bound = self.bound(now);
+        // Requests of a plain service take some tens of milliseconds, and what
+        // others told of theirs is older. Counted, it made requests wait 200 ms
+        // at the median for slots that were free (85 routers, 118 requests a
+        // second on 18 slots). A server that is full says so.
+        let counts_others = self.service.cache_tokens > 0;
         candidates.retain(|server| {
-            server.has_room(demand.is_modest) && f64::from(server.load() + 1) <= bound
+            server.has_room(demand.is_modest, counts_others)
+                && f64::from(server.load() + 1) <= bound
         });
         if candidates.is_empty() {
             return Err(Denial::Full);
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -163,13 +163,19 @@
     }
 
     /// Whether a slot is free, besides those kept for others if `is_modest`.
-    pub fn has_room(&self, is_modest: bool) -> bool {
+    /// Requests of other routers take slots only if `counts_others`.
+    pub fn has_room(&self, is_modest: bool, counts_others: bool) -> bool {
+        let taken = if counts_others {
+            self.load()
+        } else {
+            self.running
+        };
         let kept = if is_modest {
             self.entry.slots / KEPT_SLOTS
         } else {
             0
         };
-        self.load() + kept < self.entry.slots
+        taken + kept < self.entry.slots
     }
 
     /// Whether it is cold, or may have started anew.
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::pool::{Denial, Outcome, Place, Pool};
+use gateway::pool::{Demand, Denial, Outcome, Place, Pool};
 use units::time::Instant;
 
 use crate::world::{START, bounds, demand, entry, fleet, pool, server};
@@ -227,6 +227,24 @@
     }
 }
 
+/// Eighty-five routers share a plain service whose requests take 30 ms. What they
+/// tell each other of their requests is older than that, so every server looks
+/// full, and callers wait for slots that are free.
+#[test]
+fn short_requests_do_not_wait_for_old_loads() {
+    let mut entries = dozen();
+    for entry in &mut entries {
+        entry.slots = 6;
+    }
+    let mut pool = pool(&entries);
+    pool.set_service(gateway::route::Service {
+        cold_per_s: 0.0,
+        cache_tokens: 0,
+    });
+    pool.set_elsewhere(|_| 6);
+    assert!(pool.admit(&Demand::default(), &fleet(), START).is_ok());
+}
+
 /// A server that answers slowly for a while, though its load is small, would
 /// keep its prompts and make all their callers late.
 #[test]
