Notice pauses of the process, and take no server for warm after one

Cause: the router's clock stood still while its machine was suspended, so that deadlines and ages of views went on where they had stopped. A router that woke sent all that waited in its sockets by a view that was seconds old; a server that had started anew meanwhile could get more than it bears.

Ruled out: the time of day, which jumps; waiting until the store has confirmed the view, which refuses requests for as long as the store is away.

Change: the clock counts suspensions. The dispatching task notices a gap of a second or more between two looks and takes all servers for cold for 600 ms.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,8 +7,10 @@
 use hyper::{Request, body::Incoming, http::response};
 use storage::traffic::Traffic;
 use tokio::time;
+use units::time::Instant;
 
 use crate::{
+    clock::Clock,
     connection::{Connection, Failure},
     dispatch::Permit,
     pool::Outcome,
@@ -62,9 +64,10 @@
     permit: Permit,
     request: Request<Full<Bytes>>,
     id: &str,
-    deadline: time::Instant,
+    clock: Clock,
+    deadline: Instant,
 ) -> End {
-    let limit = CONNECT_LIMIT.min(deadline.saturating_duration_since(time::Instant::now()));
+    let limit = CONNECT_LIMIT.min(clock.remaining(deadline));
     let opened = Connection::within(permit.place().address, Arc::<Traffic>::default(), limit).await;
     let mut connection = match opened {
         Ok(connection) => connection,
@@ -74,10 +77,10 @@
         }
     };
     // After a pause of the process the time may be long over.
-    if time::Instant::now() >= deadline {
+    if clock.now() >= deadline {
         return End::Unsent(String::from("the time was up before it was sent"));
     }
-    let sent = time::timeout_at(deadline, connection.send(request)).await;
+    let sent = time::timeout_at(clock.at(deadline), connection.send(request)).await;
     match sent {
         Err(_) => End::Late,
         Ok(Err(Failure::Unsent(_))) => {
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -2,30 +2,37 @@
 
 use std::time::Duration;
 
+use rustix::time::{ClockId, clock_gettime};
 use units::time;
 
-/// Maps the runtime's clock to instants since the process's start.
+/// Maps the machine's clock to instants since the process's start.
+///
+/// It counts the time for which the machine is suspended, which the runtime's
+/// clock does not. On that clock a deadline, a lease or the age of a view would
+/// stand still meanwhile, and a router that wakes up would take what it knew
+/// seconds ago for fresh.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: tokio::time::Instant,
+    /// Time since the machine's start, one second before the clock's.
+    origin: Duration,
 }
 
 impl Clock {
     /// A clock whose origin is the present moment.
     pub fn start() -> Self {
         Self {
-            origin: tokio::time::Instant::now() - Duration::from_secs(1),
+            origin: since_boot().saturating_sub(Duration::from_secs(1)),
         }
     }
 
     /// The present instant.
     pub fn now(&self) -> time::Instant {
-        time::Instant::ZERO + self.origin.elapsed()
+        time::Instant::ZERO + since_boot().saturating_sub(self.origin)
     }
 
-    /// The runtime's instant for `instant`.
+    /// The runtime's instant for `instant`, if the machine is not suspended before.
     pub fn at(&self, instant: time::Instant) -> tokio::time::Instant {
-        self.origin + instant.since(time::Instant::ZERO).min(FAR)
+        tokio::time::Instant::now() + self.remaining(instant)
     }
 
     /// The time that remains until `instant`.
@@ -34,5 +41,14 @@
     }
 }
 
-/// An instant that is never reached is mapped to this far from the origin.
+/// An instant that is never reached is this far away.
 const FAR: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
+
+/// Time since the machine's start, suspensions included.
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    // The clock is never before the machine's start.
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,7 +20,7 @@
     clock::Clock,
     deaths::Deaths,
     line::{Ask, Line, Offered},
-    peers,
+    pause, peers,
     pool::{Fleet, Outcome, Part, Place, Pool},
     roster::Roster,
     route::Table,
@@ -30,6 +30,12 @@
 /// How long a sum over all others counts in place of what single routers told.
 const OTHERS_COUNT: Duration = Duration::from_millis(800);
 
+/// How long after a pause of the process all servers count as cold.
+///
+/// What has changed meanwhile is told by the store's answers that wait in the
+/// sockets, or by the other routers, within three of their rounds of 200 ms.
+const RENEWAL: Duration = Duration::from_millis(600);
+
 /// The task's state.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -47,6 +53,7 @@
     others: Vec<peers::Load>,
     others_until: Instant,
     deaths: Deaths,
+    pauses: pause::Watch,
 }
 
 impl Dispatch {
@@ -77,12 +84,15 @@
             others: Vec::new(),
             others_until: Instant::ZERO,
             deaths: Deaths::default(),
+            pauses: pause::Watch::default(),
         };
         (dispatch, handle, messages)
     }
 
     /// Runs until nobody can tell it anything any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut looks = time::interval(pause::LOOK);
+        looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             let wake = self.next_wake();
             let at = self.clock.at(wake.unwrap_or(Instant::NEVER));
@@ -92,10 +102,23 @@
                     None => return,
                 },
                 () = time::sleep_until(at), if wake.is_some() => self.serve_all(),
+                _ = looks.tick() => self.look(self.clock.now()),
             }
         }
     }
 
+    /// After a pause nothing is known of the servers but what is old.
+    fn look(&mut self, now: Instant) {
+        let Some(pause) = self.pauses.look(now) else {
+            return;
+        };
+        let until = now + RENEWAL;
+        logging::event!(warn, "paused", pause_ms = pause.as_millis());
+        for line in self.lines.values_mut() {
+            line.pool_mut().doubt(until);
+        }
+    }
+
     fn next_wake(&self) -> Option<Instant> {
         self.lines.values().filter_map(Line::next_wake).min()
     }
@@ -103,6 +126,7 @@
     /// Takes in one message.
     pub fn take(&mut self, message: Message) {
         let now = self.clock.now();
+        self.look(now);
         match message {
             Message::Acquire(order, reply) => self.acquire(order, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod observer;
+pub mod pause;
 pub mod peers;
 pub mod pool;
 pub mod protocol;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -390,6 +390,13 @@
         common + read + load * ENGINE_LOAD_US + place as u64 * PLACE_US
     }
 
+    /// Until then every server may have turned cold, or started anew, unnoticed.
+    pub fn doubt(&mut self, until: Instant) {
+        for server in self.servers.values_mut() {
+            server.doubt(until);
+        }
+    }
+
     /// A server that this router has sent a request to.
     pub fn server_mut(&mut self, name: &backend::Server) -> Option<&mut Server> {
         self.servers.get_mut(name)
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -183,6 +183,11 @@
         now < self.entry.cold_until.max(self.doubtful_until)
     }
 
+    /// Until then it counts as cold.
+    pub fn doubt(&mut self, until: Instant) {
+        self.doubtful_until = self.doubtful_until.max(until);
+    }
+
     /// Whether connections to it came about lately.
     pub fn is_reachable(&self, now: Instant) -> bool {
         self.away_until <= now
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -172,13 +172,13 @@
         *request.method_mut() = self.plan.method.clone();
         *request.uri_mut() = self.plan.uri.clone();
         *request.headers_mut() = headers;
-        let until = self.context.clock.at(self.patience(now));
         attempt::run(
             &self.context.protocol,
             permit,
             request,
             &self.plan.head.id,
-            until,
+            self.context.clock,
+            self.patience(now),
         )
         .await
     }
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::pool::{Demand, Denial, Outcome, Place, Pool};
+use gateway::{
+    pause,
+    pool::{Demand, Denial, Outcome, Place, Pool},
+};
 use units::time::Instant;
 
 use crate::world::{START, bounds, demand, entry, fleet, pool, server};
@@ -260,3 +263,24 @@
     let later = START + Duration::from_secs(30);
     assert_eq!(admit(&mut pool, 7, 2, later).expect("a place").server, home);
 }
+
+/// The machine stands still for seconds, and meanwhile a server starts anew.
+/// The router wakes with a socket full of requests and knows nothing of it. Sent
+/// at once, they make the server fall over, and all its callers get nothing.
+#[test]
+fn after_a_pause_servers_get_requests_one_by_one() {
+    let mut pauses = pause::Watch::default();
+    let mut pool = pool(&dozen());
+    assert_eq!(pauses.look(START), None);
+    assert_eq!(pauses.look(START + Duration::from_millis(400)), None);
+    let woken = START + Duration::from_secs(4);
+    let pause = pauses.look(woken).expect("a pause");
+    assert!(pause > Duration::from_secs(3));
+    pool.doubt(woken + Duration::from_millis(600));
+    let placed = (0..200).filter(|&own| admit(&mut pool, own, own, woken).is_ok());
+    assert_eq!(placed.count(), 12, "one at each server");
+    let renewed = woken + Duration::from_millis(700);
+    assert_eq!(pauses.look(renewed), None);
+    let placed = (0..60).filter(|&own| admit(&mut pool, own, own, renewed).is_ok());
+    assert_eq!(placed.count(), 60);
+}
