Let a router that starts while the store is silent learn from another

Cause: the key by which routers prove themselves to each other is kept in the store only. A router that was killed during an outage could talk to nobody, knew no configuration, and turned its callers away until the store was back.

Ruled out: a key in the repository or derived from what all know, which is no secret; living routers that call those that fell silent, since a starting router would have to believe whoever calls it.

Change: after 400 ms without the store's answer a router asks those that its settings name. They hand the key to addresses where a router was registered at any time since they started; everything else follows over the sealed link. Serving the second interface makes the settings name such routers.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 mod asking;
 mod digest;
 mod fetch;
+pub mod introduction;
 mod readers;
 mod roll;
 pub mod sums;
@@ -30,6 +31,7 @@
     source::{Member, Secret, Source, Topic},
     state::Ages,
 };
+use introduction::Introducer;
 use task::Task;
 
 /// How often a router tells some others.
@@ -69,24 +71,42 @@
     pub ages: Arc<Ages>,
 }
 
+/// Where other routers reach this one.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For what routers tell each other.
+    pub digests: UdpSocket,
+    /// For questions of routers that have the key.
+    pub rows: TcpListener,
+    /// For questions of routers that know nothing.
+    pub introductions: TcpListener,
+}
+
 /// Talks to the other routers until the process ends.
 pub async fn run<S: Source>(
     clock: Clock,
     source: S,
-    socket: UdpSocket,
-    listener: TcpListener,
+    sockets: Sockets,
     secret: Secret,
     inputs: Inputs,
     outputs: Outputs,
 ) {
-    let Secret { key, boot } = secret;
     logging::event!(info, "peers_started", address = inputs.own.address);
-    tokio::spawn(fetch::serve(listener, key.clone(), inputs.mirrors.clone()));
+    let introducer = Introducer::new(
+        clock,
+        secret.clone(),
+        inputs.own.address,
+        inputs.members.clone(),
+    );
+    tokio::spawn(introducer.serve(sockets.introductions));
+    let Secret { key, boot } = secret;
+    let rows = fetch::serve(sockets.rows, key.clone(), inputs.mirrors.clone());
+    tokio::spawn(rows);
     let seals = task::Seals {
         sealer: Sealer::new(&key, &inputs.own.host, boot),
         opener: Opener::new(&key, &inputs.own.host, boot),
         key,
     };
-    let (task, ends) = Task::new(clock, source, socket, seals, boot, inputs, outputs);
+    let (task, ends) = Task::new(clock, source, sockets.digests, seals, boot, inputs, outputs);
     task.run(ends).await;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,10 @@
     pub readiness: SocketAddr,
     /// Where other routers reach it, by UDP and TCP.
     pub peers: SocketAddr,
+    /// Where routers that know nothing ask it for the key of the fleet.
+    pub introductions: SocketAddr,
+    /// Where this router asks for the key while the store is silent.
+    pub introducers: Vec<SocketAddr>,
     /// Where its metrics are read.
     pub metrics: SocketAddr,
     /// Who is charged for requests without a key.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,6 +1,6 @@
 //! The start and the end of a router.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use error_stack::{Report, ResultExt as _};
 use tokio::{
@@ -17,7 +17,11 @@
     follow::{self, Follow},
     listener,
     metrics::Metrics,
-    observer, peers,
+    observer,
+    peers::{
+        self,
+        introduction::{self, Introduced},
+    },
     protocol::Protocol,
     serve::{BODY_UNIT, Context},
     settings::Settings,
@@ -36,6 +40,11 @@
 const REGISTER_LIMIT: Duration = Duration::from_secs(1);
 /// The pause after one that failed.
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
+/// How long the store alone is asked for the key, and the pause between two rounds of others.
+///
+/// A store that answers does so within some milliseconds; one that is slowed to
+/// sixty times that still answers first.
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(400);
 /// How often the settings are read again without being told.
 const REREAD: Duration = Duration::from_secs(5);
 
@@ -90,24 +99,7 @@
         protocol: P,
         source: S,
     ) -> Result<Self, Report<Error>> {
-        let callers = TcpListener::bind(settings.callers)
-            .await
-            .change_context(Error::Callers)?;
-        let readiness = TcpListener::bind(settings.readiness)
-            .await
-            .change_context(Error::Readiness)?;
-        let questions = TcpListener::bind(settings.metrics)
-            .await
-            .change_context(Error::Metrics)?;
-        let peer_listener = TcpListener::bind(settings.peers)
-            .await
-            .change_context(Error::Peers)?;
-        let peers = peer_listener.local_addr().change_context(Error::Peers)?;
-        let peer_socket = UdpSocket::bind(peers).await.change_context(Error::Peers)?;
-        settings.callers = callers.local_addr().change_context(Error::Callers)?;
-        settings.readiness = readiness.local_addr().change_context(Error::Readiness)?;
-        settings.metrics = questions.local_addr().change_context(Error::Metrics)?;
-        settings.peers = peer_socket.local_addr().change_context(Error::Peers)?;
+        let sockets = Sockets::bind(&mut settings).await?;
         logging::event!(
             info,
             "listening",
@@ -169,27 +161,21 @@
             is_watching: watching_sender,
             ages: Arc::clone(&ages),
         };
-        let store = source.clone();
-        tokio::spawn(async move {
-            let secret = secret(&store).await;
-            peers::run(
-                clock,
-                store,
-                peer_socket,
-                peer_listener,
-                secret,
-                inputs,
-                outputs,
-            )
-            .await;
-        });
+        tokio::spawn(talk(
+            clock,
+            source.clone(),
+            settings.introducers.clone(),
+            sockets.peers,
+            inputs,
+            outputs,
+        ));
         let sources = observer::Sources {
             readiness: readiness_receiver,
             phase: phase_receiver.clone(),
             metrics: Arc::clone(&metrics),
         };
-        tokio::spawn(observer::serve(readiness, sources.clone()));
-        tokio::spawn(observer::serve(questions, sources));
+        tokio::spawn(observer::serve(sockets.readiness, sources.clone()));
+        tokio::spawn(observer::serve(sockets.questions, sources));
         let context = Arc::new(Context {
             anonymous: settings.anonymous.clone(),
             protocol,
@@ -201,7 +187,12 @@
             metrics,
             ages,
         });
-        let callers = listener::serve(callers, context, settings.connections, phase_receiver);
+        let callers = listener::serve(
+            sockets.callers,
+            context,
+            settings.connections,
+            phase_receiver,
+        );
         tokio::spawn(register(source.clone(), own, members.clone(), event_sender));
         Ok(Self {
             source,
@@ -288,6 +279,67 @@
     }
 }
 
+/// All that a router listens on.
+struct Sockets {
+    callers: TcpListener,
+    readiness: TcpListener,
+    questions: TcpListener,
+    peers: peers::Sockets,
+}
+
+impl Sockets {
+    /// Listens on the addresses of the settings, and puts the ports that the
+    /// system chose into them.
+    async fn bind(settings: &mut Settings) -> Result<Self, Report<Error>> {
+        let callers = listen(&mut settings.callers, Error::Callers).await?;
+        let readiness = listen(&mut settings.readiness, Error::Readiness).await?;
+        let questions = listen(&mut settings.metrics, Error::Metrics).await?;
+        let rows = listen(&mut settings.peers, Error::Peers).await?;
+        let introductions = listen(&mut settings.introductions, Error::Peers).await?;
+        let digests = UdpSocket::bind(settings.peers)
+            .await
+            .change_context(Error::Peers)?;
+        Ok(Self {
+            callers,
+            readiness,
+            questions,
+            peers: peers::Sockets {
+                digests,
+                rows,
+                introductions,
+            },
+        })
+    }
+}
+
+async fn listen(address: &mut SocketAddr, error: Error) -> Result<TcpListener, Report<Error>> {
+    let listener = TcpListener::bind(*address).await.change_context(error)?;
+    *address = listener.local_addr().change_context(error)?;
+    Ok(listener)
+}
+
+/// Learns the key of the fleet, and talks to the other routers from then on.
+async fn talk<S: Source>(
+    clock: Clock,
+    source: S,
+    introducers: Vec<SocketAddr>,
+    sockets: peers::Sockets,
+    inputs: peers::Inputs,
+    outputs: peers::Outputs,
+) {
+    let secret = tokio::select! {
+        secret = secret(&source) => secret,
+        introduced = introduced(&introducers) => {
+            for (topic, batch) in introduced.batches {
+                // The task ends only with the process.
+                drop(outputs.events.send(follow::Event::Relayed(topic, batch)).await);
+            }
+            introduced.secret
+        }
+    };
+    peers::run(clock, source, sockets, secret, inputs, outputs).await;
+}
+
 /// Reads the key of the fleet, until it is there.
 async fn secret<S: Source>(source: &S) -> Secret {
     loop {
@@ -300,6 +352,24 @@
     }
 }
 
+/// Asks other routers for the key, and for all that they know, until one answers.
+async fn introduced(introducers: &[SocketAddr]) -> Introduced {
+    loop {
+        time::sleep(INTRODUCTION_PAUSE).await;
+        for &address in introducers {
+            match introduction::ask(address).await {
+                Ok(introduced) => {
+                    logging::event!(info, "introduced", peer = address);
+                    return introduced;
+                }
+                Err(error) => {
+                    logging::event!(info, "introduction_failed", peer = address, reason = error);
+                }
+            }
+        }
+    }
+}
+
 /// How many events of the store may wait to be taken in.
 const EVENTS: usize = 64;
 
--- a/crates/wire/src/seal/key.rs
+++ b/crates/wire/src/seal/key.rs
@@ -36,6 +36,11 @@
         Self(bytes)
     }
 
+    /// Its bytes, to be handed to a router of the same fleet.
+    pub const fn to_bytes(&self) -> [u8; KEY_LENGTH] {
+        self.0
+    }
+
     /// The key for one use, such as `"sesameweir datagram 1"`.
     ///
     /// Keys of different uses say nothing of one another, so bytes sealed for
