Copy a prompt from the likeliest of its servers

Cause: a router that sees one in 85 of a prompt's requests seldom knows who has read it. It then named the server that it knew to have a part that many prompts share, and the rest was read anew while its holder still ran.

Ruled out: eviction (engines keep what they read), requests that leave the first server for small differences of cost (47 of 840).

Change: the source is the server with the least expected to be read, where the first in the prompt's order, which may be leaving, is expected to have it.

Both tests fail without the change.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -220,7 +220,11 @@
     ///
     /// Copying takes a third of the time of reading and leaves the engine to
     /// others. A source that keeps nothing of the prompt costs nothing, so the
-    /// next server in the prompt's order is named if none is known to have it.
+    /// likeliest one is named also where none is known to have it: the first in
+    /// the prompt's order, and it may be leaving. A server that this router
+    /// knows to have a part of the prompt gives way to it. In a simulated day of
+    /// 85 routers while servers were replaced, naming the one with a part made
+    /// 1.65 million shared tokens be read again.
     fn source(
         &self,
         choice: &backend::Server,
@@ -234,20 +238,21 @@
         if missing < LEAST_COPY {
             return None;
         }
-        let others = || {
-            let servers = self.servers.values();
-            servers.filter(|server| server.name() != choice && server.is_reachable(now))
-        };
-        let best = others().min_by_key(|server| server.unread(shared, now))?;
-        if best.unread(shared, now) + LEAST_COPY <= missing {
-            return Some(best.address());
-        }
-        let order = self.order(demand);
-        let next = order
+        let all = self.order(demand, self.servers.values());
+        let others = all
             .iter()
             .filter_map(|name| self.servers.get(*name))
-            .find(|server| server.name() != choice && server.is_reachable(now))?;
-        Some(next.address())
+            .filter(|server| server.name() != choice && server.is_reachable(now));
+        let expected = |(place, server): &(usize, &Server)| {
+            let unread = server.unread(shared, now);
+            if *place == 0 {
+                expected_home(unread)
+            } else {
+                unread
+            }
+        };
+        let best = others.enumerate().min_by_key(expected)?;
+        Some(best.1.address())
     }
 
     fn choose(
@@ -344,7 +349,8 @@
         demand: &Demand,
         now: Instant,
     ) -> Option<backend::Server> {
-        let order = self.order(demand);
+        let staying = self.servers.values().filter(|server| !server.is_leaving());
+        let order = self.order(demand, staying);
         let cost = |server: &&Server| {
             let place = order.iter().position(|name| *name == server.name());
             self.cost_us(server, &demand.parts, place, now)
@@ -353,13 +359,16 @@
         Some(best.name().clone())
     }
 
-    /// The servers in the order that all routers agree on for this prompt.
-    fn order(&self, demand: &Demand) -> SmallVec<[&backend::Server; 16]> {
+    /// Servers in the order that all routers agree on for this prompt.
+    fn order<'a>(
+        &self,
+        demand: &Demand,
+        servers: impl Iterator<Item = &'a Server>,
+    ) -> SmallVec<[&'a backend::Server; 16]> {
         let Some(anchor) = anchor(&demand.parts) else {
             return SmallVec::new();
         };
-        let staying = self.servers.values().filter(|server| !server.is_leaving());
-        let mut scored: SmallVec<[(f64, &backend::Server); 16]> = staying
+        let mut scored: SmallVec<[(f64, &backend::Server); 16]> = servers
             .map(|server| {
                 let name = server.name();
                 let hash = xxh3::xxh3_64(name.as_str().as_bytes());
@@ -383,7 +392,7 @@
         };
         let mut unread = server.unread(parts, now);
         if place == 0 && !server.is_cold(now) {
-            unread = unread * (100 - HOME_READ_PERCENT) / 100;
+            unread = expected_home(unread);
         }
         let queued = server.pending().0 / 4;
         let read = (unread + queued) * 1000 / TOKENS_PER_MS;
@@ -453,6 +462,11 @@
     }
 }
 
+/// What the first server in a prompt's order has to read of it, as far as expected.
+const fn expected_home(unread: u64) -> u64 {
+    unread * (100 - HOME_READ_PERCENT) / 100
+}
+
 /// The mean load of some servers; zero if there are none.
 fn mean<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
     let (count, load) = servers.fold((0_u32, 0), |(count, load), server| {
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -144,6 +144,45 @@
     assert_eq!(place.source, Some(home.address));
 }
 
+/// A new server becomes the first of a prompt that other routers sent to the one
+/// that was first before. This router has never sent it anywhere, but knows a
+/// server with a part that many prompts share. Copied from that one, all the
+/// rest would be read anew, and its callers wait for it.
+#[test]
+fn a_prompt_is_copied_from_its_first_server_rather_than_from_one_with_a_part() {
+    let first = run(&mut pool(&dozen()), 7, 0, START).server;
+    let before: Vec<_> = dozen()
+        .into_iter()
+        .filter(|entry| entry.server != first)
+        .collect();
+    let home = run(&mut pool(&before), 7, 0, START);
+    let mut pool = pool(&dozen());
+    let elsewhere = (100..130).filter(|&topic| {
+        let place = run(&mut crate::world::pool(&dozen()), topic, topic, START);
+        place.server != first && place.server != home.server
+    });
+    for topic in elsewhere.take(4) {
+        run(&mut pool, topic, topic, START);
+    }
+    let place = admit(&mut pool, 7, 1, START).expect("a place");
+    assert_eq!(place.server, first);
+    assert_eq!(place.source, Some(home.address));
+}
+
+/// A server leaves that other routers sent a prompt to. This one does not know
+/// of that, but the server was the prompt's first, so it is the likeliest to
+/// have read it.
+#[test]
+fn a_prompt_is_copied_from_its_first_server_also_while_that_leaves() {
+    let mut entries = dozen();
+    let home = run(&mut pool(&entries), 7, 0, START);
+    for entry in &mut entries {
+        entry.is_draining = entry.server == home.server;
+    }
+    let place = admit(&mut pool(&entries), 7, 1, START).expect("a place");
+    assert_eq!(place.source, Some(home.address));
+}
+
 /// A copy of a few tokens takes longer than reading them.
 #[test]
 fn a_known_prompt_is_not_copied() {
