Let routers agree on the next server of a prompt, too

Cause: a request that its prompt's first server has no room for went wherever the zone and small differences of load said, another server for each router.

Ruled out: a larger part of the bound's room for the first server (the bound is the users' rule).

Change: the second and third server in a prompt's order are expected to have read half and a quarter of it, as the first is expected to have 95%.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -123,9 +123,14 @@
 ///
 /// Routers that know nothing yet of a prompt agree on its servers by it.
 const PLACE_US: u64 = 500;
-/// How much of its prompt the first server in order is expected to have read
-/// for other routers, in percent.
-const HOME_READ_PERCENT: u64 = 95;
+/// How much of a prompt its first servers in order are expected to have read for
+/// other routers, in percent.
+///
+/// What the first one has no room for goes to the second, so that one is likely
+/// to have it, too. Without that, zones and small differences of load scattered
+/// such requests: in a simulated quiet day of 85 routers 0.85 million shared
+/// tokens were read again in place of 0.53 million.
+const READ_PERCENT: [u64; 3] = [95, 50, 25];
 /// Fewer tokens than this are read anew rather than copied: setting up a copy
 /// takes about 3 ms, in which an engine reads some 200 tokens.
 const LEAST_COPY: u64 = 200;
@@ -244,12 +249,7 @@
             .filter_map(|name| self.servers.get(*name))
             .filter(|server| server.name() != choice && server.is_reachable(now));
         let expected = |(place, server): &(usize, &Server)| {
-            let unread = server.unread(shared, now);
-            if *place == 0 {
-                expected_home(unread)
-            } else {
-                unread
-            }
+            expected_unread(server.unread(shared, now), *place)
         };
         let best = others.enumerate().min_by_key(expected)?;
         Some(best.1.address())
@@ -391,8 +391,8 @@
             return common + load * SERVICE_LOAD_US;
         };
         let mut unread = server.unread(parts, now);
-        if place == 0 && !server.is_cold(now) {
-            unread = expected_home(unread);
+        if !server.is_cold(now) {
+            unread = expected_unread(unread, place);
         }
         let queued = server.pending().0 / 4;
         let read = (unread + queued) * 1000 / TOKENS_PER_MS;
@@ -462,9 +462,11 @@
     }
 }
 
-/// What the first server in a prompt's order has to read of it, as far as expected.
-const fn expected_home(unread: u64) -> u64 {
-    unread * (100 - HOME_READ_PERCENT) / 100
+/// What the server at a place of a prompt's order has to read of it, as far as
+/// expected, where `unread` is what it is not known to have read.
+fn expected_unread(unread: u64, place: usize) -> u64 {
+    let read = READ_PERCENT.get(place).copied().unwrap_or(0);
+    unread * (100 - read) / 100
 }
 
 /// The mean load of some servers; zero if there are none.
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -8,7 +8,7 @@
 };
 use units::time::Instant;
 
-use crate::world::{START, bounds, demand, entry, fleet, pool, server};
+use crate::world::{START, bounds, demand, entry, fleet, pool, pool_of, server};
 
 fn admit(pool: &mut Pool, topic: u64, own: u64, now: Instant) -> Result<Place, Denial> {
     pool.admit(&demand(topic, own), &fleet(), now)
@@ -43,6 +43,22 @@
     }
 }
 
+/// The first server of a prompt has no room, and its requests come through
+/// routers of different zones. If each took a server near by, each of those would
+/// read the prompt, and all their other callers wait meanwhile.
+#[test]
+fn two_routers_agree_on_the_next_server_of_a_prompt() {
+    let homes = (0..50).map(|topic| run(&mut pool(&dozen()), topic, topic, START).server);
+    for (topic, home) in homes.enumerate() {
+        let next = |zone: &str| {
+            let mut pool = pool_of(zone, &dozen());
+            pool.set_elsewhere(|name| if *name == home { 20 } else { 1 });
+            run(&mut pool, topic as u64, 0, START).server
+        };
+        assert_eq!(next("a"), next("b"), "topic {topic}");
+    }
+}
+
 /// Prompts must not all go to one server either.
 #[test]
 fn prompts_spread_over_the_servers() {
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -74,7 +74,12 @@
 
 /// A pool in zone `a` with the servers of `entries`.
 pub fn pool(entries: &[roster::Entry]) -> Pool {
-    let mut pool = Pool::new("a".parse().expect("a name"), bounds());
+    pool_of("a", entries)
+}
+
+/// A pool with the servers of `entries`, seen from `zone`.
+pub fn pool_of(zone: &str, entries: &[roster::Entry]) -> Pool {
+    let mut pool = Pool::new(zone.parse().expect("a name"), bounds());
     pool.set_service(engine());
     pool.set_servers(entries.iter().map(|entry| (entry, entry.is_draining)));
     pool
