Take changes of servers together, and from routers near by

Cause: while servers are replaced their entries change up to ten times a second, and each change was one more call of each of six watching routers, and one question of each other router, to any zone.

Ruled out: a longer wait of a call, which is for what a silent connection hides; fewer watchers, of which three are left when half the fleet dies.

Change: calls for changes of servers and routers begin half a second apart (the first after a quiet time is answered at once, and watching routers call at different moments); questions without a new configuration come 250 ms apart, and go to the own zone first. The configuration is as urgent as before.

Without the pause for series the first test counts 14 questions in place of 4; the second guards the configuration's own pace.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -31,6 +31,14 @@
 ///
 /// Its return is noticed this late at most.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// The least time between two calls for changes of the servers, or of the routers.
+///
+/// Servers that are replaced one after the other change several entries a
+/// second, and each change would be a call of every router that watches. The
+/// first one after a quiet time is heard at once, since its call has waited
+/// longer; those that follow come together. Of the routers that watch, some
+/// call in between, and tell the others.
+const LEAST_GAP: Duration = Duration::from_millis(500);
 /// The start is spread over this time, since all routers may start at once.
 const START_SPREAD: Duration = Duration::from_millis(100);
 
@@ -60,6 +68,8 @@
     is_watching: watch::Receiver<bool>,
     is_served: watch::Sender<bool>,
     after: Option<u64>,
+    /// When the next call for changes may begin.
+    call_at: time::Instant,
     failures: u32,
 }
 
@@ -81,6 +91,7 @@
             is_watching,
             is_served,
             after: None,
+            call_at: time::Instant::now(),
             failures: 0,
         }
     }
@@ -94,16 +105,21 @@
             {
                 return;
             }
+            time::sleep_until(self.call_at).await;
             let result = self.call().await;
             self.take(result).await;
         }
     }
 
-    async fn call(&self) -> Result<Batch, Error> {
+    async fn call(&mut self) -> Result<Batch, Error> {
         let now = time::Instant::now();
         match self.after {
             None => self.source.read(self.topic, now + READ_LIMIT).await,
             Some(after) => {
+                // A configuration that is not in force yet is waited for.
+                if self.topic != Topic::Configuration {
+                    self.call_at = now + LEAST_GAP;
+                }
                 let deadline = now + CALL_LIMIT;
                 self.source.changes(self.topic, after, deadline).await
             }
--- a/crates/gateway/src/peers/asking.rs
+++ b/crates/gateway/src/peers/asking.rs
@@ -1,8 +1,9 @@
 //! Questions for what this router has missed.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::time;
+use units::host;
 
 use super::{Versions, fetch, task::Task};
 use crate::{
@@ -42,7 +43,14 @@
         let own = self.versions();
         let is_watching = *self.outputs.is_watching.borrow();
         let random = rand::random::<u32>() as usize;
-        let Some(address) = self.roll.ahead(own, is_watching, random, now) else {
+        let members = Arc::clone(&self.inputs.members.borrow());
+        let zone = &self.inputs.own.zone;
+        let is_near = |host: &host::Id| {
+            let mut near = members.iter().filter(|member| member.zone == *zone);
+            near.any(|member| member.host == *host)
+        };
+        let ahead = self.roll.ahead(own, is_watching, is_near, random, now);
+        let Some(address) = ahead else {
             return;
         };
         self.is_asking = true;
--- a/crates/gateway/src/peers/roll.rs
+++ b/crates/gateway/src/peers/roll.rs
@@ -14,6 +14,9 @@
 const BEHIND: Duration = Duration::from_millis(150);
 /// How long to wait between two questions: an answer takes a few milliseconds.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
+/// The same while only servers or routers have changed. Their changes come in
+/// series, and those that follow each other are asked for together.
+const SERIES_PAUSE: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
@@ -29,6 +32,8 @@
     records: BTreeMap<host::Id, Record>,
     behind_since: Option<Instant>,
     ask_at: Instant,
+    /// The same for anything but the configuration.
+    ask_series_at: Instant,
 }
 
 impl Roll {
@@ -66,30 +71,43 @@
     /// that `is_watching` waits a moment for the store's own word.
     ///
     /// Of those that know more, any may be chosen: were it always the one that
-    /// knows most, all routers would ask the same one at the same moment.
+    /// knows most, all routers would ask the same one at the same moment. Where
+    /// there is no new configuration, which may be large and is wanted at once,
+    /// those that `is_near` holds for go first: bytes between zones are dear.
     pub fn ahead(
         &mut self,
         own: Versions,
         is_watching: bool,
+        is_near: impl Fn(&host::Id) -> bool,
         random: usize,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let records = self.records.values();
-        let ahead: Vec<_> = records
-            .filter(|record| record.versions.is_ahead_of(own))
-            .map(|record| record.address)
+        let records = self.records.iter();
+        let mut ahead: Vec<_> = records
+            .filter(|(_, record)| record.versions.is_ahead_of(own))
+            .map(|(host, record)| (is_near(host), record.address))
             .collect();
         if ahead.is_empty() {
             self.behind_since = None;
             return None;
         }
+        let is_urgent = self.newest_configuration() > own.configuration;
+        if !is_urgent && ahead.iter().any(|(is_near, _)| *is_near) {
+            ahead.retain(|(is_near, _)| *is_near);
+        }
         let since = *self.behind_since.get_or_insert(now);
         let patience = if is_watching { BEHIND } else { Duration::ZERO };
-        if now < since + patience || now < self.ask_at {
+        let ask_at = if is_urgent {
+            self.ask_at
+        } else {
+            self.ask_series_at
+        };
+        if now < ask_at.max(since + patience) {
             return None;
         }
         self.ask_at = now + ASK_PAUSE;
-        Some(ahead[random % ahead.len()])
+        self.ask_series_at = now + SERIES_PAUSE;
+        Some(ahead[random % ahead.len()].1)
     }
 
     /// The newest configuration that a router knows.
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -40,6 +40,17 @@
     }
 }
 
+/// Whom to ask, where no other router is near.
+fn ahead(
+    roll: &mut Roll,
+    own: Versions,
+    is_watching: bool,
+    random: usize,
+    now: Instant,
+) -> Option<SocketAddr> {
+    roll.ahead(own, is_watching, |_| false, random, now)
+}
+
 /// The store refuses this router and serves the others. A key is taken away,
 /// and this router would go on taking it.
 #[test]
@@ -48,12 +59,12 @@
     roll.heard(&digest("r1", 5), at(1), START, PATIENCE);
     assert_eq!(roll.newest_configuration(), 5);
     roll.heard(&digest("r2", 6), at(2), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), true, 0, START), None);
+    assert_eq!(ahead(&mut roll, own(5), true, 0, START), None);
     let later = START + Duration::from_millis(200);
-    assert_eq!(roll.ahead(own(5), true, 0, later), Some(at(2)));
+    assert_eq!(ahead(&mut roll, own(5), true, 0, later), Some(at(2)));
     let at_once = later + Duration::from_millis(10);
     assert_eq!(
-        roll.ahead(own(5), true, 0, at_once),
+        ahead(&mut roll, own(5), true, 0, at_once),
         None,
         "one question at a time"
     );
@@ -65,13 +76,25 @@
 fn a_router_that_catches_up_does_not_ask() {
     let mut roll = Roll::default();
     roll.heard(&digest("r1", 6), at(1), START, PATIENCE);
-    assert_eq!(roll.ahead(own(5), true, 0, START), None);
+    assert_eq!(ahead(&mut roll, own(5), true, 0, START), None);
     assert_eq!(
-        roll.ahead(own(6), true, 0, START + Duration::from_millis(100)),
+        ahead(
+            &mut roll,
+            own(6),
+            true,
+            0,
+            START + Duration::from_millis(100)
+        ),
         None
     );
     assert_eq!(
-        roll.ahead(own(5), true, 0, START + Duration::from_millis(200)),
+        ahead(
+            &mut roll,
+            own(5),
+            true,
+            0,
+            START + Duration::from_millis(200)
+        ),
         None
     );
 }
@@ -83,14 +106,12 @@
     let mut roll = Roll::default();
     roll.heard(&digest("r1", 6), at(1), START, PATIENCE);
     roll.heard(&digest("r2", 6), at(2), START, PATIENCE);
-    let first = roll.ahead(own(5), false, 0, START).expect("one to ask");
+    let first = ahead(&mut roll, own(5), false, 0, START).expect("one to ask");
     roll.forget(first);
     let later = START + Duration::from_millis(100);
     for random in 0..4 {
         let later = later + Duration::from_millis(100 * random as u64);
-        let next = roll
-            .ahead(own(5), false, random, later)
-            .expect("one to ask");
+        let next = ahead(&mut roll, own(5), false, random, later).expect("one to ask");
         assert_ne!(next, first);
     }
 }
@@ -105,12 +126,53 @@
     }
     let asked = (0..50).map(|random| {
         let now = START + Duration::from_secs(random);
-        roll.ahead(own(5), false, random as usize, now)
+        ahead(&mut roll, own(5), false, random as usize, now)
     });
     let asked: std::collections::BTreeSet<_> = asked.flatten().collect();
     assert_eq!(asked.len(), 5);
 }
 
+/// Servers are replaced one after the other, and each change would make every
+/// router ask for it, through other zones and at once. What routers tell each
+/// other would take more of their links than their callers do.
+#[test]
+fn series_of_changes_are_asked_for_together_and_near_by() {
+    let changed = |servers| {
+        let mut digest = digest("r1", 5);
+        digest.versions.servers = servers;
+        digest
+    };
+    let mut roll = Roll::default();
+    let mut asked = Vec::new();
+    for step in 0..40 {
+        let now = START + Duration::from_millis(25 * step);
+        let far = Digest {
+            host: host("r2"),
+            ..changed(2 + step)
+        };
+        roll.heard(&far, at(2), now, PATIENCE);
+        roll.heard(&changed(2 + step), at(1), now, PATIENCE);
+        let near = host("r1");
+        asked.extend(roll.ahead(own(5), false, |host| *host == near, step as usize, now));
+    }
+    assert_eq!(asked, [at(1); 4], "four in a second, all near by");
+}
+
+/// While servers change in series a key is taken away. Asked for only with the
+/// next series, it would be taken for a quarter of a second longer.
+#[test]
+fn a_configuration_does_not_wait_for_a_series() {
+    let mut roll = Roll::default();
+    let mut servers = digest("r1", 5);
+    servers.versions.servers = 2;
+    roll.heard(&servers, at(1), START, PATIENCE);
+    assert!(ahead(&mut roll, own(5), false, 0, START).is_some());
+    let next = START + Duration::from_millis(70);
+    assert_eq!(ahead(&mut roll, own(5), false, 0, next), None);
+    roll.heard(&digest("r1", 6), at(1), next, PATIENCE);
+    assert!(ahead(&mut roll, own(5), false, 0, next).is_some());
+}
+
 /// A router that died would count with its last requests for ever.
 #[test]
 fn a_silent_router_is_forgotten() {
