Answer 408 to a head that does not end

Cause: the HTTP library closes a connection whose head is slow without an answer, so the idle time-out alone closed it, and the caller could not tell whether its request may have run.

Ruled out: the library's own time limit for heads, which closes in silence too.

Change: the listener notices the first byte of a head while nothing runs, takes the connection back from the library when the configured time is over, and writes the refusal itself.

Before, by a mutation that notices no head: a close in place of 408; after: 408 and a close, and a caller that rests longer than a head may take is not cut.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,77 +1,43 @@
 //! The connections of callers.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+mod activity;
+
+use std::{pin, sync::Arc, time::Duration};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     time,
 };
-use units::time::Instant;
+use verdict::{Code, Refusal};
+
+pub use activity::Busy;
 
 use crate::{
     clock::Clock,
     protocol::Protocol,
+    refusal,
     route::{Limits, Table},
     serve::{self, Context},
     shutdown::Phase,
 };
+use activity::{Activity, Heard};
 
 /// The least buffer that the HTTP library works with, in bytes.
 const LEAST_BUFFER: usize = 8 * 1024;
 /// How long to wait after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a caller may take to receive a last refusal; it fits every socket's buffer.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
 /// How much longer than its limit an idle connection stays open.
 ///
 /// A caller measures the idle time from its own side; a close at the very
 /// limit would meet requests that were sent just in time.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
-/// How busy one caller's connection is.
-#[derive(Debug)]
-struct Activity {
-    clock: Clock,
-    running: AtomicU32,
-    idle_since_us: AtomicU64,
-}
-
-/// Keeps a connection from counting as idle while its request is served.
-#[derive(Debug)]
-pub struct Busy(Arc<Activity>);
-
-impl Busy {
-    fn new(activity: &Arc<Activity>) -> Self {
-        activity.running.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(activity))
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
-        let now = self.0.clock.now().as_micros();
-        self.0.idle_since_us.store(now, Ordering::Relaxed);
-    }
-}
-
-impl Activity {
-    fn idle_since(&self) -> Option<Instant> {
-        if self.running.load(Ordering::Relaxed) > 0 {
-            return None;
-        }
-        let idle_since = self.idle_since_us.load(Ordering::Relaxed);
-        Some(Instant::from_micros(idle_since))
-    }
-}
-
 /// Serves callers until the listener is told to close and all answers are out.
 pub async fn serve<P: Protocol>(
     listener: TcpListener,
@@ -125,31 +91,35 @@
     let limits = limits(context.table.borrow().as_deref());
     let clock = context.clock;
     let table = context.table.clone();
-    let activity = Arc::new(Activity {
-        clock,
-        running: AtomicU32::new(0),
-        idle_since_us: AtomicU64::new(clock.now().as_micros()),
-    });
+    let activity = Arc::new(Activity::new(clock));
     let watched = Arc::clone(&activity);
+    let stream = Heard::new(stream, Arc::clone(&activity));
+    let own = Arc::clone(&context);
     let service = service::service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
         let busy = Busy::new(&activity);
         async move { Ok::<_, std::convert::Infallible>(serve::serve(context, request, busy).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = idle_too_long(&watched, clock, &table) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        result = &mut connection => result,
+        rest = rested_too_long(&watched, clock, &table) => match rest {
+            Rest::Idle => {
+                pin::Pin::new(&mut connection).graceful_shutdown();
+                connection.await
+            }
+            Rest::SlowHead => {
+                let stream = connection.into_parts().io.into_inner().into_inner();
+                refuse_slow_head(&own, stream).await;
+                return;
+            }
+        },
         () = Phase::reached(&mut phase, Phase::Closing) => {
-            connection.as_mut().graceful_shutdown();
+            pin::Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
     };
@@ -158,25 +128,67 @@
     }
 }
 
+/// Tells a caller that its head took too long, and closes its connection.
+///
+/// No request has begun, so that it may come again.
+async fn refuse_slow_head<P: Protocol>(context: &Context<P>, mut stream: TcpStream) {
+    let refused = Refusal::not_run(Code::SlowCaller, "The head took too long to arrive.");
+    logging::event!(
+        info,
+        "request_rejected",
+        request = "unread",
+        code = refused.code,
+        verdict = refused.verdict,
+        reason = refused.message
+    );
+    context.metrics.refused(&refused);
+    let response = refusal::response(&context.protocol, &refused, context.clock.now());
+    let bytes = refusal::last(response);
+    let sent = async {
+        stream.write_all(&bytes).await?;
+        stream.shutdown().await
+    };
+    match time::timeout(REFUSAL_LIMIT, sent).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => logging::event!(debug, "caller_gone", reason = error),
+        Err(error) => logging::event!(debug, "caller_gone", reason = error),
+    }
+}
+
 fn limits(table: Option<&Table>) -> Limits {
     table.map_or_else(Limits::default, |table| table.limits)
 }
 
-/// Waits until the connection has been idle for the time in force at that moment.
-async fn idle_too_long(
+/// Why a connection is closed on which nothing runs.
+enum Rest {
+    /// Nothing came for too long.
+    Idle,
+    /// A head began and did not end.
+    SlowHead,
+}
+
+/// Waits until the connection has rested for the time in force at that moment.
+async fn rested_too_long(
     activity: &Activity,
     clock: Clock,
     table: &watch::Receiver<Option<Arc<Table>>>,
-) {
+) -> Rest {
     loop {
-        let limit = limits(table.borrow().as_deref()).idle_timeout.duration() + IDLE_SLACK;
+        let limits = limits(table.borrow().as_deref());
         let now = clock.now();
-        let until = activity
-            .idle_since()
-            .map_or(now + limit, |since| since + limit);
+        let (until, rest) = match (activity.head_since(), activity.idle_since()) {
+            (Some(since), _) => (since + limits.head_timeout.duration(), Rest::SlowHead),
+            (None, since) => {
+                let limit = limits.idle_timeout.duration() + IDLE_SLACK;
+                (since.unwrap_or(now) + limit, Rest::Idle)
+            }
+        };
         if until <= now {
-            return;
+            return rest;
+        }
+        tokio::select! {
+            () = time::sleep_until(clock.at(until)) => {}
+            () = activity.head_began() => {}
         }
-        time::sleep_until(clock.at(until)).await;
     }
 }
--- /dev/null
+++ b/crates/gateway/src/listener/activity.rs
@@ -0,0 +1,159 @@
+//! What happens on one caller's connection: requests, heads that begin, and rest.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::Notify,
+};
+use units::time::Instant;
+
+use crate::clock::Clock;
+
+/// Stands for no instant at all.
+const NONE: u64 = u64::MAX;
+
+/// How busy one caller's connection is.
+#[derive(Debug)]
+pub struct Activity {
+    clock: Clock,
+    running: AtomicU32,
+    idle_since_us: AtomicU64,
+    head_since_us: AtomicU64,
+    head_began: Notify,
+}
+
+impl Activity {
+    /// A connection that was just opened.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            running: AtomicU32::new(0),
+            idle_since_us: AtomicU64::new(clock.now().as_micros()),
+            head_since_us: AtomicU64::new(NONE),
+            head_began: Notify::new(),
+            clock,
+        }
+    }
+
+    /// Since when nothing has run on the connection; `None` while something does.
+    pub fn idle_since(&self) -> Option<Instant> {
+        if self.running.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
+        let idle_since = self.idle_since_us.load(Ordering::Relaxed);
+        Some(Instant::from_micros(idle_since))
+    }
+
+    /// When the first bytes of a head came that is not there yet.
+    pub fn head_since(&self) -> Option<Instant> {
+        let since = self.head_since_us.load(Ordering::Relaxed);
+        (since != NONE && self.idle_since().is_some()).then_some(Instant::from_micros(since))
+    }
+
+    /// Waits until a head begins.
+    pub async fn head_began(&self) {
+        self.head_began.notified().await;
+    }
+
+    fn received(&self) {
+        if self.idle_since().is_none() || self.head_since_us.load(Ordering::Relaxed) != NONE {
+            return;
+        }
+        let now = self.clock.now().as_micros();
+        self.head_since_us.store(now, Ordering::Relaxed);
+        self.head_began.notify_one();
+    }
+}
+
+/// Keeps a connection from counting as idle while its request is served.
+#[derive(Debug)]
+pub struct Busy(Arc<Activity>);
+
+impl Busy {
+    /// A request whose head has come.
+    pub fn new(activity: &Arc<Activity>) -> Self {
+        activity.running.fetch_add(1, Ordering::Relaxed);
+        activity.head_since_us.store(NONE, Ordering::Relaxed);
+        Self(Arc::clone(activity))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let now = self.0.clock.now().as_micros();
+        self.0.idle_since_us.store(now, Ordering::Relaxed);
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose received bytes are noticed.
+#[derive(Debug)]
+pub struct Heard<S> {
+    stream: S,
+    activity: Arc<Activity>,
+}
+
+impl<S> Heard<S> {
+    /// Notes in `activity` when bytes come on `stream`.
+    pub fn new(stream: S, activity: Arc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+
+    /// The connection alone.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.activity.received();
+        }
+        result
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Heard<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,28 @@
     response
 }
 
+/// The bytes of an answer after which the connection is closed.
+///
+/// For callers whose request never became one, which the HTTP library answers
+/// by a close alone.
+pub fn last(response: Response<Bytes>) -> Vec<u8> {
+    let (head, body) = response.into_parts();
+    let mut bytes = format!("HTTP/1.1 {}\r\n", head.status).into_bytes();
+    for (name, value) in &head.headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let rest = format!(
+        "content-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    bytes.extend_from_slice(rest.as_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
 fn retry_after(headers: &mut HeaderMap, wait: Duration) {
     let seconds = format!("{:.3}", wait.as_secs_f64());
     if let Ok(value) = header::HeaderValue::from_str(&seconds) {
