Notice the end of answers with a known length, count failures, show what a router believes

Cause: after the last byte of an answer whose length is known the HTTP library asks for nothing more, so the relay never saw its end. A server that failed all its requests was used like any other. Found by a test of a new metric that missed its count.

Ruled out: lines dropped by the bounded queue (it would count them).

Change: the relay ends with the last byte; a failed answer gives its place back as failed at once. New: metrics of waits, gaps, attempts, standings and ages of views; a status page on the metrics address; weirctl router IP:PORT shows it.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -108,6 +108,22 @@
         self.read(&format!("/v1/changes?limit={limit}{from}")).await
     }
 
+    /// Reads a page of text, such as a router's status.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`].
+    pub async fn page(&self, path: &str) -> Result<String, Error> {
+        let request = http::request(Method::GET, path, Bytes::new()).map_err(lost)?;
+        let deadline = time::Instant::now() + TIMEOUT;
+        let answer = self.http.call(request, deadline).await.map_err(lost)?;
+        if !answer.status.is_success() {
+            let message = format!("the router answers {}", answer.status);
+            return Err(Error::new(exit::Code::Unavailable, message));
+        }
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
     /// Gives an order to an engine, once.
     ///
     /// # Errors
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands and their flags.
 
+use std::net;
+
 use bpaf::{Bpaf, Parser, construct};
 use config::{key, resource};
 use serde::Serialize;
@@ -204,6 +206,13 @@
         #[bpaf(external(output))]
         output: Output,
     },
+    /// Show what a router on the users' platform believes of itself and of its servers
+    #[bpaf(command)]
+    Router {
+        /// Its metrics address
+        #[bpaf(positional("IP:PORT"))]
+        address: net::SocketAddr,
+    },
     /// Print the hash of a token or caller key that is read from standard input
     #[bpaf(command)]
     Hash,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,7 +2,13 @@
 
 use std::process;
 
-use ctl::{client::Client, command, exit, exit::Error, run};
+use ctl::{
+    client::Client,
+    command::{self, Command},
+    exit,
+    exit::Error,
+    run,
+};
 
 const ABOUT: &str = "Declares the resources of a fleet of routers and shows their state. \
 The operator's token is read from the environment variable WEIR_TOKEN.
@@ -19,7 +25,10 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> process::ExitCode {
     let (client, command) = settings::load(ABOUT, command::parser(), |given, faults| {
-        let address = faults.required(&given.admin, settings::ADDRESS)?;
+        let address = match given.command {
+            Command::Router { address } => address,
+            _ => faults.required(&given.admin, settings::ADDRESS)?,
+        };
         let token = given.token.as_str().map(String::from);
         Some((Client::new(address, token), given.command))
     });
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -89,6 +89,10 @@
             render::ordered(&client.order(&order).await?, output);
             Ok(Code::Done)
         }
+        Command::Router { .. } => {
+            say!("{}", client.page("/status").await?.trim_end());
+            Ok(Code::Done)
+        }
         Command::Hash => {
             say!("{}", input::hash()?);
             Ok(Code::Done)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,8 +31,8 @@
     pub head: response::Parts,
     /// Its body, of which nothing has been read.
     pub body: Incoming,
-    /// The place that it takes at the server.
-    pub permit: Permit,
+    /// The place that it takes at the server, until that is given back.
+    pub permit: Option<Permit>,
     /// Whether the server failed the request.
     pub is_failure: bool,
 }
@@ -104,7 +104,7 @@
         Judgement::Answer | Judgement::Failure => End::Answered(Box::new(Answer {
             head,
             body,
-            permit,
+            permit: Some(permit),
             is_failure: judgement == Judgement::Failure,
         })),
         Judgement::Full | Judgement::NotRun => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,11 +20,13 @@
     clock::Clock,
     deaths::Deaths,
     line::{Ask, Line, Offered},
+    metrics::Metrics,
     pause, peers,
     pool::{Fleet, Outcome, Part, Place, Pool},
     roster::Roster,
     route::Table,
     settings::{Bounds, Settings},
+    status,
 };
 
 /// How long a sum over all others counts in place of what single routers told.
@@ -40,6 +42,7 @@
 #[derive(Debug)]
 pub struct Dispatch {
     clock: Clock,
+    metrics: Arc<Metrics>,
     settings: Settings,
     handle: mpsc::UnboundedSender<Message>,
     table: Arc<Table>,
@@ -60,6 +63,7 @@
     /// A task without servers, and the way to tell it something.
     pub fn new(
         clock: Clock,
+        metrics: Arc<Metrics>,
         settings: Settings,
     ) -> (
         Self,
@@ -69,6 +73,7 @@
         let (handle, messages) = mpsc::unbounded_channel();
         let dispatch = Self {
             clock,
+            metrics,
             fleet: Fleet {
                 own: settings.host.clone(),
                 members: Vec::new(),
@@ -156,6 +161,8 @@
                 };
                 drop(reply.send(news));
             }
+            // Whoever asked may have left.
+            Message::Status(reply) => drop(reply.send(self.report(now))),
         }
     }
 
@@ -290,6 +297,7 @@
         }
         let standing = line.ended(&ticket.server, &ticket.workspace, outcome, now);
         if let Some(standing) = standing {
+            self.metrics.stands(standing);
             logging::event!(
                 info,
                 "server_standing",
@@ -389,6 +397,27 @@
         self.serve_all();
     }
 
+    fn report(&self, now: Instant) -> status::Report {
+        let rows = self.lines.iter().flat_map(|(name, line)| {
+            let pool = line.pool();
+            let bound = pool.bound(now);
+            let servers = pool.servers();
+            servers.map(move |server| {
+                let standing = pool.standing(server.name(), now);
+                status::Row::new(name, server, bound, standing, now)
+            })
+        });
+        let waiting = self.lines.iter();
+        status::Report {
+            servers: rows.collect(),
+            waiting: waiting
+                .map(|(name, line)| (name.clone(), line.len()))
+                .collect(),
+            members: self.fleet.members.len(),
+            heard: self.peers.len(),
+        }
+    }
+
     fn loads(&self) -> Vec<Load> {
         let servers = self.lines.values().flat_map(|line| line.pool().servers());
         servers
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -12,6 +12,7 @@
     roster::Roster,
     route::Table,
     settings::Bounds,
+    status,
 };
 
 /// What a request asks for.
@@ -96,6 +97,8 @@
     Strikes(Vec<recovery::Strike>),
     /// Asks for what other routers are told.
     News(oneshot::Sender<News>),
+    /// Asks for what is believed of the servers.
+    Status(oneshot::Sender<status::Report>),
 }
 
 /// One request at one server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod source;
 pub mod start;
 pub mod state;
+pub mod status;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Labels take their values from fixed lists only, so that no caller can make
 //! the number of series grow.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use hyper::StatusCode;
 use prometheus_client::{
@@ -11,8 +11,11 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use units::time::Instant;
 use verdict::Refusal;
 
+use crate::{pool::Standing, source::Topic, state::Ages};
+
 /// Upper bounds of the buckets for times to the first byte, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 2.0, 5.0];
 
@@ -29,6 +32,24 @@
     status: u16,
 }
 
+/// The labels of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    outcome: &'static str,
+}
+
+/// The labels of a server's standing.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StandingLabels {
+    standing: &'static str,
+}
+
+/// The labels of a view.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ViewLabels {
+    topic: &'static str,
+}
+
 /// The labels of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
@@ -45,6 +66,11 @@
     calls: Family<CallLabels, Counter>,
     head_seconds: Histogram,
     first_byte_seconds: Histogram,
+    wait_seconds: Histogram,
+    gap_seconds: Histogram,
+    attempts: Family<AttemptLabels, Counter>,
+    standings: Family<StandingLabels, Counter>,
+    ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
     config: Gauge,
     servers: Gauge,
     members: Gauge,
@@ -58,6 +84,11 @@
         let calls = Family::default();
         let head_seconds = Histogram::new(BUCKETS);
         let first_byte_seconds = Histogram::new(BUCKETS);
+        let wait_seconds = Histogram::new(BUCKETS);
+        let gap_seconds = Histogram::new(BUCKETS);
+        let attempts = Family::default();
+        let standings = Family::default();
+        let ages = Family::default();
         let config = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
@@ -78,6 +109,31 @@
             "Time to the first byte of a body",
             first_byte_seconds.clone(),
         );
+        registry.register(
+            "weir_wait_seconds",
+            "Time until a request got a place at a server, or none",
+            wait_seconds.clone(),
+        );
+        registry.register(
+            "weir_gap_seconds",
+            "Longest pause between two pieces of an answer",
+            gap_seconds.clone(),
+        );
+        registry.register(
+            "weir_attempts",
+            "Attempts at servers by outcome",
+            Family::clone(&attempts),
+        );
+        registry.register(
+            "weir_server_standings",
+            "Times that a server came to stand so",
+            Family::clone(&standings),
+        );
+        registry.register(
+            "weir_view_age_seconds",
+            "Time since the store confirmed a view",
+            Family::clone(&ages),
+        );
         registry.register(
             "weir_config_version",
             "Configuration in force",
@@ -92,6 +148,11 @@
             calls,
             head_seconds,
             first_byte_seconds,
+            wait_seconds,
+            gap_seconds,
+            attempts,
+            standings,
+            ages,
             config,
             servers,
             members,
@@ -123,6 +184,45 @@
         self.first_byte_seconds.observe(waited.as_secs_f64());
     }
 
+    /// A request got a place at a server, or none, after `waited`.
+    pub fn placed(&self, waited: Duration) {
+        self.wait_seconds.observe(waited.as_secs_f64());
+    }
+
+    /// An answer ended whose longest pause was `gap`.
+    pub fn longest_gap(&self, gap: Duration) {
+        self.gap_seconds.observe(gap.as_secs_f64());
+    }
+
+    /// An attempt at a server ended.
+    pub fn attempted(&self, outcome: &'static str) {
+        self.attempts
+            .get_or_create(&AttemptLabels { outcome })
+            .inc();
+    }
+
+    /// A server stands so from now on.
+    pub fn stands(&self, standing: Standing) {
+        let labels = StandingLabels {
+            standing: standing.name(),
+        };
+        self.standings.get_or_create(&labels).inc();
+    }
+
+    /// The views are so old at `now`.
+    pub fn set_ages(&self, ages: &Ages, now: Instant) {
+        let views = [
+            (Topic::Configuration, ages.configuration(now)),
+            (Topic::Servers, ages.servers(now)),
+        ];
+        for (topic, age) in views {
+            let labels = ViewLabels {
+                topic: topic.name(),
+            };
+            self.ages.get_or_create(&labels).set(age.as_secs_f64());
+        }
+    }
+
     /// A call to the store ended.
     pub fn called(&self, topic: &'static str, result: &'static str) {
         let labels = CallLabels { topic, result };
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -1,4 +1,4 @@
-//! Short questions about the router: whether it is ready, and its metrics.
+//! Short questions about the router: whether it is ready, its metrics, and what it believes.
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -6,9 +6,20 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+};
+use units::host;
 
-use crate::{metrics::Metrics, shutdown::Phase, state::Readiness};
+use crate::{
+    clock::Clock,
+    dispatch,
+    metrics::Metrics,
+    shutdown::Phase,
+    state::{Ages, Readiness},
+    status,
+};
 
 /// What the answers are taken from.
 #[derive(Clone, Debug)]
@@ -19,6 +30,14 @@
     pub phase: watch::Receiver<Phase>,
     /// What is counted.
     pub metrics: Arc<Metrics>,
+    /// This router.
+    pub host: host::Id,
+    /// The process's clock.
+    pub clock: Clock,
+    /// How old the views are.
+    pub ages: Arc<Ages>,
+    /// The task that knows the servers.
+    pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
 }
 
 /// Answers questions until the process ends.
@@ -34,9 +53,8 @@
         };
         let sources = sources.clone();
         tokio::spawn(async move {
-            let service = service::service_fn(|request| {
-                let answer = answer(&request, &sources);
-                async move { Ok::<_, Infallible>(answer) }
+            let service = service::service_fn(async |request| {
+                Ok::<_, Infallible>(answer(&request, &sources).await)
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -49,10 +67,11 @@
     }
 }
 
-fn answer(request: &Request<Incoming>, sources: &Sources) -> Response<Full<Bytes>> {
+async fn answer(request: &Request<Incoming>, sources: &Sources) -> Response<Full<Bytes>> {
     let (status, text) = match request.uri().path() {
         "/readyz" => readiness(sources),
-        "/metrics" => (StatusCode::OK, sources.metrics.text()),
+        "/metrics" => (StatusCode::OK, metrics(sources)),
+        "/status" => status(sources).await,
         _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -60,6 +79,28 @@
     response
 }
 
+fn metrics(sources: &Sources) -> String {
+    let now = sources.clock.now();
+    sources.metrics.set_ages(&sources.ages, now);
+    sources.metrics.text()
+}
+
+async fn status(sources: &Sources) -> (StatusCode, String) {
+    let (reply, answer) = oneshot::channel();
+    let asked = sources.dispatch.send(dispatch::Message::Status(reply));
+    let (Ok(()), Ok(report)) = (asked, answer.await) else {
+        return (StatusCode::SERVICE_UNAVAILABLE, String::from("ending\n"));
+    };
+    let own = status::Own {
+        host: &sources.host,
+        readiness: *sources.readiness.borrow(),
+        phase: *sources.phase.borrow(),
+        ages: &sources.ages,
+        now: sources.clock.now(),
+    };
+    (StatusCode::OK, status::page(&own, &report))
+}
+
 fn readiness(sources: &Sources) -> (StatusCode, String) {
     if *sources.phase.borrow() > Phase::Serving {
         return (StatusCode::SERVICE_UNAVAILABLE, String::from("leaving\n"));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -83,13 +83,20 @@
     Ejected,
 }
 
-impl fmt::Display for Standing {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Standing {
+    /// Its name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::Sound => "sound",
             Self::Away => "away",
             Self::Ejected => "ejected",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
@@ -304,7 +311,7 @@
     /// The mean is that of all servers of the service, also of those that get
     /// nothing new. When so few are left that nobody can keep to it, these are
     /// used evenly.
-    fn bound(&self, now: Instant) -> f64 {
+    pub fn bound(&self, now: Instant) -> f64 {
         let all = mean(self.servers.values());
         let above = (self.bounds.load_multiple - 1.0) * all + BOUND_EXTRA;
         let fence = all + above * BOUND_USED;
@@ -432,7 +439,8 @@
         (after != before).then_some(after)
     }
 
-    fn standing(&self, name: &backend::Server, now: Instant) -> Standing {
+    /// What is believed of a server.
+    pub fn standing(&self, name: &backend::Server, now: Instant) -> Standing {
         if self.ejection.is_ejected(name, now) {
             return Standing::Ejected;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
 use hyper::{
-    body::{Frame, Incoming},
+    body::{Body, Frame, Incoming},
     header,
 };
 use tokio::time;
@@ -68,6 +68,8 @@
     /// Splits the events of a stream that another server can continue.
     splitter: Option<Splitter>,
     first_byte_at: Option<Instant>,
+    last_byte_at: Option<Instant>,
+    longest_gap: Duration,
     status: u16,
     is_failure: bool,
     is_over: bool,
@@ -87,9 +89,11 @@
         status: answer.head.status.as_u16(),
         is_failure: answer.is_failure,
         body: Some(answer.body),
-        permit: Some(answer.permit),
+        permit: answer.permit,
         splitter: is_events.then(Splitter::default),
         first_byte_at: None,
+        last_byte_at: None,
+        longest_gap: Duration::ZERO,
         is_over: false,
         exchange,
         _busy: busy,
@@ -108,7 +112,10 @@
         loop {
             let failure = match self.receive().await {
                 Next::Data(bytes) => match self.pass(bytes) {
-                    Some(bytes) => return Some(Ok(Frame::data(bytes))),
+                    Some(bytes) => {
+                        self.finish_if_whole();
+                        return Some(Ok(Frame::data(bytes)));
+                    }
                     None => continue,
                 },
                 Next::End if self.is_in_event() => String::from("ended inside an event"),
@@ -160,8 +167,10 @@
         if bytes.is_empty() {
             return None;
         }
-        if self.first_byte_at.is_none() {
-            self.first_byte_at = Some(self.exchange.context().clock.now());
+        let now = self.exchange.context().clock.now();
+        self.first_byte_at.get_or_insert(now);
+        if let Some(last) = self.last_byte_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now.since(last));
         }
         if let Some(permit) = &mut self.permit {
             permit.first_byte();
@@ -174,6 +183,18 @@
         (!whole.is_empty()).then_some(whole)
     }
 
+    /// Ends with the last byte of an answer whose length is known.
+    ///
+    /// The HTTP library asks for nothing after it, so the end would never be
+    /// seen: the place would count as cancelled and the request would have no
+    /// line in the log, whether its server failed it or not.
+    fn finish_if_whole(&mut self) {
+        let is_whole = self.body.as_ref().is_some_and(Body::is_end_stream);
+        if is_whole && !self.is_in_event() {
+            self.finish(Outcome::Completed, "complete");
+        }
+    }
+
     fn is_in_event(&self) -> bool {
         self.splitter.as_ref().is_some_and(Splitter::is_partial)
     }
@@ -209,7 +230,7 @@
             return false;
         }
         self.body = Some(answer.body);
-        self.permit = Some(answer.permit);
+        self.permit = answer.permit;
         true
     }
 
@@ -236,10 +257,12 @@
             sends = self.exchange.sends(),
             first_ms = waited.as_millis(),
             total_ms = now.since(plan.arrived).as_millis(),
+            gap_ms = self.longest_gap.as_millis(),
             servers_age_ms = context.ages.servers(now).as_millis(),
             config = plan.version
         );
         context.metrics.first_byte(waited);
+        context.metrics.longest_gap(self.longest_gap);
         let outcome = match outcome {
             Outcome::Completed if self.is_failure => Outcome::Failed,
             other => other,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -18,7 +18,7 @@
 use crate::{
     attempt::{self, Answer, End},
     dispatch::{self, Message, Order, Permit},
-    pool::{Demand, Denial, Place},
+    pool::{Demand, Denial, Outcome, Place},
     protocol::{Attempt, Head, Protocol},
     route::{Route, Tenancy},
 };
@@ -219,7 +219,10 @@
         };
         let (reply, answer) = oneshot::channel();
         let asked = self.context.dispatch.send(Message::Acquire(order, reply));
-        match (asked, answer.await) {
+        let answer = answer.await;
+        let waited = self.context.clock.now().since(now);
+        self.context.metrics.placed(waited);
+        match (asked, answer) {
             (Ok(()), Ok(Ok(permit))) => Ok(permit),
             (Ok(()), Ok(Err(refused))) => Err(self.denied(refused)),
             _ => Err(self.refusal(Code::Internal, "The router is ending.")),
@@ -307,10 +310,15 @@
         Step::Refuse(refusal.retry_at(now + RETRY_EMPTY))
     }
 
-    fn after_answer(&mut self, answer: Box<Answer>) -> Step {
+    fn after_answer(&mut self, mut answer: Box<Answer>) -> Step {
         self.sends += 1;
         if answer.is_failure && self.may_repeat() {
             self.verdict = Verdict::MayHaveRun;
+            // Kept with the answer, the place would count as taken while another
+            // server works, and in the end as cancelled.
+            if let Some(permit) = answer.permit.take() {
+                permit.end(Outcome::Failed);
+            }
             self.failure = Some(answer);
             return Step::Again;
         }
@@ -337,13 +345,17 @@
     fn log_attempt(&self, place: &Place, end: &End) {
         let (outcome, reason) = match end {
             End::Answered(answer) if answer.is_failure => ("failed", answer.head.status.as_str()),
-            End::Answered(_) => return,
+            End::Answered(_) => {
+                self.context.metrics.attempted("answered");
+                return;
+            }
             End::Unsent(reason) => ("unsent", reason.as_str()),
             End::Full => ("full", ""),
             End::Moved => ("moved", ""),
             End::Broken(reason) => ("broken", reason.as_str()),
             End::Late => ("late", ""),
         };
+        self.context.metrics.attempted(outcome);
         let now = self.context.clock.now();
         let waited = now.since(self.plan.arrived);
         logging::event!(
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -115,7 +115,8 @@
         let (readiness_sender, readiness_receiver) = watch::channel(state::Readiness::default());
         let (members_sender, members) = watch::channel(Arc::default());
         let (mirrors_sender, mirrors) = watch::channel(Arc::default());
-        let (dispatch, handle, messages) = Dispatch::new(clock, settings.clone());
+        let (dispatch, handle, messages) =
+            Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         tokio::spawn(dispatch.run(messages));
         let ages = Arc::new(state::Ages::default());
         let outputs = state::Outputs {
@@ -173,6 +174,10 @@
             readiness: readiness_receiver,
             phase: phase_receiver.clone(),
             metrics: Arc::clone(&metrics),
+            host: settings.host.clone(),
+            clock,
+            ages: Arc::clone(&ages),
+            dispatch: handle.clone(),
         };
         tokio::spawn(observer::serve(sockets.readiness, sources.clone()));
         tokio::spawn(observer::serve(sockets.questions, sources));
