Let each router tell others than its neighbours do

Cause: all routers began their turns at the front of the list that they share and at the same moment, so that all told the same eight in each round. At 300 routers 48 that knew of a new configuration told eight, and those were sent 300 datagrams at once.

Ruled out: the store's answers (6 ms) and the spread of reads (150 ms).

Change: a router begins behind itself in the list. In a large fleet loads go only to those who add up; what others heard of them was seconds old.

Also: an exploration of all interleavings of two routers over the pure decisions: a cold server's shares with restarts and unknown routers, repeats, and versions of the configuration. Nothing was found.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 mod roll;
 pub mod sums;
 mod task;
+mod turn;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -22,6 +23,7 @@
 pub use readers::{Readers, WATCHERS, Watcher};
 pub use roll::Roll;
 pub use sums::{Sum, Sums};
+pub use turn::turn;
 
 use crate::{
     clock::Clock,
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -109,6 +109,16 @@
     }
 }
 
+impl Digest {
+    /// The same without what is only of use to those who add up.
+    pub fn without_loads(self) -> Self {
+        Self {
+            loads: Vec::new(),
+            ..self
+        }
+    }
+}
+
 impl Frame {
     /// Encodes the frame.
     ///
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Digest, FAN_OUT, Frame, INTERVAL, Inputs, Load, Outputs, Readers, Roll, Sums, Versions,
-    asking::End,
+    asking::End, turn,
 };
 use crate::{
     clock::Clock,
@@ -193,9 +193,21 @@
             news,
         );
         self.own_loads.clone_from(&digest.loads);
-        let frame = Frame::Digest(digest);
-        for member in self.targets() {
-            self.send_to(&frame, &member).await;
+        let mut targets = self.targets();
+        let adders = self.own_adders();
+        targets.retain(|target| !adders.contains(target));
+        // In a large fleet a router hears each other one every few seconds. What
+        // it then hears of loads is too old to count, and takes most of the bytes.
+        let told = if self.is_large() {
+            digest.clone().without_loads()
+        } else {
+            digest.clone()
+        };
+        for member in targets {
+            self.send_to(&Frame::Digest(told.clone()), &member).await;
+        }
+        for member in adders {
+            self.send_to(&Frame::Digest(digest.clone()), &member).await;
         }
     }
 
@@ -203,24 +215,21 @@
     fn targets(&mut self) -> Vec<Member> {
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = &self.inputs.own.host;
-        let others: Vec<&Member> = members
-            .iter()
-            .filter(|member| member.host != *own)
-            .collect();
-        let start = self.rounds * FAN_OUT;
+        let round = self.rounds;
         self.rounds = self.rounds.wrapping_add(1);
-        let turn = others.iter().cycle().skip(start % others.len().max(1));
-        let mut targets: Vec<Member> = turn
-            .take(FAN_OUT.min(others.len()))
-            .copied()
-            .cloned()
-            .collect();
-        if self.is_large() {
-            let adders = self.adders(&self.inputs.own.zone).into_iter();
-            let more = adders.filter(|adder| adder.host != *own && !targets.contains(adder));
-            targets.extend(more.collect::<Vec<_>>());
+        let targets = turn(&members, own, round, FAN_OUT);
+        targets.into_iter().cloned().collect()
+    }
+
+    /// Those who add up in the own zone, in a fleet that is large enough for it.
+    fn own_adders(&self) -> Vec<Member> {
+        if !self.is_large() {
+            return Vec::new();
         }
-        targets
+        let own = &self.inputs.own;
+        let mut adders = self.adders(&own.zone);
+        adders.retain(|adder| adder.host != own.host);
+        adders
     }
 
     pub(super) fn versions(&self) -> Versions {
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod deaths;
 mod events;
 mod evidence;
+mod explore;
 mod fence;
 mod mirror;
 mod peers;
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -1,11 +1,18 @@
 //! What routers tell each other.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use gateway::{
     dispatch,
     evidence::Ends,
-    peers::{Digest, Frame, Load, Readers, Roll, Sum, Sums, Versions, WATCHERS, Watcher, sums},
+    peers::{
+        Digest, Frame, Load, Readers, Roll, Sum, Sums, Versions, WATCHERS, Watcher, sums, turn,
+    },
+    source::Member,
 };
 use proptest::prelude::*;
 use units::{host, time::Instant};
@@ -129,10 +136,40 @@
         let now = START + Duration::from_secs(random);
         ahead(&mut roll, own(5), false, random as usize, now)
     });
-    let asked: std::collections::BTreeSet<_> = asked.flatten().collect();
+    let asked: BTreeSet<_> = asked.flatten().collect();
     assert_eq!(asked.len(), 5);
 }
 
+/// Three hundred routers start at the same moment and tell eight others in each
+/// round. If all told the same eight, these would be flooded, and the others
+/// would hear of a new configuration only when their turn comes, after seconds.
+#[test]
+fn each_router_is_told_by_as_many_others_in_each_round() {
+    let members: Vec<Member> = members(300)
+        .into_iter()
+        .map(|host| Member {
+            host,
+            zone: "a".parse().expect("a name"),
+            address: at(1),
+        })
+        .collect();
+    for round in 0..3 {
+        let mut told: BTreeMap<&str, u32> = BTreeMap::new();
+        for member in &members {
+            for target in turn(&members, &member.host, round, 8) {
+                assert_ne!(target.host, member.host);
+                *told.entry(target.host.as_str()).or_default() += 1;
+            }
+        }
+        assert_eq!(told.len(), 300);
+        assert!(told.values().all(|&count| count == 8), "round {round}");
+    }
+    let rounds = 0..300_usize.div_ceil(8);
+    let all = rounds.flat_map(|round| turn(&members, &members[7].host, round, 8));
+    let all: BTreeSet<&str> = all.map(|member| member.host.as_str()).collect();
+    assert_eq!(all.len(), 299, "everyone has a turn");
+}
+
 /// Servers are replaced one after the other, and each change would make every
 /// router ask for it, through other zones and at once. What routers tell each
 /// other would take more of their links than their callers do.
