Keep the bound on load also where few servers are left

Where few servers were left, nothing but their evenness bounded them: 1.15 times their own mean, which is three times that of all.

Ruled out: late loads alone.

Change: the exception is gone. The test that asserted it placed 90 requests on 3 of 12 servers, which the users' rule forbids; the new one is as strict on evenness (2 apart at most) and holds them to the bound.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -419,7 +419,7 @@
     fn report(&self, now: Instant) -> status::Report {
         let rows = self.lines.iter().flat_map(|(name, line)| {
             let pool = line.pool();
-            let bound = pool.bound(now);
+            let bound = pool.bound();
             let servers = pool.servers();
             servers.map(move |server| {
                 let standing = pool.standing(server.name(), now);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -142,10 +142,10 @@
 /// takes about 3 ms, in which an engine reads some 200 tokens.
 const LEAST_COPY: u64 = 200;
 /// How much of the room above the mean is used, since peers' loads are late.
+///
+/// With the servers of the larger of two zones out, 0.92 for the few that were
+/// left let 37 of 389 requests reach servers above the bound, in a simulated day.
 const BOUND_USED: f64 = 0.75;
-/// How far above the mean of the used servers one of them may be when there are
-/// so few that the bound cannot be kept.
-const EVEN_MULTIPLE: f64 = 1.15;
 /// Requests above the multiple of the mean that the deployment allows.
 const BOUND_EXTRA: f64 = 3.0;
 
@@ -213,7 +213,7 @@
         let choice = self.choose(demand, fleet, now)?;
         let share = self.cold_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
-        let bound = self.bound(now);
+        let bound = self.bound();
         let server = self.servers.get_mut(&choice).ok_or(Denial::Empty)?;
         let unread = Cost(server.unread(&demand.parts, now));
         server.admit(unread, share, now);
@@ -283,7 +283,7 @@
         if candidates.is_empty() {
             return Err(Denial::Empty);
         }
-        let bound = self.bound(now);
+        let bound = self.bound();
         // Requests of a plain service take some tens of milliseconds, and what
         // others told of theirs is older. Counted, it made requests wait 200 ms
         // at the median for slots that were free (85 routers, 118 requests a
@@ -309,15 +309,12 @@
     /// The most requests that one server may hold.
     ///
     /// The mean is that of all servers of the service, also of those that get
-    /// nothing new. When so few are left that nobody can keep to it, these are
-    /// used evenly.
-    pub fn bound(&self, now: Instant) -> f64 {
+    /// nothing new. When few are left, requests wait although these have slots:
+    /// the bound has no exception for that.
+    pub fn bound(&self) -> f64 {
         let all = mean(self.servers.values());
         let above = (self.bounds.load_multiple - 1.0) * all + BOUND_EXTRA;
-        let fence = all + above * BOUND_USED;
-        let is_used = |server: &&Server| !server.is_leaving() && !server.is_cold(now);
-        let even = mean(self.servers.values().filter(is_used)) * EVEN_MULTIPLE + 1.0;
-        fence.max(even)
+        all + above * BOUND_USED
     }
 
     fn cold_bound(&self) -> fence::Bound {
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -109,25 +109,26 @@
     }
 }
 
-/// Most servers are out, so that the bound cannot be kept by anyone: the few
-/// that are left hold more than twice the mean of all. Refusing requests that
-/// they have room for would help nobody.
+/// Most servers are out, and the few that are left hold all that the service
+/// has. They are used evenly, and no further than the bound on the mean of all:
+/// beyond it their callers would get their tokens ever more slowly, while those
+/// who ask now are told at once when to come back.
 #[test]
-fn few_servers_that_are_left_are_used_evenly() {
+fn few_servers_that_are_left_are_used_evenly_and_within_the_bound() {
     let mut entries = dozen();
     for (index, entry) in entries.iter_mut().enumerate() {
-        entry.is_draining = index >= 3;
+        entry.is_draining = index >= 4;
     }
     let mut pool = pool(&entries);
-    for own in 0..90 {
-        run(&mut pool, 7, own, START);
-    }
-    let loads = pool
-        .servers()
-        .filter(|server| !server.is_leaving())
-        .map(|server| server.load());
-    let loads: Vec<u32> = loads.collect();
-    assert!(loads.iter().all(|&load| load <= 40), "{loads:?}");
+    let placed = (0..90).filter(|&own| admit(&mut pool, 7, own, START).is_ok());
+    assert!((16..=36).contains(&placed.count()));
+    let loads: Vec<u32> = pool.servers().map(|server| server.load()).collect();
+    let mean = f64::from(loads.iter().sum::<u32>()) / 12.0;
+    let most = f64::from(loads.iter().copied().max().expect("a server"));
+    let used = loads.iter().copied().filter(|&load| load > 0);
+    let least = f64::from(used.min().expect("a server"));
+    assert!(most <= bounds().load_multiple * mean + 3.0, "{loads:?}");
+    assert!(most - least <= 2.0, "{loads:?}");
 }
 
 /// Several routers choose the same server in the same moment, as each sees
