--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -485,19 +485,7 @@
             Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
         }
         if let Some(server) = self.servers.get_mut(name) {
-            match outcome {
-                Outcome::Unreachable if server.is_reachable(now) => {
-                    if self.ways.missed(server.zone(), now) {
-                        logging::event!(info, "zone_away", zone = server.zone(), last = name);
-                    }
-                }
-                Outcome::Completed | Outcome::Failed | Outcome::Full => {
-                    if self.ways.reached(server.zone()) {
-                        logging::event!(info, "zone_reached", zone = server.zone(), by = name);
-                    }
-                }
-                _ => {}
-            }
+            self.ways.note(server, outcome, now);
             server.ended(outcome, now);
         }
         let after = self.standing(name, now);
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -4,6 +4,8 @@
 
 use units::{availability, time::Instant};
 
+use super::{Outcome, Server};
+
 /// How many servers of a zone have to be out of reach, one after the other, until
 /// the zone is. With fewer, two of them that died would do.
 const LEAST_MISSES: u32 = 3;
@@ -30,16 +32,32 @@
 }
 
 impl Ways {
+    /// A request at `server` has ended.
+    pub fn note(&mut self, server: &Server, outcome: Outcome, now: Instant) {
+        let (zone, name) = (server.zone(), server.name());
+        match outcome {
+            Outcome::Unreachable if !server.is_reachable(now) => {}
+            Outcome::Unreachable if self.missed(zone, now) => {
+                logging::event!(info, "zone_away", zone = zone, last = name);
+            }
+            Outcome::Completed | Outcome::Failed | Outcome::Full if self.reached(zone) => {
+                logging::event!(info, "zone_reached", zone = zone, by = name);
+            }
+            // A way says nothing by what a server does, or its caller.
+            _ => {}
+        }
+    }
+
     /// A server of the zone could be reached. Returns whether the zone had been
     /// left alone.
-    pub fn reached(&mut self, zone: &availability::Zone) -> bool {
+    fn reached(&mut self, zone: &availability::Zone) -> bool {
         let record = self.records.remove(zone);
         record.is_some_and(|record| record.times > 0)
     }
 
     /// A server of the zone that counted as reachable could not be reached.
     /// Returns whether the zone is left alone from now on.
-    pub fn missed(&mut self, zone: &availability::Zone, now: Instant) -> bool {
+    fn missed(&mut self, zone: &availability::Zone, now: Instant) -> bool {
         let record = self.records.entry(zone.clone()).or_default();
         record.misses += 1;
         if record.misses < LEAST_MISSES || now < record.away_until {
