--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -381,6 +381,8 @@
     }
 
     fn take_hosts(&mut self, hosts: Vec<hosts::Host>) {
+        let (before, after) = (self.hosts.len(), hosts.len());
+        logging::event!(info, "hosts_listed", from = before, to = after);
         self.hosts = Arc::new(hosts);
         self.outputs.hosts.send_replace(Arc::clone(&self.hosts));
         self.publish();
