Count what routers tell each other, and measure it for fleets of three sizes

The bytes of control were worked out from sizes of datagrams (8 KB a second sent), not measured. Counted now on the metrics address, headers of UDP and IP included, and measured by an example that runs the real task for 6, 85 and 300 routers over loopback with drawn requests.

--- /dev/null
+++ b/crates/gateway/examples/control_bytes.rs
@@ -0,0 +1,276 @@
+//! Measures what routers of fleets of several sizes tell each other, over loopback.
+//!
+//! The routers are real, but for their requests, which are drawn, and the store,
+//! which holds nothing that changes. Prints a line for each size.
+
+use std::{
+    collections::VecDeque,
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use gateway::{
+    clock::Clock,
+    dispatch, evidence,
+    metrics::Metrics,
+    peers, roster,
+    source::{self, Batch, Member, Secret, Source, Topic},
+    state::Ages,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, watch},
+    time,
+};
+use units::{host, time::Instant};
+use wire::seal::{Boot, Key};
+
+/// How long routers talk before it is counted, and for how long it is.
+const SETTLE: Duration = Duration::from_secs(5);
+const COUNT: Duration = Duration::from_secs(10);
+/// How long a request is at its server.
+const REQUEST: Duration = Duration::from_millis(900);
+
+/// One fleet.
+struct Size {
+    routers: usize,
+    zones: usize,
+    servers: usize,
+    /// Requests a second at each router.
+    rate: f64,
+}
+
+/// Today's, the next, and the largest that one process here can play.
+const SIZES: [Size; 3] = [
+    Size {
+        routers: 6,
+        zones: 3,
+        servers: 15,
+        rate: 15.0,
+    },
+    Size {
+        routers: 85,
+        zones: 3,
+        servers: 63,
+        rate: 5.4,
+    },
+    Size {
+        routers: 300,
+        zones: 3,
+        servers: 600,
+        rate: 5.4,
+    },
+];
+
+/// A store that knows nothing and does not change.
+#[derive(Clone)]
+struct Still;
+
+impl Source for Still {
+    async fn read(&self, _: Topic, _: time::Instant) -> Result<Batch, source::Error> {
+        Ok(Batch {
+            rows: Vec::new(),
+            version: 1,
+            is_whole: true,
+        })
+    }
+
+    async fn changes(
+        &self,
+        _: Topic,
+        _: u64,
+        until: time::Instant,
+    ) -> Result<Batch, source::Error> {
+        time::sleep_until(until).await;
+        Err(source::Error::Away(String::from("nothing changes")))
+    }
+
+    async fn secret(&self, _: time::Instant) -> Result<Secret, source::Error> {
+        Err(source::Error::Away(String::from("it is given")))
+    }
+
+    async fn register(&self, _: &Member, _: time::Instant) -> Result<(), source::Error> {
+        Ok(())
+    }
+
+    async fn unregister(&self, _: &host::Id, _: time::Instant) -> Result<(), source::Error> {
+        Ok(())
+    }
+
+    fn directive(&self, _: &source::Row) -> Result<source::Directive, source::Malformed> {
+        Ok(source::Directive::Unknown)
+    }
+
+    fn server(&self, _: &source::Row, _: Instant) -> Result<roster::Entry, source::Malformed> {
+        Err(source::Malformed(String::from("there is none")))
+    }
+
+    fn member(&self, _: &source::Row) -> Result<Member, source::Malformed> {
+        Err(source::Malformed(String::from("there is none")))
+    }
+}
+
+/// The requests of one router, drawn.
+struct Requests {
+    random: SmallRng,
+    clock: Clock,
+    rate: f64,
+    next_at: Instant,
+    running: VecDeque<(usize, Instant)>,
+    tallies: Vec<evidence::Tally>,
+}
+
+impl Requests {
+    fn new(size: &Size, seed: u64, clock: Clock) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            clock,
+            rate: size.rate,
+            next_at: clock.now(),
+            running: VecDeque::new(),
+            tallies: vec![evidence::Tally::default(); size.servers],
+        }
+    }
+
+    fn news(&mut self) -> dispatch::News {
+        let now = self.clock.now();
+        while self.next_at <= now {
+            let server = self.random.random_range(0..self.tallies.len());
+            self.running.push_back((server, self.next_at + REQUEST));
+            let gap = -self.random.random::<f64>().max(1e-9).ln() / self.rate;
+            self.next_at = self.next_at + Duration::from_secs_f64(gap);
+        }
+        while let Some((server, end)) = self.running.pop_front_if(|(_, end)| *end <= now) {
+            self.tallies[server].note(self.random.random_bool(0.02), end);
+        }
+        let loads = self.tallies.iter().enumerate().map(|(server, tally)| {
+            let running = self.running.iter().filter(|(at, _)| *at == server);
+            dispatch::Load {
+                server: format!("i-{server:010x}").parse().expect("a name"),
+                running: u32::try_from(running.count()).expect("few"),
+                ends: tally.ends(now),
+            }
+        });
+        let loads = loads.filter(|load| load.running > 0 || !load.ends.is_empty());
+        dispatch::News {
+            loads: loads.collect(),
+            strikes: Vec::new(),
+        }
+    }
+
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<dispatch::Message>) {
+        while let Some(message) = messages.recv().await {
+            if let dispatch::Message::News(reply) = message {
+                drop(reply.send(self.news()));
+            }
+        }
+    }
+}
+
+async fn socket() -> Result<(Member, peers::Sockets), Box<dyn Error>> {
+    let digests = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address: SocketAddr = digests.local_addr()?;
+    let member = Member {
+        host: "unnamed".parse()?,
+        zone: "unnamed".parse()?,
+        address,
+    };
+    let sockets = peers::Sockets {
+        digests,
+        rows: TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?,
+        introductions: TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?,
+    };
+    Ok((member, sockets))
+}
+
+async fn measure(size: &Size) -> Result<(), Box<dyn Error>> {
+    let clock = Clock::start();
+    let mut members = Vec::new();
+    let mut sockets = Vec::new();
+    for index in 0..size.routers {
+        let (mut member, socket) = socket().await?;
+        let zone = index % size.zones;
+        member.host = format!("edge-zone-{zone}-{}", index / size.zones).parse()?;
+        member.zone = format!("zone-{zone}").parse()?;
+        members.push(member);
+        sockets.push(socket);
+    }
+    let (_members_sender, members_receiver) = watch::channel(Arc::new(members.clone()));
+    let (_mirrors_sender, mirrors) = watch::channel(Arc::default());
+    let (_served_sender, is_served) = watch::channel(true);
+    let mut counted = Vec::new();
+    let mut tasks = Vec::new();
+    for (index, (own, sockets)) in members.into_iter().zip(sockets).enumerate() {
+        let metrics = Arc::new(Metrics::default());
+        counted.push(Arc::clone(&metrics));
+        let (dispatch, messages) = mpsc::unbounded_channel();
+        let requests = Requests::new(size, index as u64, clock);
+        tasks.push(tokio::spawn(requests.run(messages)));
+        let (events, mut taken) = mpsc::channel(64);
+        tasks.push(tokio::spawn(async move {
+            while taken.recv().await.is_some() {}
+        }));
+        let inputs = peers::Inputs {
+            own,
+            members: members_receiver.clone(),
+            mirrors: mirrors.clone(),
+            is_served: is_served.clone(),
+        };
+        let outputs = peers::Outputs {
+            dispatch,
+            events,
+            is_watching: watch::channel(false).0,
+            ages: Arc::new(Ages::default()),
+            metrics,
+        };
+        let secret = Secret {
+            key: Key::from_bytes([7; 32]),
+            boot: Boot(index as u64 + 1),
+        };
+        tasks.push(tokio::spawn(peers::run(
+            clock, Still, sockets, secret, inputs, outputs,
+        )));
+        // Processes do not all start in the same millisecond.
+        time::sleep(Duration::from_millis(1)).await;
+    }
+    time::sleep(SETTLE).await;
+    let before: Vec<_> = counted
+        .iter()
+        .map(|metrics| metrics.control_bytes())
+        .collect();
+    time::sleep(COUNT).await;
+    let mut rates: Vec<_> = counted
+        .iter()
+        .zip(before)
+        .map(|(metrics, (sent, received))| {
+            let (sent_now, received_now) = metrics.control_bytes();
+            let seconds = COUNT.as_secs();
+            (
+                (sent_now - sent) / seconds,
+                (received_now - received) / seconds,
+            )
+        })
+        .collect();
+    for task in tasks {
+        task.abort();
+    }
+    rates.sort_by_key(|(sent, received)| sent + received);
+    let middle = rates[rates.len() / 2];
+    let busiest = rates[rates.len() - 1];
+    println!(
+        "routers={} servers={} rate={} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
+        size.routers, size.servers, size.rate, middle.0, middle.1, busiest.0, busiest.1
+    );
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    for size in &SIZES {
+        measure(size).await?;
+    }
+    Ok(())
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,12 @@
     topic: &'static str,
 }
 
+/// The labels of what routers tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DirectionLabels {
+    direction: &'static str,
+}
+
 /// The labels of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
@@ -57,6 +63,9 @@
     result: &'static str,
 }
 
+/// Bytes of the headers of UDP and IP that each datagram has.
+const DATAGRAM_HEADERS: u64 = 28;
+
 /// All metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -71,6 +80,7 @@
     attempts: Family<AttemptLabels, Counter>,
     standings: Family<StandingLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
+    control_bytes: Family<DirectionLabels, Counter>,
     config: Gauge,
     servers: Gauge,
     members: Gauge,
@@ -89,6 +99,7 @@
         let attempts = Family::default();
         let standings = Family::default();
         let ages = Family::default();
+        let control_bytes = Family::default();
         let config = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
@@ -134,6 +145,11 @@
             "Time since the store confirmed a view",
             Family::clone(&ages),
         );
+        registry.register(
+            "weir_control_bytes",
+            "Bytes of datagrams between routers, headers of UDP and IP included",
+            Family::clone(&control_bytes),
+        );
         registry.register(
             "weir_config_version",
             "Configuration in force",
@@ -153,6 +169,7 @@
             attempts,
             standings,
             ages,
+            control_bytes,
             config,
             servers,
             members,
@@ -223,6 +240,31 @@
         }
     }
 
+    /// A datagram of `length` bytes went to another router.
+    pub fn told(&self, length: usize) {
+        self.control("sent", length);
+    }
+
+    /// A datagram of `length` bytes came from another router.
+    pub fn heard(&self, length: usize) {
+        self.control("received", length);
+    }
+
+    fn control(&self, direction: &'static str, length: usize) {
+        let bytes = DATAGRAM_HEADERS + length as u64;
+        let labels = DirectionLabels { direction };
+        self.control_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    /// Bytes of datagrams sent to and received from other routers so far.
+    pub fn control_bytes(&self) -> (u64, u64) {
+        let of = |direction| {
+            let labels = DirectionLabels { direction };
+            self.control_bytes.get_or_create(&labels).get()
+        };
+        (of("sent"), of("received"))
+    }
+
     /// A call to the store ended.
     pub fn called(&self, topic: &'static str, result: &'static str) {
         let labels = CallLabels { topic, result };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
     clock::Clock,
     dispatch,
     follow::Event,
+    metrics::Metrics,
     mirror::Mirror,
     source::{Member, Secret, Source, Topic},
     state::Ages,
@@ -71,6 +72,8 @@
     pub is_watching: watch::Sender<bool>,
     /// How old the views are.
     pub ages: Arc<Ages>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Where other routers reach this one.
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -142,6 +142,7 @@
             None => Audience::Anyone,
         };
         let datagram = self.seals.sealer.seal(&payload, audience);
+        self.outputs.metrics.told(datagram.len());
         // A datagram may be lost in any case; the next one follows soon.
         if let Err(error) = self.socket.send_to(&datagram, member.address).await {
             logging::event!(
@@ -251,6 +252,7 @@
 
     fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
         let now = self.clock.now();
+        self.outputs.metrics.heard(datagram.len());
         let opened = match self.seals.opener.open(datagram) {
             Ok(opened) => opened,
             Err(error) => {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -161,6 +161,7 @@
             events,
             is_watching: watching_sender,
             ages: Arc::clone(&ages),
+            metrics: Arc::clone(&metrics),
         };
         tokio::spawn(talk(
             clock,
