Ask for servers while configurations follow each other

Cause: a router that does not watch the store had one question at a time under way, and a newer configuration always went first. In a series of configurations it was never through with them in time to ask another router for servers. Ruled out: entries kept for having lapsed with the store (the last return of its store was at 27.4 s), a lost digest (it heard the neighbours' versions with each one: it asked for configurations by them). Change: the store is asked for the configuration and another router for the rest, apart from each other.

--- a/crates/gateway/src/peers/asking.rs
+++ b/crates/gateway/src/peers/asking.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::time;
-use units::host;
+use units::{host, time::Instant};
 
 use super::{Versions, fetch, task::Task};
 use crate::{
@@ -21,10 +21,12 @@
 /// How a question to the store or to another router ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum End {
-    /// The rows have come.
-    Answered,
+    /// The store's rows have come.
+    StoreAnswered,
     /// The store did not answer, or knew nothing new.
     StoreFailed,
+    /// The rows of another router have come.
+    PeerAnswered,
     /// The router at this address did not answer.
     PeerFailed(SocketAddr),
 }
@@ -35,13 +37,36 @@
     /// The configuration may be large, and its bytes over many slow links
     /// between routers take longer than one call to the store. What is small
     /// comes from another router, and everything does while the store is away.
+    ///
+    /// The two are asked apart. Were there one question at a time, a series of
+    /// configurations would leave no time to ask for servers, and callers would
+    /// be sent to one that has left for as long as the series lasts.
     pub(super) fn catch_up(&mut self) {
         let now = self.clock.now();
-        if self.is_asking {
+        let is_watching = *self.outputs.is_watching.borrow();
+        let own = self.versions();
+        let newest = self.roll.newest_configuration();
+        let is_store_usable = !is_watching && now >= self.store_failed_until;
+        if newest <= own.configuration || !is_store_usable {
+            self.catch_up_with_peer(own, is_watching, now);
+            return;
+        }
+        if !self.is_asking_store {
+            self.is_asking_store = true;
+            self.ask_store(own.configuration);
+        }
+        let rest = Versions {
+            configuration: newest,
+            ..own
+        };
+        self.catch_up_with_peer(rest, is_watching, now);
+    }
+
+    /// Asks another router for what is newer than `known`.
+    fn catch_up_with_peer(&mut self, known: Versions, is_watching: bool, now: Instant) {
+        if self.is_asking_peer {
             return;
         }
-        let own = self.versions();
-        let is_watching = *self.outputs.is_watching.borrow();
         let random = rand::random::<u32>() as usize;
         let members = Arc::clone(&self.inputs.members.borrow());
         let zone = &self.inputs.own.zone;
@@ -49,24 +74,20 @@
             let mut near = members.iter().filter(|member| member.zone == *zone);
             near.any(|member| member.host == *host)
         };
-        let ahead = self.roll.ahead(own, is_watching, is_near, random, now);
-        let Some(address) = ahead else {
-            return;
-        };
-        self.is_asking = true;
-        let newest = self.roll.newest_configuration();
-        let is_store_usable = !is_watching && now >= self.store_failed_until;
-        if newest > own.configuration && is_store_usable {
-            self.ask_store(own.configuration);
-        } else {
-            self.ask_peer(address, own);
+        let ahead = self.roll.ahead(known, is_watching, is_near, random, now);
+        if let Some(address) = ahead {
+            self.is_asking_peer = true;
+            self.ask_peer(address, known);
         }
     }
 
     pub(super) fn ended(&mut self, end: End) {
-        self.is_asking = false;
         match end {
-            End::Answered => {}
+            End::StoreAnswered | End::StoreFailed => self.is_asking_store = false,
+            End::PeerAnswered | End::PeerFailed(_) => self.is_asking_peer = false,
+        }
+        match end {
+            End::StoreAnswered | End::PeerAnswered => {}
             End::StoreFailed => self.store_failed_until = self.clock.now() + STORE_PAUSE,
             End::PeerFailed(address) => self.roll.forget(address),
         }
@@ -89,7 +110,7 @@
                     );
                     // A stale answer is no better than none.
                     if is_news {
-                        End::Answered
+                        End::StoreAnswered
                     } else {
                         End::StoreFailed
                     }
@@ -124,7 +145,7 @@
                         // The task ends only with the process.
                         drop(events.send(Event::Relayed(topic, batch)).await);
                     }
-                    End::Answered
+                    End::PeerAnswered
                 }
                 Err(error) => {
                     logging::event!(info, "peer_fetch_failed", peer = address, reason = error);
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -31,8 +31,10 @@
 pub(super) struct Task<S> {
     pub(super) clock: Clock,
     pub(super) source: S,
-    /// Whether a question is under way; there is one at a time.
-    pub(super) is_asking: bool,
+    /// Whether the store is being asked; there is one question at a time.
+    pub(super) is_asking_store: bool,
+    /// Whether another router is being asked; there is one question at a time.
+    pub(super) is_asking_peer: bool,
     /// Until when other routers are asked in place of the store.
     pub(super) store_failed_until: Instant,
     pub(super) done: mpsc::Sender<End>,
@@ -76,7 +78,8 @@
         let task = Self {
             clock,
             source,
-            is_asking: false,
+            is_asking_store: false,
+            is_asking_peer: false,
             store_failed_until: Instant::ZERO,
             done,
             seals,
