Untie the circle of modules in the gateway

Fourteen files imported each other: loads of servers stood with the peers and were needed by the pool, ages and readiness stood with the state and were needed by the metrics, the type of all mirrors stood with the peers. They are modules of their own now (load, ages, readiness, activity), below those who use them. Two pairs are left: the task of the peers with its children, and the relay with what serves.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -12,12 +12,12 @@
 };
 
 use gateway::{
+    ages::Ages,
     clock::Clock,
     dispatch, evidence,
     metrics::Metrics,
     peers, roster,
     source::{self, Batch, Member, Secret, Source, Topic},
-    state::Ages,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use tokio::{
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,8 +21,9 @@
     deaths::Deaths,
     evidence::Ends,
     line::{Ask, Line, Offered},
+    load,
     metrics::Metrics,
-    pause, peers,
+    pause,
     pool::{Fleet, Outcome, Part, Place, Pool, Standing},
     roster::Roster,
     route::Table,
@@ -52,9 +53,9 @@
     fleet: Fleet,
     pending: HashMap<request::Attempt, (Order, Reply)>,
     attempts: u64,
-    peers: BTreeMap<host::Id, Vec<peers::Load>>,
+    peers: BTreeMap<host::Id, Vec<load::Load>>,
     /// What all others have in flight, while it is current.
-    others: Vec<peers::Load>,
+    others: Vec<load::Load>,
     others_until: Instant,
     deaths: Deaths,
     pauses: pause::Watch,
@@ -383,7 +384,7 @@
     /// In a large fleet sums count in place of it, and most routers tell nothing
     /// here. Adding up over thousands of servers for each of forty datagrams a
     /// second would take more of the processor than the requests do.
-    fn hear_peer(&mut self, host: host::Id, loads: Vec<peers::Load>, now: Instant) {
+    fn hear_peer(&mut self, host: host::Id, loads: Vec<load::Load>, now: Instant) {
         let is_news = !loads.is_empty() || self.peers.get(&host).is_some_and(|old| !old.is_empty());
         self.peers.insert(host, loads);
         if now < self.others_until {
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -8,7 +8,7 @@
 use super::Permit;
 use crate::{
     evidence::Ends,
-    line, peers,
+    line, load,
     pool::{Demand, Outcome, Parts},
     roster::Roster,
     route::Table,
@@ -89,9 +89,9 @@
     /// The routers that share bounds, this one included, have changed.
     Members(Vec<host::Id>),
     /// What another router has in flight.
-    Peer(host::Id, Vec<peers::Load>),
+    Peer(host::Id, Vec<load::Load>),
     /// What all other routers have in flight, added up by some of them.
-    Others(Vec<peers::Load>),
+    Others(Vec<load::Load>),
     /// Another router fell silent.
     PeerLost(host::Id),
     /// The bounds of the deployment have changed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 //! The crate knows no protocol: [`protocol::Protocol`] reads callers' heads and
 //! writes attempts, [`source::Source`] reads and watches what is stored.
 
+pub mod activity;
+pub mod ages;
 pub mod attempt;
 pub mod budget;
 pub mod clock;
@@ -20,6 +22,7 @@
 pub mod line;
 pub mod link;
 pub mod listener;
+pub mod load;
 pub mod metrics;
 pub mod mirror;
 pub mod observer;
@@ -27,6 +30,7 @@
 pub mod peers;
 pub mod pool;
 pub mod protocol;
+pub mod readiness;
 pub mod refusal;
 pub mod relay;
 pub mod roster;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,7 +1,5 @@
 //! The connections of callers.
 
-mod activity;
-
 use std::{pin, sync::Arc, time::Duration};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service};
@@ -14,9 +12,8 @@
 };
 use verdict::{Code, Refusal};
 
-pub use activity::Busy;
-
 use crate::{
+    activity::{Activity, Busy, Heard},
     clock::Clock,
     protocol::Protocol,
     refusal,
@@ -24,7 +21,6 @@
     serve::{self, Context},
     shutdown::Phase,
 };
-use activity::{Activity, Heard};
 
 /// The least buffer that the HTTP library works with, in bytes.
 const LEAST_BUFFER: usize = 8 * 1024;
--- a/crates/gateway/src/peers/load.rs
+++ b/crates/gateway/src/load.rs
@@ -45,7 +45,7 @@
 }
 
 /// The `most` servers with most requests.
-pub(super) fn busiest(mut loads: Vec<Load>, most: usize) -> Vec<Load> {
+pub fn busiest(mut loads: Vec<Load>, most: usize) -> Vec<Load> {
     if loads.len() > most {
         loads.sort_by_key(|load| Reverse(load.running));
         loads.truncate(most);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,7 @@
 use units::time::Instant;
 use verdict::Refusal;
 
-use crate::{pool::Standing, source::Topic, state::Ages};
+use crate::{ages::Ages, pool::Standing, source::Topic};
 
 /// Upper bounds of the buckets for times to the first byte, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 2.0, 5.0];
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -2,7 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::source::{Batch, Row};
+use crate::source::{Batch, Row, Topic};
+
+/// The rows of all topics.
+pub type Mirrors = BTreeMap<Topic, Mirror>;
 
 /// How many removals are remembered against stale reads.
 const MAX_REMOVED: usize = 4096;
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -13,11 +13,7 @@
 use units::host;
 
 use crate::{
-    clock::Clock,
-    dispatch,
-    metrics::Metrics,
-    shutdown::Phase,
-    state::{Ages, Readiness},
+    ages::Ages, clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, shutdown::Phase,
     status,
 };
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,6 @@
 mod digest;
 mod fetch;
 pub mod introduction;
-mod load;
 mod readers;
 mod relays;
 mod roll;
@@ -14,7 +13,7 @@
 mod task;
 mod turn;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -24,7 +23,6 @@
 
 pub use adders::{ADDERS, Adders};
 pub use digest::{Digest, Frame, Total, Versions, loads};
-pub use load::{Heard, Load, Report, Teller};
 pub use readers::{Readers, WATCHERS, Watcher};
 pub use relays::{Relay, relays};
 pub use roll::Roll;
@@ -32,13 +30,13 @@
 pub use turn::turn;
 
 use crate::{
+    ages::Ages,
     clock::Clock,
     dispatch,
     follow::Event,
     metrics::Metrics,
-    mirror::Mirror,
-    source::{Member, Secret, Source, Topic},
-    state::Ages,
+    mirror::Mirrors,
+    source::{Member, Secret, Source},
 };
 use introduction::Introducer;
 use task::Task;
@@ -65,9 +63,6 @@
 /// fleet of 85 says for two seconds.
 const FIRST_FAN_OUT: usize = 32;
 
-/// The rows that can be passed on.
-pub type Mirrors = BTreeMap<Topic, Mirror>;
-
 /// What the task works with.
 #[derive(Debug)]
 pub struct Inputs {
--- a/crates/gateway/src/peers/adding.rs
+++ b/crates/gateway/src/peers/adding.rs
@@ -5,9 +5,10 @@
 use units::{availability, time::Instant};
 use wire::seal::Tag;
 
-use super::{FAN_OUT, Frame, Report, Sum, Total, relays, sums, task::Task};
+use super::{FAN_OUT, Frame, Sum, Total, relays, sums, task::Task};
 use crate::{
     dispatch,
+    load::{Load, Report},
     source::{Member, Source},
 };
 
@@ -64,7 +65,7 @@
         }
     }
 
-    async fn send_total(&mut self, routers: u16, total: &[super::Load], now: Instant) {
+    async fn send_total(&mut self, routers: u16, total: &[Load], now: Instant) {
         let loads = self.total_teller.next(total, now);
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = self.inputs.own.clone();
@@ -155,7 +156,7 @@
         }
     }
 
-    fn take_loads(&self, total: &[super::Load]) {
+    fn take_loads(&self, total: &[Load]) {
         let others = sums::without(total, &self.own_loads);
         self.tell(dispatch::Message::Others(others));
     }
--- a/crates/gateway/src/peers/asking.rs
+++ b/crates/gateway/src/peers/asking.rs
@@ -5,7 +5,10 @@
 use tokio::time;
 use units::{host, time::Instant};
 
-use super::{Versions, fetch, task::Task};
+use super::{
+    Versions, fetch,
+    task::{End, Task},
+};
 use crate::{
     follow::Event,
     source::{Source, Topic},
@@ -18,19 +21,6 @@
 /// How long other routers are asked after a read of the store failed.
 const STORE_PAUSE: Duration = Duration::from_millis(1500);
 
-/// How a question to the store or to another router ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum End {
-    /// The store's rows have come.
-    StoreAnswered,
-    /// The store did not answer, or knew nothing new.
-    StoreFailed,
-    /// The rows of another router have come.
-    PeerAnswered,
-    /// The router at this address did not answer.
-    PeerFailed(SocketAddr),
-}
-
 impl<S: Source> Task<S> {
     /// Asks for what this router has missed.
     ///
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -3,8 +3,11 @@
 use serde::{Deserialize, Serialize};
 use units::host;
 
-use super::{Load, Report, Watcher, load};
-use crate::dispatch;
+use super::Watcher;
+use crate::{
+    dispatch,
+    load::{self, Load, Report},
+};
 
 /// The longest payload, in bytes: with its seal it fits one packet on usual links.
 const MAX_PAYLOAD: usize = 1300;
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -11,9 +11,10 @@
 };
 use wire::{hop::Frame, seal::Key};
 
-use super::{Mirrors, Versions};
+use super::Versions;
 use crate::{
     link::{Error, Link},
+    mirror::Mirrors,
     source::{Batch, Row, Topic},
 };
 
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -8,8 +8,10 @@
 use units::{host, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::{Load, load::busiest};
-use crate::evidence::Ends;
+use crate::{
+    evidence::Ends,
+    load::{Load, busiest},
+};
 
 /// How long what a router or a zone told counts: three rounds.
 pub(super) const CURRENT: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -11,13 +11,14 @@
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
 use super::{
-    Adders, Digest, FAN_OUT, FIRST_FAN_OUT, Frame, Heard, INTERVAL, Inputs, Load, Outputs,
-    QUIET_FAN_OUT, Readers, Roll, Sums, Teller, Versions, asking::End, digest, sums, turn,
+    Adders, Digest, FAN_OUT, FIRST_FAN_OUT, Frame, INTERVAL, Inputs, Outputs, QUIET_FAN_OUT,
+    Readers, Roll, Sums, Versions, digest, sums, turn,
 };
 use crate::{
     clock::Clock,
     dispatch,
     follow::Event,
+    load::{Heard, Load, Teller},
     mirror::Mirror,
     source::{Member, Source, Topic},
 };
@@ -27,6 +28,19 @@
 /// The least time after which a router that is not heard counts as lost.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
 
+/// How a question to the store or to another router ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// The store's rows have come.
+    StoreAnswered,
+    /// The store did not answer, or knew nothing new.
+    StoreFailed,
+    /// The rows of another router have come.
+    PeerAnswered,
+    /// The router at this address did not answer.
+    PeerFailed(SocketAddr),
+}
+
 /// The task's state.
 pub(super) struct Task<S> {
     pub(super) clock: Clock,
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -9,7 +9,8 @@
 use crate::{
     evidence::{Ends, Tally},
     fence::{Fence, Share},
-    peers, roster,
+    load::Load,
+    roster,
 };
 
 /// How a request at a server ended.
@@ -93,7 +94,7 @@
             ..placement::Settings::default()
         };
         Self {
-            hash: peers::Load::hash(&entry.server),
+            hash: Load::hash(&entry.server),
             entry,
             is_leaving: false,
             running: 0,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 pub use events::Splitter;
 
 use crate::{
-    attempt::Answer, dispatch::Permit, listener::Busy, pool::Outcome, protocol::Protocol,
+    activity::Busy, attempt::Answer, dispatch::Permit, pool::Outcome, protocol::Protocol,
     route::Kind, serve::Exchange,
 };
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,8 +21,8 @@
 pub use intake::BODY_UNIT;
 
 use crate::{
-    clock::Clock, dispatch, metrics::Metrics, protocol::Protocol, refusal, relay, route::Table,
-    shutdown::Phase, state::Ages,
+    activity, ages::Ages, clock::Clock, dispatch, metrics::Metrics, protocol::Protocol, refusal,
+    relay, route::Table, shutdown::Phase,
 };
 
 /// What all requests share.
@@ -55,7 +55,7 @@
 pub async fn serve<P: Protocol>(
     context: Arc<Context<P>>,
     request: Request<Incoming>,
-    busy: crate::listener::Busy,
+    busy: activity::Busy,
 ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, relay::Cut>> + Send>> {
     let is_closing = *context.phase.borrow() > Phase::Serving;
     let started = context.clock.now();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    ages::Ages,
     clock::Clock,
     dispatch::{self, Dispatch},
     follow::{self, Follow},
@@ -23,6 +24,7 @@
         introduction::{self, Introduced},
     },
     protocol::Protocol,
+    readiness::Readiness,
     serve::{BODY_UNIT, Context},
     settings::Settings,
     shutdown::Phase,
@@ -112,13 +114,13 @@
         let metrics = Arc::new(Metrics::default());
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let (table_sender, table) = watch::channel(None);
-        let (readiness_sender, readiness_receiver) = watch::channel(state::Readiness::default());
+        let (readiness_sender, readiness_receiver) = watch::channel(Readiness::default());
         let (members_sender, members) = watch::channel(Arc::default());
         let (mirrors_sender, mirrors) = watch::channel(Arc::default());
         let (dispatch, handle, messages) =
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         tokio::spawn(dispatch.run(messages));
-        let ages = Arc::new(state::Ages::default());
+        let ages = Arc::new(Ages::default());
         let outputs = state::Outputs {
             ages: Arc::clone(&ages),
             table: table_sender,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,14 +1,6 @@
 //! The task that knows what is stored, and tells the others when it changes.
 
-use std::{
-    collections::BTreeSet,
-    fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -17,72 +9,18 @@
 use units::{backend, time::Instant};
 
 use crate::{
+    ages::Ages,
     clock::Clock,
     dispatch,
     follow::Event,
     metrics::Metrics,
-    mirror::Mirror,
-    peers::Mirrors,
+    mirror::{Mirror, Mirrors},
+    readiness::Readiness,
     roster::{Change, Roster},
     route::Table,
     source::{Batch, Directive, Member, Row, Source, Topic},
 };
 
-/// What a router still misses to serve requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Readiness {
-    /// It knows no configuration.
-    #[default]
-    NoConfiguration,
-    /// It knows no backend server.
-    NoServers,
-    /// It can serve.
-    Ready,
-}
-
-impl fmt::Display for Readiness {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NoConfiguration => "no configuration",
-            Self::NoServers => "no servers",
-            Self::Ready => "ready",
-        })
-    }
-}
-
-/// When the store last said that what is known is up to date.
-#[derive(Debug, Default)]
-pub struct Ages {
-    configuration_us: AtomicU64,
-    servers_us: AtomicU64,
-}
-
-impl Ages {
-    /// The view of a topic is up to date at `now`.
-    pub fn confirm(&self, topic: Topic, now: Instant) {
-        let confirmed = match topic {
-            Topic::Configuration => &self.configuration_us,
-            Topic::Servers => &self.servers_us,
-            Topic::Routers => return,
-        };
-        confirmed.store(now.as_micros(), Ordering::Relaxed);
-    }
-
-    /// How old the configuration is at `now`.
-    pub fn configuration(&self, now: Instant) -> Duration {
-        now.since(Instant::from_micros(
-            self.configuration_us.load(Ordering::Relaxed),
-        ))
-    }
-
-    /// How old the list of servers is at `now`.
-    pub fn servers(&self, now: Instant) -> Duration {
-        now.since(Instant::from_micros(
-            self.servers_us.load(Ordering::Relaxed),
-        ))
-    }
-}
-
 /// Whom the task tells.
 #[derive(Debug)]
 pub struct Outputs {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -5,9 +5,10 @@
 use units::{availability, backend, host, pool, time::Instant};
 
 use crate::{
+    ages::Ages,
     pool::{Server, Standing},
+    readiness::Readiness,
     shutdown::Phase,
-    state::{Ages, Readiness},
 };
 
 /// What a router believes of one backend server.
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -9,9 +9,10 @@
 use gateway::{
     dispatch,
     evidence::Ends,
+    load::{Heard, Load, Report, Teller},
     peers::{
-        ADDERS, Adders, Digest, Frame, Heard, Load, Readers, Report, Roll, Sum, Sums, Teller,
-        Total, Versions, WATCHERS, Watcher, loads as digest_loads, relays, sums, turn,
+        ADDERS, Adders, Digest, Frame, Readers, Roll, Sum, Sums, Total, Versions, WATCHERS,
+        Watcher, loads as digest_loads, relays, sums, turn,
     },
     source::Member,
 };
