--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::VecDeque,
-    error::Error,
+    io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -170,12 +170,12 @@
     }
 }
 
-async fn socket() -> Result<(Member, peers::Sockets), Box<dyn Error>> {
+async fn socket() -> io::Result<(Member, peers::Sockets)> {
     let digests = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address: SocketAddr = digests.local_addr()?;
     let member = Member {
-        host: "unnamed".parse()?,
-        zone: "unnamed".parse()?,
+        host: "unnamed".parse().expect("a name"),
+        zone: "unnamed".parse().expect("a name"),
         address,
     };
     let sockets = peers::Sockets {
@@ -186,15 +186,17 @@
     Ok((member, sockets))
 }
 
-async fn measure(size: &Size) -> Result<(), Box<dyn Error>> {
+async fn measure(size: &Size) -> io::Result<()> {
     let clock = Clock::start();
     let mut members = Vec::new();
     let mut sockets = Vec::new();
     for index in 0..size.routers {
         let (mut member, socket) = socket().await?;
         let zone = index % size.zones;
-        member.host = format!("edge-zone-{zone}-{}", index / size.zones).parse()?;
-        member.zone = format!("zone-{zone}").parse()?;
+        member.host = format!("edge-zone-{zone}-{}", index / size.zones)
+            .parse()
+            .expect("a name");
+        member.zone = format!("zone-{zone}").parse().expect("a name");
         members.push(member);
         sockets.push(socket);
     }
@@ -268,7 +270,7 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<(), Box<dyn Error>> {
+async fn main() -> io::Result<()> {
     for size in &SIZES {
         measure(size).await?;
     }
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! What a router decides, without a network.
 
+mod adding;
 mod budget;
 mod deaths;
 mod events;
--- a/crates/gateway/tests/decisions/spread.rs
+++ b/crates/gateway/tests/decisions/spread.rs
@@ -9,22 +9,11 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use units::{host, time::Instant};
 
-use crate::world::{START, members};
+use crate::world::{START, registered};
 
 /// One datagram in a hundred is lost.
 const LOST: f64 = 0.01;
 
-fn fleet(count: usize) -> Vec<Member> {
-    let members = members(count).into_iter();
-    members
-        .map(|host| Member {
-            host,
-            zone: "a".parse().expect("a name"),
-            address: ([127, 0, 0, 1], 1).into(),
-        })
-        .collect()
-}
-
 /// Rounds until all have heard what one router knows, each telling `most` others a round.
 fn rounds_until_heard(members: &[Member], first: usize, most: usize, seed: u64) -> usize {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -50,7 +39,7 @@
 }
 
 fn worst(count: usize, most: usize) -> usize {
-    let members = fleet(count);
+    let members = registered(count);
     let seeds = 0..3;
     let rounds = seeds.map(|seed| rounds_until_heard(&members, seed as usize * 7, most, seed));
     rounds.max().expect("a seed")
@@ -83,7 +72,7 @@
 
 impl Fleet {
     fn new(count: usize) -> Self {
-        let members = fleet(count);
+        let members = registered(count);
         let hosts: Vec<_> = members.iter().map(|member| member.host.clone()).collect();
         Self {
             readers: hosts.iter().map(|own| Readers::new(own, 1)).collect(),
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -4,6 +4,7 @@
     pool::{Demand, Fleet, Part, Pool},
     roster, route,
     settings::Bounds,
+    source::Member,
 };
 use units::{backend, chat, host, time::Instant, workspace};
 
@@ -30,6 +31,18 @@
     (0..count).map(|index| host(&format!("r{index}"))).collect()
 }
 
+/// The same as they are registered, all in one zone.
+pub fn registered(count: usize) -> Vec<Member> {
+    let members = members(count).into_iter();
+    members
+        .map(|host| Member {
+            host,
+            zone: "a".parse().expect("a name"),
+            address: ([127, 0, 0, 1], 1).into(),
+        })
+        .collect()
+}
+
 /// This router `r0` among six.
 pub fn fleet() -> Fleet {
     Fleet {
