--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! What routers tell each other: which versions they know, and what they have in flight.
 
-mod adders;
-mod adding;
+mod aggregation;
+mod aggregators;
 mod asking;
 mod digest;
 mod directory;
@@ -22,7 +22,7 @@
 };
 use wire::seal::{Opener, Sealer};
 
-pub use adders::{ADDERS, Adders};
+pub use aggregators::{AGGREGATORS, Aggregators};
 pub use digest::{Digest, Frame, Total, Versions, loads};
 pub use directory::Directory;
 pub use readers::{Readers, WATCHERS, Watcher};
--- a/crates/gateway/src/peers/adding.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -19,12 +19,12 @@
     }
 
     /// The routers of a zone that add up.
-    pub(super) fn adders(&mut self, zone: &availability::Zone) -> Vec<Member> {
+    pub(super) fn aggregators(&mut self, zone: &availability::Zone) -> Vec<Member> {
         let now = self.clock.now();
         let members = Arc::clone(&self.inputs.members.borrow());
         let near = members.iter().filter(|member| member.zone == *zone);
-        let adders = self.adders.entry(zone.clone()).or_default();
-        let chosen = adders.choose(near, &self.inputs.own, now);
+        let aggregators = self.aggregators.entry(zone.clone()).or_default();
+        let chosen = aggregators.choose(near, &self.inputs.own, now);
         chosen.into_iter().cloned().collect()
     }
 
@@ -32,9 +32,12 @@
     pub(super) async fn send_sums(&mut self) {
         let now = self.clock.now();
         let own_zone = self.inputs.own.zone.clone();
-        let adders = self.adders(&own_zone);
+        let aggregators = self.aggregators(&own_zone);
         let own = &self.inputs.own.host;
-        let Some(place) = adders.iter().position(|adder| adder.host == *own) else {
+        let Some(place) = aggregators
+            .iter()
+            .position(|aggregator| aggregator.host == *own)
+        else {
             return;
         };
         let sum = self
@@ -44,7 +47,7 @@
         self.take_loads(&total);
         self.send_sum(&sum, now).await;
         // Those who add up take turns, so that each router hears one of them in each round.
-        if self.rounds % adders.len() == place {
+        if self.rounds % aggregators.len() == place {
             self.send_total(sum.routers, &total, now).await;
         }
     }
@@ -59,8 +62,8 @@
         };
         let own_zone = self.inputs.own.zone.clone();
         for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
-            for adder in self.adders(zone) {
-                self.send_to(&frame, &adder).await;
+            for aggregator in self.aggregators(zone) {
+                self.send_to(&frame, &aggregator).await;
             }
         }
     }
@@ -73,9 +76,9 @@
             .iter()
             .filter(|member| member.zone == own.zone && member.host != own.host)
             .collect();
-        for relay in relays(&near, &self.sums.alive(), self.rounds / super::ADDERS) {
+        for relay in relays(&near, &self.sums.alive(), self.rounds / super::AGGREGATORS) {
             let total = Total {
-                adder: sums::hash(own.host.as_str()),
+                aggregator: sums::hash(own.host.as_str()),
                 routers,
                 loads: loads.clone(),
                 others: relay.others,
@@ -101,8 +104,8 @@
             return;
         };
         let hash = sums::hash(member.host.as_str());
-        for adders in self.adders.values_mut() {
-            adders.heard(hash, now);
+        for aggregators in self.aggregators.values_mut() {
+            aggregators.heard(hash, now);
         }
         let loads = self.heard.entry(hash).or_default().take(loads);
         let sum = Sum {
@@ -123,7 +126,10 @@
     pub(super) async fn hear_total(&mut self, total: Total) {
         let now = self.clock.now();
         let zone = self.inputs.own.zone.clone();
-        self.adders.entry(zone).or_default().heard(total.adder, now);
+        self.aggregators
+            .entry(zone)
+            .or_default()
+            .heard(total.aggregator, now);
         self.pass_on(&total).await;
         let loads = self.total_heard.take(total.loads);
         let (most, until) = self.total_routers;
--- a/crates/gateway/src/peers/adders.rs
+++ b/crates/gateway/src/peers/aggregators.rs
@@ -8,7 +8,7 @@
 use crate::source::Member;
 
 /// How many routers of a zone add up, so that one may die.
-pub const ADDERS: usize = 2;
+pub const AGGREGATORS: usize = 2;
 /// How long a router that is told loads may tell no sum: five rounds of 200 ms.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// How long one that told none is passed over.
@@ -38,11 +38,11 @@
 /// loads of its zone would go to a dead router for as long as all others take
 /// to have their turn, which is half a minute with 85.
 #[derive(Clone, Debug, Default)]
-pub struct Adders {
+pub struct Aggregators {
     records: BTreeMap<u32, Record>,
 }
 
-impl Adders {
+impl Aggregators {
     /// The routers of `zone` that add up. Those that are chosen are expected to
     /// tell sums from now on, except `own`.
     pub fn choose<'a>(
@@ -57,7 +57,7 @@
         members.sort_unstable_by_key(|(hash, _)| *hash);
         let mut chosen = Vec::new();
         for (hash, member) in members {
-            if chosen.len() == ADDERS {
+            if chosen.len() == AGGREGATORS {
                 break;
             }
             if member.host == own.host || self.is_sound(hash, now) {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Total {
     /// The hash of the router that added up; others pass it on.
-    pub adder: u32,
+    pub aggregator: u32,
     /// How many routers of the zone told it their loads.
     pub routers: u16,
     /// The sum.
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -11,7 +11,7 @@
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
 use super::{
-    Adders, Digest, Directory, FAN_OUT, FIRST_FAN_OUT, Frame, INTERVAL, Inputs, Outputs,
+    Aggregators, Digest, Directory, FAN_OUT, FIRST_FAN_OUT, Frame, INTERVAL, Inputs, Outputs,
     QUIET_FAN_OUT, Readers, Roll, Sums, Versions, digest, sums, turn,
 };
 use crate::{
@@ -63,7 +63,7 @@
     /// What this router last told to those who add up.
     pub(super) own_loads: Vec<Load>,
     /// Those who add up, by zone.
-    pub(super) adders: BTreeMap<availability::Zone, Adders>,
+    pub(super) aggregators: BTreeMap<availability::Zone, Aggregators>,
     /// What others told of their loads, or of the sum of their zones, by the
     /// hashes of their names.
     pub(super) heard: BTreeMap<u32, Heard>,
@@ -119,7 +119,7 @@
             sums: Sums::default(),
             last: None,
             own_loads: Vec::new(),
-            adders: BTreeMap::new(),
+            aggregators: BTreeMap::new(),
             heard: BTreeMap::new(),
             total_heard: Heard::default(),
             total_routers: (0, Instant::ZERO),
@@ -264,7 +264,7 @@
         for member in self.targets(most) {
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
         }
-        for member in self.own_adders() {
+        for member in self.own_aggregators() {
             self.send_to(&Frame::Loads(report.clone()), &member).await;
         }
     }
@@ -280,14 +280,14 @@
     }
 
     /// Those who add up in the own zone, in a fleet that is large enough for it.
-    fn own_adders(&mut self) -> Vec<Member> {
+    fn own_aggregators(&mut self) -> Vec<Member> {
         if !self.is_large() {
             return Vec::new();
         }
         let own = self.inputs.own.clone();
-        let mut adders = self.adders(&own.zone);
-        adders.retain(|adder| adder.host != own.host);
-        adders
+        let mut aggregators = self.aggregators(&own.zone);
+        aggregators.retain(|aggregator| aggregator.host != own.host);
+        aggregators
     }
 
     pub(super) fn versions(&self) -> Versions {
--- a/crates/gateway/tests/decisions/adding.rs
+++ b/crates/gateway/tests/decisions/aggregation.rs
@@ -5,7 +5,7 @@
 use gateway::{
     evidence::Ends,
     load::{Heard, Load, Report, Teller},
-    peers::{ADDERS, Adders, Frame, Sum, Sums, Total, relays, sums},
+    peers::{AGGREGATORS, Aggregators, Frame, Sum, Sums, Total, relays, sums},
     source::Member,
 };
 use proptest::prelude::*;
@@ -25,9 +25,9 @@
 /// a server with room, and all together fill it.
 #[test]
 fn loads_of_all_zones_add_up() {
-    let mut adder = Sums::default();
+    let mut aggregator = Sums::default();
     for index in 0..28 {
-        adder.told(
+        aggregator.told(
             host(&format!("a{index}")),
             vec![load(1, 1), load(2, 2)],
             START,
@@ -36,7 +36,7 @@
     for zone in [7, 8] {
         let loads = vec![load(1, 28)];
         let routers = 28;
-        adder.heard(
+        aggregator.heard(
             Sum {
                 zone,
                 routers,
@@ -46,9 +46,9 @@
         );
     }
     let own = [load(1, 2)];
-    let sum = adder.zone(6, &own, START);
+    let sum = aggregator.zone(6, &own, START);
     assert_eq!(sum.loads, [load(1, 30), load(2, 56)]);
-    let total = adder.total(&sum, START);
+    let total = aggregator.total(&sum, START);
     assert_eq!(total, [load(1, 86), load(2, 56)]);
     assert_eq!(sums::without(&total, &own), [load(1, 84), load(2, 56)]);
 }
@@ -57,11 +57,11 @@
 /// every router would see only its own requests.
 #[test]
 fn a_sum_over_many_servers_tells_of_the_busiest() {
-    let mut adder = Sums::default();
+    let mut aggregator = Sums::default();
     let own: Vec<_> = (0..3000)
         .map(|server| load(server, (server % 700) as u16))
         .collect();
-    let sum = adder.zone(6, &own, START);
+    let sum = aggregator.zone(6, &own, START);
     let least = sum.loads.iter().map(|load| load.running).min();
     assert!(least >= Some(600), "{least:?}");
     let frame = Frame::Sum {
@@ -71,9 +71,9 @@
     };
     assert!(frame.encode().is_ok());
     let total = Total {
-        adder: u32::MAX,
+        aggregator: u32::MAX,
         routers: u16::MAX,
-        loads: Teller::default().next(&adder.total(&sum, START), START),
+        loads: Teller::default().next(&aggregator.total(&sum, START), START),
         others: vec![u32::MAX; 10],
     };
     assert!(Frame::Total(total).encode().is_ok());
@@ -91,13 +91,13 @@
         },
         ..load(1, 0)
     };
-    let mut adder = Sums::default();
+    let mut aggregator = Sums::default();
     for index in 0..28 {
-        adder.told(host(&format!("a{index}")), vec![seen(16)], START);
+        aggregator.told(host(&format!("a{index}")), vec![seen(16)], START);
     }
     let own = [seen(16)];
-    let sum = adder.zone(6, &own, START);
-    let total = adder.total(&sum, START);
+    let sum = aggregator.zone(6, &own, START);
+    let total = aggregator.total(&sum, START);
     assert_eq!(total, [seen(29 * 16)]);
     assert_eq!(sums::without(&total, &own), [seen(28 * 16)]);
 }
@@ -105,9 +105,9 @@
 /// A router died, or a zone is cut off. What it told last must not count for ever.
 #[test]
 fn old_loads_do_not_count() {
-    let mut adder = Sums::default();
-    adder.told(host("a1"), vec![load(1, 9)], START);
-    adder.heard(
+    let mut aggregator = Sums::default();
+    aggregator.told(host("a1"), vec![load(1, 9)], START);
+    aggregator.heard(
         Sum {
             zone: 7,
             routers: 1,
@@ -116,8 +116,8 @@
         START,
     );
     let later = START + Duration::from_secs(1);
-    let sum = adder.zone(6, &[], later);
-    assert_eq!(adder.total(&sum, later), []);
+    let sum = aggregator.zone(6, &[], later);
+    assert_eq!(aggregator.total(&sum, later), []);
 }
 
 fn ended(server: u32, failed: u16, completed: u16) -> Load {
@@ -184,32 +184,32 @@
 /// A router that adds up dies. The others of its zone go on telling it their
 /// loads, and place by what they see themselves.
 #[test]
-fn a_dead_adder_is_replaced() {
+fn a_dead_aggregator_is_replaced() {
     let members = registered(28);
     let own = &members[0];
-    let mut adders = Adders::default();
+    let mut aggregators = Aggregators::default();
     let mut now = START;
-    let choose = |adders: &mut Adders, now| -> Vec<host::Id> {
-        let chosen = adders.choose(members.iter(), own, now);
+    let choose = |aggregators: &mut Aggregators, now| -> Vec<host::Id> {
+        let chosen = aggregators.choose(members.iter(), own, now);
         chosen.iter().map(|member| member.host.clone()).collect()
     };
-    let first = choose(&mut adders, now);
-    assert_eq!(first.len(), ADDERS);
+    let first = choose(&mut aggregators, now);
+    assert_eq!(first.len(), AGGREGATORS);
     let alive: Vec<_> = first.iter().filter(|host| **host != own.host).collect();
     let (dead, alive) = (alive[0], alive.get(1));
     let mut chosen = first.clone();
     for _ in 0..6 {
         now = now + Duration::from_millis(200);
         if let Some(alive) = alive {
-            adders.heard(sums::hash(alive.as_str()), now);
+            aggregators.heard(sums::hash(alive.as_str()), now);
         }
-        chosen = choose(&mut adders, now);
+        chosen = choose(&mut aggregators, now);
     }
     assert!(!chosen.contains(dead), "after a second it is passed over");
-    assert_eq!(chosen.len(), ADDERS);
+    assert_eq!(chosen.len(), AGGREGATORS);
     let later = now + Duration::from_secs(5);
     assert!(
-        choose(&mut adders, later).contains(dead),
+        choose(&mut aggregators, later).contains(dead),
         "it gets another chance"
     );
 }
@@ -264,16 +264,16 @@
         zone: 6,
         ..sum(1, 1)
     };
-    let mut adder = Sums::default();
-    adder.heard(sum(28, 60), START);
-    adder.heard(sum(3, 5), START);
-    assert_eq!(adder.total(&own, START), [load(1, 61)]);
-    adder.heard(sum(20, 40), START);
-    assert_eq!(adder.total(&own, START), [load(1, 41)]);
+    let mut aggregator = Sums::default();
+    aggregator.heard(sum(28, 60), START);
+    aggregator.heard(sum(3, 5), START);
+    assert_eq!(aggregator.total(&own, START), [load(1, 61)]);
+    aggregator.heard(sum(20, 40), START);
+    assert_eq!(aggregator.total(&own, START), [load(1, 41)]);
     let later = START + Duration::from_secs(1);
-    adder.heard(sum(3, 5), later);
+    aggregator.heard(sum(3, 5), later);
     assert_eq!(
-        adder.total(&own, later),
+        aggregator.total(&own, later),
         [load(1, 6)],
         "nobody else is left"
     );
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -1,6 +1,6 @@
 //! What a router decides, without a network.
 
-mod adding;
+mod aggregation;
 mod budget;
 mod deaths;
 mod events;
