--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -58,7 +58,7 @@
 pub enum Report {
     /// All of them; other servers have neither requests nor ends.
     Whole(Vec<Load>),
-    /// What has changed since the last whole report.
+    /// All requests in flight, and ends that say something new since the last report.
     Change {
         /// Servers with requests in flight, and how many; all others have none.
         ///
--- a/crates/gateway/src/peers/aggregation.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -5,7 +5,7 @@
 use units::{availability, time::Instant};
 use wire::seal::Tag;
 
-use super::{FAN_OUT, Frame, Sum, Total, relays, sums, task::Task};
+use super::{AGGREGATORS, FAN_OUT, Frame, Sum, Total, relays, sums, task::Task};
 use crate::{
     dispatch,
     load::{Load, Report},
@@ -76,7 +76,7 @@
             .iter()
             .filter(|member| member.zone == own.zone && member.host != own.host)
             .collect();
-        for relay in relays(&near, &self.sums.alive(), self.rounds / super::AGGREGATORS) {
+        for relay in relays(&near, &self.sums.alive(), self.rounds / AGGREGATORS) {
             let total = Total {
                 aggregator: sums::hash(own.host.as_str()),
                 routers,
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -55,13 +55,13 @@
     /// A router that the others of its zone take for dead may still add up what
     /// few tell it. Taken for the sum of its zone, it would hide most requests.
     pub fn heard(&mut self, sum: Sum, now: Instant) {
-        let is_partial = |known: &(Sum, Instant)| {
-            let (known, until) = known;
+        let stays = |(known, until): &(Sum, Instant)| {
             now < *until && is_partial(sum.routers, known.routers)
         };
-        if !self.zones.get(&sum.zone).is_some_and(is_partial) {
-            self.zones.insert(sum.zone, (sum, now + CURRENT));
+        if self.zones.get(&sum.zone).is_some_and(stays) {
+            return;
         }
+        self.zones.insert(sum.zone, (sum, now + CURRENT));
     }
 
     /// The routers of the own zone that lately told their loads.
