Show a change that an administration says is made

The configuration is read first and the id of the change second. When an earlier try lands between the two, the answer is 200, made before, while what is held is still older; the list shows no change, and the next one made from it conflicts. Change: before such an answer the table is read again, if what is held is older. Only the administration is touched; the router on the users' platform does not contain it. Test: another administration makes the change just before its id is read. Before: the view stayed at revision 0 after the answer that told of 1, each time.

--- a/crates/admin/src/store.rs
+++ b/crates/admin/src/store.rs
@@ -216,7 +216,10 @@
         };
         let read_by = self.call_deadline(deadline);
         match reader::settled(&self.table, &proposal.id, read_by).await {
-            Ok(Some(revision)) => return Try::Done(Ok(Outcome::Repeated(revision))),
+            Ok(Some(revision)) => {
+                self.catch_up(revision, deadline).await;
+                return Try::Done(Ok(Outcome::Repeated(revision)));
+            }
             Ok(None) => {}
             Err(error) => return unread(&error),
         }
@@ -231,6 +234,26 @@
         self.commit(&version, change, deadline).await
     }
 
+    /// Reads the table again if what is held is older than `revision`.
+    ///
+    /// An earlier try of a change can land after the configuration was read and
+    /// before its id was. The operator is told that the change is made, and
+    /// would not find it in the list; a next change made from that list would
+    /// meet a conflict. The outcome is known whether this read succeeds or not.
+    async fn catch_up(&self, revision: revision::Id, deadline: time::Instant) {
+        if self.view().version.snapshot.revision() >= revision {
+            return;
+        }
+        if let Err(error) = self.refresh(self.call_deadline(deadline)).await {
+            logging::event!(
+                warn,
+                "change_not_shown",
+                revision = revision,
+                reason = error
+            );
+        }
+    }
+
     async fn commit(&self, version: &Version, change: Change, deadline: time::Instant) -> Try {
         let transaction = match transaction(version, &change) {
             Ok(transaction) => transaction,
--- a/crates/admin/tests/race.rs
+++ b/crates/admin/tests/race.rs
@@ -18,9 +18,14 @@
     key,
     proposal::Proposal,
     resource::{Resource, Workspace},
+    rows,
     snapshot::Snapshot,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
+use storage::{
+    Error,
+    table::{Range, Row, Table, Transaction},
+};
 use table::{Fake, Fate, Step};
 use tokio::{runtime, sync::watch, task, time};
 use units::{change, revision};
@@ -224,14 +229,66 @@
     let store = Store::new(table, settings::Store::default());
     let id: change::Id = "unsure".parse().unwrap();
     let proposal = increment(&id, &Snapshot::default());
-    let author = Author {
-        who: "ann".parse().unwrap(),
-        when: 0,
-    };
-    let done = store.submit(&proposal, &author, deadline()).await;
+    let done = store.submit(&proposal, &ann(), deadline()).await;
     assert!(matches!(done, Err(Failure::Unknown(_))), "{done:?}");
     assert!(store.view().pending.contains_key(&id));
     store.refresh(deadline()).await.unwrap();
     assert_eq!(1, store.view().version.snapshot.revision().0);
     assert!(store.view().pending.is_empty());
 }
+
+/// A table on which another administration makes a change just before its id is read.
+#[derive(Debug)]
+struct Overtaken {
+    table: Fake,
+    other: Store<Fake>,
+    proposal: Proposal,
+}
+
+impl Table for Overtaken {
+    async fn read(&self, key: &str, deadline: time::Instant) -> Result<Option<Row>, Error> {
+        if key == rows::id(&self.proposal.id) {
+            let done = self.other.submit(&self.proposal, &ann(), deadline).await;
+            assert!(matches!(done, Ok(Outcome::Accepted(_))), "{done:?}");
+        }
+        self.table.read(key, deadline).await
+    }
+
+    async fn scan(&self, range: &Range, deadline: time::Instant) -> Result<Vec<Row>, Error> {
+        self.table.scan(range, deadline).await
+    }
+
+    async fn transact(
+        &self,
+        transaction: &Transaction,
+        deadline: time::Instant,
+    ) -> Result<Vec<revision::Generation>, Error> {
+        self.table.transact(transaction, deadline).await
+    }
+}
+
+// An operator gives a change up at one administration and repeats it at another,
+// and the first try lands while the second is on its way. The operator is told
+// that the change is made, lists the resources, does not find it, and the next
+// change made from that list meets a conflict.
+#[tokio::test]
+async fn a_change_that_is_told_as_made_is_shown() {
+    let table = Fake::new(Vec::new());
+    let proposal = increment(&"twice".parse().unwrap(), &Snapshot::default());
+    let overtaken = Overtaken {
+        table: table.clone(),
+        other: Store::new(table, settings::Store::default()),
+        proposal: proposal.clone(),
+    };
+    let store = Store::new(overtaken, settings::Store::default());
+    let done = store.submit(&proposal, &ann(), deadline()).await;
+    assert_eq!(done, Ok(Outcome::Repeated(revision::Id(1))));
+    assert_eq!(store.view().version.snapshot.revision(), revision::Id(1));
+}
+
+fn ann() -> Author {
+    Author {
+        who: "ann".parse().expect("name"),
+        when: 0,
+    }
+}
