Tell other routers which prompts servers have read

Cause: where a prompt lies follows from its order of servers only while these stay the same. After servers were replaced or a zone was out, routers that knew only of their own requests sent a prompt to a server that lacks it and named a source that lacks it too, while another server held it.

Ruled out: prompts read anew after all routers were killed (nothing is read again after 41 s), sources that still read (under 25,000 tokens), older prompts.

Change: a router tells what a server has read, at the first byte, with its loads; in large fleets through those who add up.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -158,6 +158,7 @@
         dispatch::News {
             loads: loads.collect(),
             strikes: Vec::new(),
+            reads: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -25,6 +25,7 @@
     metrics::Metrics,
     pause,
     pool::{Fleet, Outcome, Part, Place, Pool, Standing},
+    reads::{self, Reads},
     roster::Roster,
     route::Table,
     settings::{Bounds, Settings},
@@ -58,6 +59,8 @@
     others: Vec<load::Load>,
     others_until: Instant,
     deaths: Deaths,
+    /// What servers have read for requests of this router.
+    reads: Reads,
     pauses: pause::Watch,
 }
 
@@ -91,6 +94,7 @@
             others: Vec::new(),
             others_until: Instant::ZERO,
             deaths: Deaths::default(),
+            reads: Reads::default(),
             pauses: pause::Watch::default(),
         };
         (dispatch, handle, messages)
@@ -153,10 +157,16 @@
             }
             Message::Bounds(bounds) => self.set_bounds(bounds),
             Message::Strikes(strikes) => self.deaths.learn(&strikes, now),
+            Message::Reads(reads) => {
+                for line in self.lines.values_mut() {
+                    line.pool_mut().hear_reads(&reads, now);
+                }
+            }
             Message::News(reply) => {
                 let news = News {
                     loads: self.loads(),
                     strikes: self.deaths.tell(now),
+                    reads: self.reads.news(now),
                 };
                 drop(reply.send(news));
             }
@@ -276,6 +286,11 @@
         };
         server.read(ticket.unread);
         if server.born() == ticket.born {
+            if let Some(part) = reads::shared(&ticket.parts)
+                && !server.has_read(part, now)
+            {
+                self.reads.note(server.hash(), part, now);
+            }
             server.remember(&ticket.parts, now);
             server.sample(now.since(ticket.sent_at), expected(ticket), now);
         }
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -10,6 +10,7 @@
     evidence::Ends,
     line, load,
     pool::{Demand, Outcome, Parts},
+    reads,
     roster::Roster,
     route::Table,
     settings::Bounds,
@@ -71,6 +72,8 @@
     pub loads: Vec<Load>,
     /// Requests that servers lately died of.
     pub strikes: Vec<recovery::Strike>,
+    /// Prompts that servers have read just now.
+    pub reads: Vec<reads::Read>,
 }
 
 /// What the task is told.
@@ -98,6 +101,8 @@
     Bounds(Bounds),
     /// Requests that another router saw servers die of.
     Strikes(Vec<recovery::Strike>),
+    /// Prompts that servers have read, as another router saw it.
+    Reads(Vec<reads::Read>),
     /// Asks for what other routers are told.
     News(oneshot::Sender<News>),
     /// Asks for what is believed of the servers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod pool;
 pub mod protocol;
 pub mod readiness;
+pub mod reads;
 pub mod refusal;
 pub mod relay;
 pub mod roster;
--- a/crates/gateway/src/peers/aggregation.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -59,6 +59,7 @@
             zone: sum.zone,
             routers: sum.routers,
             loads: self.sum_teller.next(&sum.loads, now),
+            reads: self.zone_reads.news(now),
         };
         let own_zone = self.inputs.own.zone.clone();
         for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
@@ -70,6 +71,7 @@
 
     async fn send_total(&mut self, routers: u16, total: &[Load], now: Instant) {
         let loads = self.total_teller.next(total, now);
+        let reads = self.fleet_reads.news(now);
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = self.inputs.own.clone();
         let near: Vec<&Member> = members
@@ -81,6 +83,7 @@
                 aggregator: sums::hash(own.host.as_str()),
                 routers,
                 loads: loads.clone(),
+                reads: reads.clone(),
                 others: relay.others,
             };
             self.send_to(&Frame::Total(total), relay.member).await;
@@ -131,6 +134,7 @@
             .or_default()
             .heard(total.aggregator, now);
         self.pass_on(&total).await;
+        self.hear_reads(total.reads);
         let loads = self.total_heard.take(total.loads);
         let (most, until) = self.total_routers;
         if now < until && sums::is_partial(total.routers, most) {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -7,6 +7,7 @@
 use crate::{
     dispatch,
     load::{self, Load, Report},
+    reads::Read,
 };
 
 /// The longest payload, in bytes: with its seal it fits one packet on usual links.
@@ -51,6 +52,8 @@
     pub loads: Option<Report>,
     /// Requests that servers lately died of.
     pub strikes: Vec<recovery::Strike>,
+    /// Prompts that servers have read just now.
+    pub reads: Vec<Read>,
 }
 
 /// What one datagram holds.
@@ -59,7 +62,12 @@
     /// What one router tells.
     Digest(Digest),
     /// The loads of the sender, for those who add up in its zone.
-    Loads(Report),
+    Loads {
+        /// Its loads.
+        loads: Report,
+        /// Prompts that servers have read for it just now.
+        reads: Vec<Read>,
+    },
     /// The loads of the sender's zone, for those who add up in other zones.
     Sum {
         /// The hash of the zone's name.
@@ -68,6 +76,8 @@
         routers: u16,
         /// Their sum.
         loads: Report,
+        /// Prompts that servers have read for them just now.
+        reads: Vec<Read>,
     },
     /// The loads of the whole fleet, for the routers of a zone.
     Total(Total),
@@ -82,6 +92,8 @@
     pub routers: u16,
     /// The sum.
     pub loads: Report,
+    /// Prompts that servers have read just now, anywhere in the fleet.
+    pub reads: Vec<Read>,
     /// The hashes of the routers that the receiver passes it on to.
     pub others: Vec<u32>,
 }
@@ -106,13 +118,15 @@
             watchers,
             loads: None,
             strikes,
+            reads: Vec::new(),
         }
     }
 
-    /// The same with loads.
-    pub fn with_loads(self, loads: Report) -> Self {
+    /// The same with loads and with what servers have read.
+    pub fn with_loads(self, loads: Report, reads: Vec<Read>) -> Self {
         Self {
             loads: Some(loads),
+            reads,
             ..self
         }
     }
@@ -129,6 +143,19 @@
 }
 
 impl Frame {
+    /// The same without what servers have read, which is the first to give way
+    /// where a datagram is too small for all.
+    pub fn without_reads(self) -> Self {
+        let mut frame = self;
+        match &mut frame {
+            Self::Digest(Digest { reads, .. })
+            | Self::Loads { reads, .. }
+            | Self::Sum { reads, .. }
+            | Self::Total(Total { reads, .. }) => reads.clear(),
+        }
+        frame
+    }
+
     /// Encodes the frame.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -20,6 +20,7 @@
     follow::Event,
     load::{Heard, Load, Teller},
     mirror::Mirror,
+    reads::{Read, Reads},
     source::{Member, Source, Topic},
 };
 
@@ -74,6 +75,10 @@
     teller: Teller,
     pub(super) sum_teller: Teller,
     pub(super) total_teller: Teller,
+    /// What servers have read for the own zone's routers, if this one adds up.
+    pub(super) zone_reads: Reads,
+    /// What they have read for all routers.
+    pub(super) fleet_reads: Reads,
     readers: Readers,
     socket: UdpSocket,
     pub(super) inputs: Inputs,
@@ -126,6 +131,8 @@
             teller: Teller::default(),
             sum_teller: Teller::default(),
             total_teller: Teller::default(),
+            zone_reads: Reads::default(),
+            fleet_reads: Reads::default(),
             readers: Readers::new(&inputs.own.host, boot.0),
             socket,
             inputs,
@@ -193,7 +200,9 @@
     }
 
     pub(super) async fn send_to(&mut self, frame: &Frame, member: &Member) {
-        let Ok(payload) = frame.encode() else {
+        let payload = frame.encode();
+        let payload = payload.or_else(|_| frame.clone().without_reads().encode());
+        let Ok(payload) = payload else {
             logging::event!(warn, "digest_too_long", peer = member.host);
             return;
         };
@@ -259,13 +268,21 @@
         let digest = if self.is_large() {
             digest
         } else {
-            digest.with_loads(report.clone())
+            digest.with_loads(report.clone(), news.reads.clone())
         };
         for member in self.targets(most) {
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
         }
+        if !self.is_large() {
+            return;
+        }
+        self.note_reads(&news.reads, now);
+        let frame = Frame::Loads {
+            loads: report,
+            reads: news.reads,
+        };
         for member in self.own_aggregators() {
-            self.send_to(&Frame::Loads(report.clone()), &member).await;
+            self.send_to(&frame, &member).await;
         }
     }
 
@@ -279,11 +296,8 @@
         targets.into_iter().cloned().collect()
     }
 
-    /// Those who add up in the own zone, in a fleet that is large enough for it.
+    /// The others who add up in the own zone.
     fn own_aggregators(&mut self) -> Vec<Member> {
-        if !self.is_large() {
-            return Vec::new();
-        }
         let own = self.inputs.own.clone();
         let mut aggregators = self.aggregators(&own.zone);
         aggregators.retain(|aggregator| aggregator.host != own.host);
@@ -333,17 +347,22 @@
                     self.send(FAN_OUT).await;
                 }
             }
-            Ok(Frame::Loads(report)) => {
+            Ok(Frame::Loads { loads, reads }) => {
                 let tag = opened.tag;
-                self.hear_loads(tag, report);
+                self.hear_loads(tag, loads);
+                self.note_reads(&reads, now);
+                self.hear_reads(reads);
             }
             Ok(Frame::Sum {
                 zone,
                 routers,
                 loads,
+                reads,
             }) => {
                 let tag = opened.tag;
                 self.hear_sum(tag, zone, routers, loads);
+                self.fleet_reads.pass_on(&reads, now);
+                self.hear_reads(reads);
             }
             Ok(Frame::Total(total)) => self.hear_total(total).await,
             Err(_) => logging::event!(debug, "digest_malformed"),
@@ -368,6 +387,18 @@
         }
     }
 
+    /// Keeps what a router of the own zone told of reads, to pass it on.
+    fn note_reads(&mut self, reads: &[Read], now: Instant) {
+        self.zone_reads.pass_on(reads, now);
+        self.fleet_reads.pass_on(reads, now);
+    }
+
+    pub(super) fn hear_reads(&self, reads: Vec<Read>) {
+        if !reads.is_empty() {
+            self.tell(dispatch::Message::Reads(reads));
+        }
+    }
+
     /// How long a router may stay unheard: until all have had their turn twice.
     fn patience(&self) -> Duration {
         let others = self.inputs.members.borrow().len();
@@ -402,6 +433,7 @@
         if !digest.strikes.is_empty() {
             self.tell(dispatch::Message::Strikes(digest.strikes));
         }
+        self.hear_reads(digest.reads);
         let Some(report) = digest.loads else {
             self.tell(dispatch::Message::Peer(digest.host, Vec::new()));
             return has_news;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,7 +12,7 @@
 
 pub use server::{Outcome, Server};
 
-use crate::{evidence::Ends, fence, roster, route, settings::Bounds};
+use crate::{evidence::Ends, fence, reads::Read, roster, route, settings::Bounds};
 
 /// One part of a prompt; parts that requests share have the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -367,6 +367,16 @@
         }
     }
 
+    /// Takes in prompts that servers have read for other routers.
+    pub fn hear_reads(&mut self, reads: &[Read], now: Instant) {
+        for server in self.servers.values_mut() {
+            let hash = server.hash();
+            for read in reads.iter().filter(|read| read.server == hash) {
+                server.heard(*read, now);
+            }
+        }
+    }
+
     /// Sets how requests of other routers lately ended at each server.
     pub fn set_ends_elsewhere(&mut self, ends: impl Fn(&backend::Server) -> Ends) {
         for server in self.servers.values_mut() {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -3,13 +3,14 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use placement::Warmth;
-use units::{availability, backend, cost::Cost, time::Instant};
+use units::{availability, backend, chat, cost::Cost, time::Instant};
 
 use super::Part;
 use crate::{
     evidence::{Ends, Tally},
     fence::{Fence, Share},
     load::Load,
+    reads::{self, Read},
     roster,
 };
 
@@ -74,6 +75,8 @@
     elsewhere: u32,
     pending: Cost,
     warmth: Warmth,
+    /// What it has read for other routers, by the hashes of the parts.
+    told: Warmth,
     fence: Fence,
     refusals: u32,
     away_until: Instant,
@@ -100,7 +103,8 @@
             running: 0,
             elsewhere: 0,
             pending: Cost(0),
-            warmth: Warmth::new(settings),
+            warmth: Warmth::new(settings.clone()),
+            told: Warmth::new(settings),
             fence: Fence::default(),
             refusals: 0,
             away_until: Instant::ZERO,
@@ -241,10 +245,8 @@
     ///
     /// A part that is cached saves its reading only if all parts before it are cached too.
     pub fn unread(&self, parts: &[Part], now: Instant) -> u64 {
-        let cached = parts
-            .iter()
-            .take_while(|part| self.warmth.cached(part.key, now).is_some())
-            .count();
+        let last = parts.iter().rposition(|part| self.has_read(part, now));
+        let cached = last.map_or(0, |last| last + 1);
         parts[cached..]
             .iter()
             .map(|part| u64::from(part.tokens))
@@ -282,6 +284,18 @@
         self.lag_at = now;
     }
 
+    /// Whether it is known to have read a part, for any router.
+    pub fn has_read(&self, part: &Part, now: Instant) -> bool {
+        let hash = chat::Key(u64::from(reads::hash(part.key)));
+        self.warmth.cached(part.key, now).is_some() || self.told.cached(hash, now).is_some()
+    }
+
+    /// It has read a part for another router.
+    pub fn heard(&mut self, read: Read, now: Instant) {
+        let hash = chat::Key(u64::from(read.part));
+        self.told.served(hash, read.tokens, now);
+    }
+
     /// The parts of a prompt that it has read by now.
     pub fn remember(&mut self, parts: &[Part], now: Instant) {
         for part in parts {
--- a/crates/gateway/tests/decisions/aggregation.rs
+++ b/crates/gateway/tests/decisions/aggregation.rs
@@ -68,12 +68,14 @@
         zone: sum.zone,
         routers: sum.routers,
         loads: Teller::default().next(&sum.loads, START),
+        reads: Vec::new(),
     };
     assert!(frame.encode().is_ok());
     let total = Total {
         aggregator: u32::MAX,
         routers: u16::MAX,
         loads: Teller::default().next(&aggregator.total(&sum, START), START),
+        reads: Vec::new(),
         others: vec![u32::MAX; 10],
     };
     assert!(Frame::Total(total).encode().is_ok());
@@ -173,8 +175,11 @@
         let mut heard = Heard::default();
         heard.take(teller.next(&[], START));
         let report = teller.next(&loads, START);
-        let frame = Frame::Loads(report);
-        let Ok(Frame::Loads(report)) = Frame::decode(&frame.encode().expect("it fits")) else {
+        let frame = Frame::Loads {
+            loads: report,
+            reads: Vec::new(),
+        };
+        let Ok(Frame::Loads { loads: report, .. }) = Frame::decode(&frame.encode().expect("it fits")) else {
             panic!("another frame");
         };
         prop_assert_eq!(heard.take(report), loads);
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod peers;
 mod placing;
+mod reads;
 mod roster;
 mod route;
 mod spread;
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -333,7 +333,7 @@
         Vec::new(),
     );
     let report = Teller::default().next(&digest_loads(&loads), START);
-    let frame = Frame::Digest(digest.with_loads(report));
+    let frame = Frame::Digest(digest.with_loads(report, Vec::new()));
     let bytes = frame.encode().expect("it fits");
     assert_eq!(Frame::decode(&bytes), Ok(frame));
 }
