Give connections up by what they take here

Cause: a connection to a server of a zone that was cut off in silence was given up after 300 ms, so that the request was late for an aim of 100 ms at any server.

Ruled out: servers that are slow to answer (their first bytes came within 60 ms in those seconds).

Change: each zone's connections are measured, and the limit is the mean and four deviations, at least 50 ms, at most 300 ms, doubled while connections are given up one after the other.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One request at one backend server.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,13 +17,6 @@
     protocol::{Judgement, Protocol},
 };
 
-/// How long a connection attempt may take.
-///
-/// The longest way there and back is a few milliseconds. A first packet that
-/// was lost is sent again only after a second, when another server would have
-/// answered long since.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
-
 /// The head of a server's answer, and what is needed to follow it to its end.
 #[derive(Debug)]
 pub struct Answer {
@@ -61,14 +54,15 @@
 /// has been sent already, and nobody could say whether it has run.
 pub async fn run<P: Protocol>(
     protocol: &P,
-    permit: Permit,
+    mut permit: Permit,
     request: Request<Full<Bytes>>,
     id: &str,
     clock: Clock,
     deadline: Instant,
 ) -> End {
-    let limit = CONNECT_LIMIT.min(clock.remaining(deadline));
-    let opened = Connection::within(permit.place().address, Arc::<Traffic>::default(), limit).await;
+    let place = permit.place();
+    let limit = clock.remaining(deadline.min(place.connect_by));
+    let opened = Connection::within(place.address, Arc::<Traffic>::default(), limit).await;
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
@@ -76,8 +70,10 @@
             return End::Unsent(error.to_string());
         }
     };
+    let now = clock.now();
+    permit.connected(now);
     // After a pause of the process the time may be long over.
-    if clock.now() >= deadline {
+    if now >= deadline {
         return End::Unsent(String::from("the time was up before it was sent"));
     }
     let sent = time::timeout_at(clock.at(deadline), connection.send(request)).await;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -238,6 +238,8 @@
             workspace: order.workspace,
             fingerprint: order.fingerprint,
             sent_at: now,
+            connected_at: None,
+            connect_by: place.connect_by,
             is_read: false,
         };
         Permit::new(ticket, place, self.handle.clone())
@@ -281,6 +283,10 @@
             return;
         };
         line.pool_mut().answered(&ticket.server);
+        if let Some(at) = ticket.connected_at {
+            let time = at.since(ticket.sent_at);
+            line.pool_mut().connected(&ticket.server, time);
+        }
         let Some(server) = line.pool_mut().server_mut(&ticket.server) else {
             return;
         };
@@ -310,6 +316,10 @@
                 server.sample(now.since(ticket.sent_at), expected(ticket), now);
             }
         }
+        if outcome == Outcome::Unreachable && now >= ticket.connect_by {
+            line.pool_mut()
+                .timed_out(&ticket.server, ticket.sent_at, now);
+        }
         let standing = line.ended(&ticket.server, &ticket.workspace, outcome, now);
         if let Some(standing) = standing {
             self.metrics.stands(standing);
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -128,6 +128,10 @@
     pub fingerprint: request::Fingerprint,
     /// When it was sent.
     pub sent_at: Instant,
+    /// When the connection to the server came about, once it did.
+    pub connected_at: Option<Instant>,
+    /// When it has to have come about.
+    pub connect_by: Instant,
     /// Whether its first byte has come.
     pub is_read: bool,
 }
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -1,6 +1,7 @@
 //! The right to have one request at one backend server.
 
 use tokio::sync::mpsc;
+use units::time::Instant;
 
 use super::{Message, Ticket};
 use crate::pool::{Outcome, Place};
@@ -28,6 +29,13 @@
         &self.place
     }
 
+    /// The connection to the server came about.
+    pub fn connected(&mut self, now: Instant) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.connected_at = Some(now);
+        }
+    }
+
     /// The first byte of the answer has come.
     pub fn first_byte(&mut self) {
         let Some(ticket) = &mut self.ticket else {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Which backend server of one service takes a request.
 
+pub mod connect;
 mod cost;
 mod server;
 mod zone;
@@ -70,6 +71,8 @@
     pub load: u32,
     /// The most requests that the server may hold now.
     pub bound: f64,
+    /// When a connection to it has to have come about.
+    pub connect_by: Instant,
 }
 
 /// What is believed of a server.
@@ -194,6 +197,7 @@
         server.admit(unread, share, now);
         self.ways.chosen(server.zone(), now);
         Ok(Place {
+            connect_by: now + self.ways.connect_limit(server.zone()),
             address: server.address(),
             born: server.born(),
             server: choice,
@@ -422,6 +426,20 @@
         self.servers.get_mut(name)
     }
 
+    /// A connection to `server` came about.
+    pub fn connected(&mut self, name: &backend::Server, time: Duration) {
+        if let Some(server) = self.servers.get(name) {
+            self.ways.connected(server.zone(), time);
+        }
+    }
+
+    /// A connection to `server` was given up at its limit.
+    pub fn timed_out(&mut self, name: &backend::Server, begun_at: Instant, now: Instant) {
+        if let Some(server) = self.servers.get(name) {
+            self.ways.timed_out(server.zone(), begun_at, now);
+        }
+    }
+
     /// The answer of `server` has begun.
     pub fn answered(&mut self, name: &backend::Server) {
         if let Some(server) = self.servers.get(name) {
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -4,7 +4,7 @@
 
 use units::{availability, time::Instant};
 
-use super::{Outcome, Server};
+use super::{Outcome, Server, connect::Times};
 
 /// How many servers of a zone have to be out of reach, one after the other, until
 /// the zone is. With fewer, two of them that died would do.
@@ -13,8 +13,8 @@
 const AWAY: Duration = Duration::from_millis(800);
 /// The longest such time: about as long as a single server's.
 const MAX_AWAY: Duration = Duration::from_millis(3200);
-/// How long one request may take to find out whether it can be reached again: a
-/// connection that hangs is given up after 300 ms.
+/// How long one request may take to find out whether it can be reached again:
+/// longer than any connection attempt.
 const PROBE: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,12 +29,13 @@
 
 /// What this router has seen of the ways to other zones.
 ///
-/// When a zone is cut off in silence, each connection to one of its servers takes
-/// a third of a second to fail. Learned server by server, nearly every request
-/// would wait that long, since there are more servers than requests in a second.
+/// When a zone is cut off in silence, connections to its servers hang until they
+/// are given up. Learned server by server, nearly every request would wait that
+/// long, since there are more servers than requests in a second.
 #[derive(Clone, Debug, Default)]
 pub struct Ways {
     records: BTreeMap<availability::Zone, Record>,
+    times: BTreeMap<availability::Zone, Times>,
 }
 
 impl Ways {
@@ -52,6 +53,23 @@
         }
     }
 
+    /// A connection to a server of the zone came about.
+    pub fn connected(&mut self, zone: &availability::Zone, time: Duration) {
+        self.times.entry(zone.clone()).or_default().took(time);
+    }
+
+    /// A connection to a server of the zone was given up at its limit.
+    pub fn timed_out(&mut self, zone: &availability::Zone, begun_at: Instant, now: Instant) {
+        let times = self.times.entry(zone.clone()).or_default();
+        times.timed_out(begun_at, now);
+    }
+
+    /// How long a connection to a server of the zone may take.
+    pub fn connect_limit(&self, zone: &availability::Zone) -> Duration {
+        let times = self.times.get(zone).copied();
+        times.unwrap_or_default().limit()
+    }
+
     /// A server has answered.
     pub fn answered(&mut self, server: &Server) {
         let (zone, name) = (server.zone(), server.name());
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod aggregation;
 mod budget;
+mod connect;
 mod deaths;
 mod events;
 mod evidence;
