Count failures whose answers have no body

Cause: an answer without a body was never polled, so that its end was not seen: its place was given back as cancelled, the server's failure was not counted, and the request had no line in the log.

Ruled out: failures with a body, and failed attempts that another server makes good (both counted).

Change: an answer that is whole before its first byte is finished at once.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,7 @@
     let is_events = exchange.plan().route.kind == Kind::Resumable
         && answer.head.status.is_success()
         && !answer.head.headers.contains_key(header::CONTENT_LENGTH);
-    let relay = Relay {
+    let mut relay = Relay {
         status: answer.head.status.as_u16(),
         is_failure: answer.is_failure,
         body: Some(answer.body),
@@ -98,6 +98,7 @@
         exchange,
         _busy: busy,
     };
+    relay.finish_if_whole();
     stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
         Some((item, relay))
@@ -183,7 +184,8 @@
         (!whole.is_empty()).then_some(whole)
     }
 
-    /// Ends with the last byte of an answer whose length is known.
+    /// Ends with the last byte of an answer whose length is known, or before any
+    /// byte where there is none.
     ///
     /// The HTTP library asks for nothing after it, so the end would never be
     /// seen: the place would count as cancelled and the request would have no
