Show where requests were lost

weirctl losses reads the log lines of any number of routers: requests lost by cause, route, zone, workspace, server and router, times to the first and last byte, the worst seconds with what was logged around them; as text, JSON or a picture. One line at a time, in bounded memory; lines that cannot be read are counted.

Lines that it lacked: workspace and zone of a request; a last line for requests whose callers left (request_abandoned, request_done with ending=caller left); a code of its own for servers that are starting (cold).

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -216,6 +216,18 @@
     /// Print the hash of a token or caller key that is read from standard input
     #[bpaf(command)]
     Hash,
+    /// Show where requests were lost, by the log lines of routers
+    #[bpaf(command)]
+    Losses {
+        /// Print JSON
+        json: bool,
+        /// Draw first bytes and losses over time into a file
+        #[bpaf(argument("FILE.svg"), optional)]
+        plot: Option<String>,
+        /// Files of log lines, `-` for standard input
+        #[bpaf(positional("FILE"), fallback(vec![String::from("-")]))]
+        files: Vec<String>,
+    },
 }
 
 fn output() -> impl Parser<Output> {
--- /dev/null
+++ b/crates/ctl/src/local.rs
@@ -0,0 +1,53 @@
+//! Commands that ask no process.
+
+use std::{fs, io, path};
+
+use losses::{plot, render, report::Report};
+
+use crate::{
+    command::Command,
+    exit::{Code, Error},
+    output::say,
+};
+
+/// Carries out a command that asks no process.
+///
+/// # Errors
+///
+/// [`Code::Faulty`] when a file cannot be read or written.
+pub fn run(command: Command) -> Result<Code, Error> {
+    match command {
+        Command::Losses { json, plot, files } => losses(&files, json, plot.as_deref()),
+        _ => Err(faulty("this command asks a process")),
+    }
+}
+
+fn losses(files: &[String], json: bool, plot: Option<&str>) -> Result<Code, Error> {
+    let mut report = Report::default();
+    for file in files {
+        read(&mut report, file).map_err(|error| faulty(&format!("{file}: {error}")))?;
+    }
+    if let Some(plot) = plot {
+        let picture = plot::svg(&report).map_err(|error| faulty(&error))?;
+        fs::write(plot, picture).map_err(|error| faulty(&format!("{plot}: {error}")))?;
+    }
+    if json {
+        say!("{:#}", render::json(&report));
+    } else {
+        say!("{}", render::text(&report).trim_end());
+    }
+    Ok(Code::Done)
+}
+
+fn read(report: &mut Report, file: &str) -> io::Result<()> {
+    if file == "-" {
+        return report.add(io::stdin().lock(), "standard input");
+    }
+    let name = path::Path::new(file).file_stem();
+    let name = name.map_or_else(|| file.into(), |name| name.to_string_lossy());
+    report.add(io::BufReader::new(fs::File::open(file)?), &name)
+}
+
+fn faulty(message: &str) -> Error {
+    Error::new(Code::Faulty, String::from(message))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,7 +7,7 @@
     command::{self, Command},
     exit,
     exit::Error,
-    run,
+    local, run,
 };
 
 const ABOUT: &str = "Declares the resources of a fleet of routers and shows their state. \
@@ -26,13 +26,18 @@
 async fn main() -> process::ExitCode {
     let (client, command) = settings::load(ABOUT, command::parser(), |given, faults| {
         let address = match given.command {
+            Command::Losses { .. } => return Some((None, given.command)),
             Command::Router { address } => address,
             _ => faults.required(&given.admin, settings::ADDRESS)?,
         };
         let token = given.token.as_str().map(String::from);
-        Some((Client::new(address, token), given.command))
+        Some((Some(Client::new(address, token)), given.command))
     });
-    match run::run(&client, command).await {
+    let result = match client {
+        Some(client) => run::run(&client, command).await,
+        None => local::run(command),
+    };
+    match result {
         Ok(code) => leave(code),
         Err(error) => fail(&error),
     }
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -14,7 +14,7 @@
     client::Client,
     command::{Command, Output},
     exit::{Code, Error},
-    input,
+    input, local,
     output::say,
     render, watch,
 };
@@ -97,6 +97,7 @@
             say!("{}", input::hash()?);
             Ok(Code::Done)
         }
+        Command::Losses { .. } => local::run(command),
     }
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -59,6 +59,8 @@
 pub struct Place {
     /// The server.
     pub server: backend::Server,
+    /// Its availability zone.
+    pub zone: availability::Zone,
     /// Where it listens.
     pub address: SocketAddr,
     /// The start of the server that the request is meant for.
@@ -198,6 +200,7 @@
         self.ways.chosen(server.zone(), now);
         Ok(Place {
             connect_by: now + self.ways.connect_limit(server.zone()),
+            zone: server.zone().clone(),
             address: server.address(),
             born: server.born(),
             server: choice,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -235,7 +235,9 @@
         self.permit = answer.permit;
         true
     }
+}
 
+impl<P> Relay<P> {
     fn finish(&mut self, outcome: Outcome, ending: &str) {
         self.is_over = true;
         let context = self.exchange.context();
@@ -249,7 +251,9 @@
             request = plan.head.id,
             route = plan.route.name,
             pool = plan.pool,
+            workspace = self.exchange.workspace(),
             server = place.map_or("none", |place| place.server.as_str()),
+            zone = place.map_or("none", |place| place.zone.as_str()),
             load = place.map_or(0, |place| place.load),
             bound = format!("{:.1}", place.map_or(0.0, |place| place.bound)),
             unread = place.map_or(Cost(0), |place| place.unread),
@@ -274,3 +278,15 @@
         }
     }
 }
+
+impl<P> Drop for Relay<P> {
+    /// The caller left in the middle of the answer.
+    ///
+    /// Nobody asks for the rest then. Without this the request would have no line
+    /// in the log, and nobody could tell a caller that left from a lost one.
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.finish(Outcome::Cancelled, "caller left");
+        }
+    }
+}
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -87,6 +87,16 @@
     unreachable: u32,
     /// A server's failure, to be passed on if no other server answers.
     failure: Option<Box<Answer>>,
+    stage: Stage,
+}
+
+/// What the caller has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing.
+    Asking,
+    /// An answer has begun, or it is refused.
+    Answered,
 }
 
 /// What follows an attempt.
@@ -96,7 +106,7 @@
     Refuse(Refusal),
 }
 
-impl<P: Protocol> Exchange<P> {
+impl<P> Exchange<P> {
     /// A request that no server has had.
     pub fn new(context: Arc<Context<P>>, plan: Plan) -> Self {
         Self {
@@ -106,6 +116,7 @@
             sends: 0,
             unreachable: 0,
             failure: None,
+            stage: Stage::Asking,
         }
     }
 
@@ -124,6 +135,34 @@
         self.sends
     }
 
+    /// Who is charged for it.
+    pub fn workspace(&self) -> workspace::Id {
+        match &self.plan.tenancy {
+            Some(holder) => holder.workspace.clone(),
+            None => self.context.anonymous.clone(),
+        }
+    }
+
+    /// Logs that the caller left before an answer began.
+    fn log_abandoned(&self) {
+        let now = self.context.clock.now();
+        let waited = now.since(self.plan.arrived);
+        logging::event!(
+            info,
+            "request_abandoned",
+            request = self.plan.head.id,
+            route = self.plan.route.name,
+            pool = self.plan.pool,
+            workspace = self.workspace(),
+            sends = self.sends,
+            unreachable = self.unreachable,
+            waited_ms = waited.as_millis(),
+            config = self.plan.version
+        );
+    }
+}
+
+impl<P: Protocol> Exchange<P> {
     /// Whether one more server may have the request if one may have run it.
     pub fn may_repeat(&self) -> bool {
         self.plan.route.kind.is_idempotent() && self.sends < self.plan.route.max_attempts
@@ -136,6 +175,12 @@
     /// The refusal for the caller. It says that the request has not run only if
     /// no server may have run it.
     pub async fn answer(&mut self, last_event: Option<&str>) -> Result<Box<Answer>, Refusal> {
+        let result = self.seek(last_event).await;
+        self.stage = Stage::Answered;
+        result
+    }
+
+    async fn seek(&mut self, last_event: Option<&str>) -> Result<Box<Answer>, Refusal> {
         loop {
             let permit = match self.acquire().await {
                 Ok(permit) => permit,
@@ -229,13 +274,6 @@
         }
     }
 
-    fn workspace(&self) -> workspace::Id {
-        match &self.plan.tenancy {
-            Some(holder) => holder.workspace.clone(),
-            None => self.context.anonymous.clone(),
-        }
-    }
-
     /// Until when the request may wait for a place.
     ///
     /// Later than some times its target the answer is worth little, and a
@@ -262,7 +300,7 @@
                 let (code, message) = match refusal.denial {
                     Denial::Empty => (Code::NoServer, "No server takes the request."),
                     Denial::Full => (Code::Busy, "All servers are at their limit."),
-                    Denial::Cold(_) => (Code::Busy, "All servers with room are starting."),
+                    Denial::Cold(_) => (Code::Cold, "All servers with room are starting."),
                 };
                 self.refusal(code, message).retry_at(refusal.retry_at)
             }
@@ -364,7 +402,9 @@
             request = self.plan.head.id,
             route = self.plan.route.name,
             pool = self.plan.pool,
+            workspace = self.workspace(),
             server = place.server,
+            zone = place.zone,
             load = place.load,
             bound = format!("{:.1}", place.bound),
             outcome = outcome,
@@ -385,6 +425,7 @@
             request = self.plan.head.id,
             route = self.plan.route.name,
             pool = self.plan.pool,
+            workspace = self.workspace(),
             code = refusal.code,
             verdict = refusal.verdict,
             sends = self.sends,
@@ -396,3 +437,15 @@
         );
     }
 }
+
+impl<P> Drop for Exchange<P> {
+    /// The caller left before an answer began.
+    ///
+    /// All that the router did for the request is dropped with it. Without this
+    /// the request would have no line in the log.
+    fn drop(&mut self) {
+        if self.stage == Stage::Asking {
+            self.log_abandoned();
+        }
+    }
+}
--- /dev/null
+++ b/crates/losses/src/cause.rs
@@ -0,0 +1,139 @@
+//! Why a request was lost.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::line::Line;
+
+/// Why a caller did not get a server's success.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// No server of the service is known, or all were tried.
+    NoServer,
+    /// No connection to a server came about.
+    Unreachable,
+    /// All servers were at their limit.
+    Full,
+    /// The servers with room were starting.
+    Cold,
+    /// The repeats of the service were used up.
+    Budget,
+    /// The time was up before the request was sent.
+    Deadline,
+    /// The server failed the request.
+    ServerFailed,
+    /// The server broke off.
+    ServerBroke,
+    /// The server did not answer, or its answer stopped, until the time was up.
+    ServerSilent,
+    /// Servers died while they ran the request.
+    Suspect,
+    /// The router was starting or ending.
+    Router,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl Cause {
+    /// All causes.
+    pub const ALL: [Self; 12] = [
+        Self::NoServer,
+        Self::Unreachable,
+        Self::Full,
+        Self::Cold,
+        Self::Budget,
+        Self::Deadline,
+        Self::ServerFailed,
+        Self::ServerBroke,
+        Self::ServerSilent,
+        Self::Suspect,
+        Self::Router,
+        Self::CallerLeft,
+    ];
+
+    /// Its name in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::Unreachable => "unreachable",
+            Self::Full => "full",
+            Self::Cold => "cold",
+            Self::Budget => "budget",
+            Self::Deadline => "deadline",
+            Self::ServerFailed => "server_failed",
+            Self::ServerBroke => "server_broke",
+            Self::ServerSilent => "server_silent",
+            Self::Suspect => "suspect",
+            Self::Router => "router",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It got a server's answer to its end.
+    Served,
+    /// It was not allowed or could not be read, so that no server was asked.
+    Rejected,
+    /// It got no such answer.
+    Lost(Cause),
+}
+
+/// What a line says of a request, if it is the last one about it.
+pub fn fate(line: &Line<'_>) -> Option<Fate> {
+    match line.event.as_ref() {
+        "request_done" => Some(done(line)),
+        "request_refused" => Some(Fate::Lost(refused(line))),
+        "request_rejected" => Some(rejected(line)),
+        "request_abandoned" => Some(Fate::Lost(Cause::CallerLeft)),
+        _ => None,
+    }
+}
+
+fn done(line: &Line<'_>) -> Fate {
+    let has_failed = line.number("status").is_some_and(|status| status >= 500);
+    match line.get("ending") {
+        Some("complete") if has_failed => Fate::Lost(Cause::ServerFailed),
+        Some("complete") => Fate::Served,
+        Some("caller left") => Fate::Lost(Cause::CallerLeft),
+        Some("late" | "silent") => Fate::Lost(Cause::ServerSilent),
+        _ => Fate::Lost(Cause::ServerBroke),
+    }
+}
+
+fn refused(line: &Line<'_>) -> Cause {
+    let may_have_run = line.get("verdict") == Some("may_have_run");
+    let was_unreachable = line.number("unreachable").is_some_and(|count| count > 0);
+    match line.get("code") {
+        Some("no_server") if was_unreachable => Cause::Unreachable,
+        Some("no_server") => Cause::NoServer,
+        Some("cold") => Cause::Cold,
+        Some("busy") => Cause::Full,
+        Some("retry_budget") => Cause::Budget,
+        Some("deadline") if may_have_run => Cause::ServerSilent,
+        Some("deadline") => Cause::Deadline,
+        Some("suspect") => Cause::Suspect,
+        Some("backend_died" | "bad_answer") => Cause::ServerBroke,
+        Some("backend_failed") => Cause::ServerFailed,
+        _ => Cause::Router,
+    }
+}
+
+fn rejected(line: &Line<'_>) -> Fate {
+    match line.get("code") {
+        Some("not_ready" | "internal") => Fate::Lost(Cause::Router),
+        Some("no_server") => Fate::Lost(Cause::NoServer),
+        Some("busy") => Fate::Lost(Cause::Full),
+        _ => Fate::Rejected,
+    }
+}
--- /dev/null
+++ b/crates/losses/src/render.rs
@@ -0,0 +1,208 @@
+//! A report as text and as JSON.
+
+use std::{
+    fmt::Write,
+    time::{Duration, UNIX_EPOCH},
+};
+
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use crate::{
+    cause::Cause,
+    report::{Report, Times},
+    tally::{Count, Tally},
+    timeline::Span,
+};
+
+/// The most rows of one table.
+const MOST_ROWS: usize = 10;
+/// Percentiles that are shown.
+const PERCENTILES: [f64; 3] = [50.0, 95.0, 99.0];
+
+/// The report for people.
+pub fn text(report: &Report) -> String {
+    let mut text = String::new();
+    head(&mut text, report);
+    causes(&mut text, report);
+    table(&mut text, "route", &report.routes);
+    table(&mut text, "zone", &report.zones);
+    table(&mut text, "workspace", &report.workspaces);
+    table(&mut text, "server", &report.servers);
+    table(&mut text, "router", &report.routers);
+    times(&mut text, report);
+    worst(&mut text, report);
+    text
+}
+
+/// Appends a line. Writing to a text cannot fail.
+macro_rules! line {
+    ($text:expr, $($argument:tt)*) => {
+        writeln!($text, $($argument)*).unwrap_or_default()
+    };
+}
+
+fn head(text: &mut String, report: &Report) {
+    let lines = report.lines;
+    line!(
+        text,
+        "lines {} read, {} of other origin, {} malformed, {} too long, {} cut, {} left out by routers",
+        lines.read,
+        lines.foreign,
+        lines.malformed,
+        lines.long,
+        lines.cut,
+        lines.dropped
+    );
+    let all = &report.all;
+    let share = all.lost as f64 / (all.served + all.lost).max(1) as f64;
+    line!(
+        text,
+        "requests {} served, {} lost ({:.1}%), {} rejected",
+        all.served,
+        all.lost,
+        share * 100.0,
+        all.rejected
+    );
+    let attempts = report.attempts.iter();
+    let attempts: Vec<String> = attempts
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+    line!(text, "attempts without an answer: {}", listed(&attempts));
+}
+
+fn listed(texts: &[String]) -> String {
+    if texts.is_empty() {
+        String::from("none")
+    } else {
+        texts.join(", ")
+    }
+}
+
+fn causes(text: &mut String, report: &Report) {
+    line!(text, "\n{:<16} {:>7}", "cause", "lost");
+    let mut causes = Cause::ALL;
+    causes.sort_by_key(|&cause| std::cmp::Reverse(report.lost_by(cause)));
+    for cause in causes
+        .into_iter()
+        .filter(|&cause| report.lost_by(cause) > 0)
+    {
+        line!(text, "{:<16} {:>7}", cause.name(), report.lost_by(cause));
+    }
+}
+
+fn table(text: &mut String, title: &str, tally: &Tally) {
+    let worst = tally.worst(MOST_ROWS);
+    if worst.is_empty() {
+        return;
+    }
+    line!(text, "\n{title:<24} {:>7} {:>7}  mostly", "served", "lost");
+    for (name, count) in worst {
+        line!(
+            text,
+            "{name:<24} {:>7} {:>7}  {}",
+            count.served,
+            count.lost,
+            count.main_cause().map_or("", Cause::name)
+        );
+    }
+}
+
+fn times(text: &mut String, report: &Report) {
+    if report.times.is_empty() {
+        return;
+    }
+    line!(
+        text,
+        "\n{:<24} {:>21}  {:>21}",
+        "ms at 50, 95, 99 in 100",
+        "first byte",
+        "whole"
+    );
+    for (route, times) in &report.times {
+        line!(
+            text,
+            "{route:<24} {:>21}  {:>21}",
+            shown(&times.first),
+            shown(&times.total)
+        );
+    }
+}
+
+fn shown(times: &Histogram<u32>) -> String {
+    let values = percentiles(times).map(|value| value.to_string());
+    values.join(" ")
+}
+
+fn percentiles(times: &Histogram<u32>) -> [u64; 3] {
+    PERCENTILES.map(|percent| times.value_at_percentile(percent))
+}
+
+fn worst(text: &mut String, report: &Report) {
+    let worst = report.timeline.worst(MOST_ROWS);
+    if worst.is_empty() {
+        return;
+    }
+    line!(text, "\nworst spans of {} s", report.timeline.seconds());
+    for (begin, span) in worst {
+        line!(
+            text,
+            "{} served {} lost {} ({}), first byte {:.0} ms, at most {} ms",
+            clock(begin),
+            span.requests.served,
+            span.requests.lost,
+            by_cause(&span.requests),
+            span.mean_first_ms(),
+            span.longest_first_ms
+        );
+        for line in report.timeline.around(begin) {
+            line!(text, "    {line}");
+        }
+    }
+}
+
+fn by_cause(count: &Count) -> String {
+    let causes = count.causes.iter();
+    let causes: Vec<String> = causes
+        .map(|(cause, count)| format!("{cause} {count}"))
+        .collect();
+    causes.join(", ")
+}
+
+/// The time of day, as the routers' clocks say.
+fn clock(seconds: u64) -> String {
+    let time = UNIX_EPOCH + Duration::from_secs(seconds);
+    humantime::format_rfc3339_seconds(time).to_string()
+}
+
+/// The report for programs.
+pub fn json(report: &Report) -> Value {
+    let times = report.times.iter();
+    let times = times.map(|(route, times)| (route.clone(), times_json(times)));
+    let spans = report.timeline.spans();
+    json!({
+        "lines": report.lines,
+        "requests": report.all,
+        "attempts": report.attempts,
+        "routes": report.routes,
+        "zones": report.zones,
+        "workspaces": report.workspaces,
+        "servers": report.servers,
+        "routers": report.routers,
+        "times_ms": times.collect::<serde_json::Map<_, _>>(),
+        "span_s": report.timeline.seconds(),
+        "spans": spans.map(|(begin, span)| span_json(begin, span)).collect::<Vec<_>>(),
+    })
+}
+
+fn times_json(times: &Times) -> Value {
+    json!({
+        "percentiles": PERCENTILES,
+        "first_byte": percentiles(&times.first),
+        "whole": percentiles(&times.total),
+    })
+}
+
+fn span_json(begin: u64, span: &Span) -> Value {
+    json!({ "at": clock(begin), "span": span })
+}
--- /dev/null
+++ b/crates/losses/src/timeline.rs
@@ -0,0 +1,166 @@
+//! Losses and events over time, in bounded memory.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::Serialize;
+
+use crate::{cause::Fate, line::Line, tally::Count};
+
+/// The most spans that are kept; with more, each is made twice as long.
+const MOST_SPANS: usize = 7_200;
+/// The most lines of events that one span keeps.
+const MOST_LINES: usize = 8;
+
+/// Events that change what a router believes, or that it lives by.
+const MARKED: [&str; 14] = [
+    "started",
+    "leaving",
+    "closed",
+    "paused",
+    "configuration_in_force",
+    "zones_out",
+    "zone_away",
+    "zone_reached",
+    "server_standing",
+    "server_judged",
+    "server_died",
+    "store_lost",
+    "store_returned",
+    "peer_lost",
+];
+
+/// One span of time.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Span {
+    /// Requests that ended in it.
+    pub requests: Count,
+    /// The sum of their times to the first byte, in milliseconds.
+    pub first_ms: u64,
+    /// The longest of these.
+    pub longest_first_ms: u64,
+    /// How often each marked event was logged.
+    pub events: BTreeMap<String, u64>,
+    /// The first few of these, as short texts.
+    pub lines: Vec<String>,
+}
+
+impl Span {
+    /// The mean time to the first byte, in milliseconds.
+    pub fn mean_first_ms(&self) -> f64 {
+        self.first_ms as f64 / self.requests.served.max(1) as f64
+    }
+
+    fn join(&mut self, other: Self) {
+        self.requests.join(&other.requests);
+        self.first_ms += other.first_ms;
+        self.longest_first_ms = self.longest_first_ms.max(other.longest_first_ms);
+        for (event, count) in other.events {
+            *self.events.entry(event).or_default() += count;
+        }
+        self.lines.extend(other.lines);
+        self.lines.truncate(MOST_LINES);
+    }
+}
+
+/// Spans of one length, from the first line to the last.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Timeline {
+    /// The length of a span, in seconds.
+    seconds: u64,
+    spans: BTreeMap<u64, Span>,
+}
+
+impl Default for Timeline {
+    fn default() -> Self {
+        Self {
+            seconds: 1,
+            spans: BTreeMap::new(),
+        }
+    }
+}
+
+impl Timeline {
+    /// A request ended at `time`, with its first byte after so many milliseconds.
+    pub fn ended(&mut self, time: SystemTime, fate: Fate, first_ms: Option<u64>) {
+        let span = self.span(time);
+        span.requests.add(fate);
+        if fate == Fate::Served {
+            let first_ms = first_ms.unwrap_or(0);
+            span.first_ms += first_ms;
+            span.longest_first_ms = span.longest_first_ms.max(first_ms);
+        }
+    }
+
+    /// Marks what a line says, if it is one of the marked events.
+    pub fn mark(&mut self, line: &Line<'_>, origin: &str) {
+        if !MARKED.contains(&line.event.as_ref()) {
+            return;
+        }
+        let text = text(line, origin);
+        let span = self.span(line.time);
+        *span.events.entry(line.event.to_string()).or_default() += 1;
+        if span.lines.len() < MOST_LINES {
+            span.lines.push(text);
+        }
+    }
+
+    fn span(&mut self, time: SystemTime) -> &mut Span {
+        let since = time.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let mut index = since.as_secs() / self.seconds;
+        while self.spans.len() >= MOST_SPANS && !self.spans.contains_key(&index) {
+            self.widen();
+            index = since.as_secs() / self.seconds;
+        }
+        self.spans.entry(index).or_default()
+    }
+
+    fn widen(&mut self) {
+        self.seconds = self.seconds.saturating_mul(2);
+        for (index, span) in std::mem::take(&mut self.spans) {
+            self.spans.entry(index / 2).or_default().join(span);
+        }
+    }
+
+    /// The length of a span, in seconds.
+    pub fn seconds(&self) -> u64 {
+        self.seconds
+    }
+
+    /// The spans, each with the second since 1970 at which it begins.
+    pub fn spans(&self) -> impl Iterator<Item = (u64, &Span)> {
+        let seconds = self.seconds;
+        self.spans
+            .iter()
+            .map(move |(index, span)| (index * seconds, span))
+    }
+
+    /// The `most` spans with most losses, worst first.
+    pub fn worst(&self, most: usize) -> Vec<(u64, &Span)> {
+        let lost = self.spans().filter(|(_, span)| span.requests.lost > 0);
+        let mut worst: Vec<_> = lost.collect();
+        worst.sort_by_key(|(_, span)| std::cmp::Reverse(span.requests.lost));
+        worst.truncate(most);
+        worst
+    }
+
+    /// What was marked in a span and in those next to it.
+    pub fn around(&self, begin: u64) -> Vec<&str> {
+        let index = begin / self.seconds;
+        let near = self.spans.range(index.saturating_sub(1)..=index + 1);
+        let lines = near.flat_map(|(_, span)| span.lines.iter());
+        lines.map(String::as_str).collect()
+    }
+}
+
+/// A marked event in few words.
+fn text(line: &Line<'_>, origin: &str) -> String {
+    const TOLD: [&str; 8] = [
+        "zone", "zones", "server", "standing", "outcome", "config", "topic", "peer",
+    ];
+    let pairs = line.pairs().filter(|(key, _)| TOLD.contains(key));
+    let pairs: Vec<String> = pairs.map(|(key, value)| format!("{key}={value}")).collect();
+    format!("{origin} {} {}", line.event, pairs.join(" "))
+}
--- a/crates/recovery/src/retry.rs
+++ b/crates/recovery/src/retry.rs
@@ -106,6 +106,7 @@
     !matches!(
         code,
         Code::Busy
+            | Code::Cold
             | Code::Moved
             | Code::NoServer
             | Code::NotReady
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -279,7 +279,7 @@
         Code::ClaimTaken => StatusCode::CONFLICT,
         Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Code::Suspect => StatusCode::UNPROCESSABLE_ENTITY,
-        Code::Busy | Code::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
+        Code::Busy | Code::Cold | Code::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         Code::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Code::NoServer
         | Code::NotReady
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -54,6 +54,8 @@
     UnknownRoute,
     /// All that may take the request are at their limit.
     Busy,
+    /// Those that have room for the request are starting, and have had their share.
+    Cold,
     /// The workspace is at its own limit.
     WorkspaceLimit,
     /// The request could not have been finished by its deadline.
@@ -120,6 +122,7 @@
             Self::MissingChat => "missing_chat",
             Self::UnknownRoute => "unknown_route",
             Self::Busy => "busy",
+            Self::Cold => "cold",
             Self::WorkspaceLimit => "workspace_limit",
             Self::Deadline => "deadline",
             Self::NoServer => "no_server",
