--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -5,11 +5,8 @@
 use serde::{Deserialize, Serialize};
 use units::time::Instant;
 
-/// How fast the end of a request is forgotten, as a half-life.
-///
-/// The fleet has to see some failures within it. In a simulated day of 77 routers
-/// a server that failed 40% of its requests was found out after 3 s, and 2.7 to
-/// 3.1% of all requests failed in place of 3.7%.
+/// How fast the end of a request is forgotten, as a half-life. The fleet has to
+/// see some failures within it.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// The unit in which counts are told, as a part of one request.
 const UNIT: f64 = 16.0;
@@ -18,8 +15,7 @@
 const LEAST_FAILURES: f64 = 4.0;
 /// The least share of a server's requests that fail before it is left alone.
 ///
-/// Some requests fail at sound servers too: 14% of one kind, and 5% of all
-/// requests of its service, on the sheets of today's services.
+/// Some requests fail at sound servers too.
 const LEAST_SHARE: f64 = 0.35;
 /// How many times as often as at the service's other servers requests have to
 /// fail at it. When all fail alike, the fault is not one server's.
--- a/crates/gateway/src/fence.rs
+++ b/crates/gateway/src/fence.rs
@@ -17,7 +17,7 @@
 /// How much of the most requests in a second all shares together may use.
 ///
 /// The rest covers routers that started and that the others don't know of yet:
-/// with six of nine known, shares for six add up to 1.5 times the plan.
+/// with two of three known, shares for these add up to half again the plan.
 const HEADROOM: f64 = 0.65;
 
 /// The share of one router.
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -11,9 +11,7 @@
 /// How often all ends are told, and not only those with new failures.
 ///
 /// Requests that ended count for seconds, so at each router nearly all servers
-/// have some. Told five times a second they were half of what routers told each
-/// other: 5.9 KB a second in place of 3.0 with six routers (measured by the
-/// example `control_bytes`, fifteen requests a second at each router).
+/// have some. Told in each round they would be half of what routers tell each other.
 const WHOLE_EACH: Duration = Duration::from_secs(2);
 /// How much the failures at a server have to grow to be told at once: by half
 /// a request, in sixteenths. Failures are rare, and callers meet the server
@@ -37,8 +35,8 @@
 impl Load {
     /// The hash that stands for a server, of 24 bits.
     ///
-    /// Of 10,000 servers three pairs have the same on average (worked out). Each
-    /// of such a pair counts with the load of both, which keeps every bound.
+    /// Of two servers with the same each counts with the load of both, which keeps
+    /// every bound.
     pub fn hash(server: &backend::Server) -> u32 {
         (xxh3::xxh3_64(server.as_str().as_bytes()) >> 40) as u32
     }
@@ -62,8 +60,8 @@
     Change {
         /// Servers with requests in flight, and how many; all others have none.
         ///
-        /// In the order of their hashes, each as the step from the one before:
-        /// with 60 servers that takes a byte less of five.
+        /// In the order of their hashes, each as the step from the one before, which
+        /// takes fewer bytes.
         running: Vec<(u32, u16)>,
         /// How requests ended at servers with new failures.
         ends: Vec<(u32, Ends)>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -43,10 +43,8 @@
 use introduction::Introducer;
 use task::Task;
 
-/// How often a router tells some others.
-///
-/// Loads are older than this by half on average; at 100 requests a second on
-/// 15 servers a server gets about one request in that time.
+/// How often a router tells some others. What they know of loads is half as old
+/// on average.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// How many others are told of news: all of a fleet of up to nine routers.
 const FAN_OUT: usize = 8;
@@ -54,15 +52,13 @@
 /// it does not watch the store.
 ///
 /// What they hear then is that it is there, and who watches the store, in case a
-/// datagram with news was lost. Told to eight, a router of 85 tells 7.3 KB a
-/// second in place of 4.7 (example `control_bytes`).
+/// datagram with news was lost.
 pub const QUIET_FAN_OUT: usize = 2;
 /// How many others a router tells at a time until it has told each once.
 ///
 /// What others tell it before they have heard of its start is not meant for
-/// this start and counts for nothing. It introduces itself to a hundred within
-/// three rounds; told to eight at a time it would hear less than half of what a
-/// fleet of 85 says for two seconds.
+/// this start and counts for nothing. Told to a few at a time, it would hear
+/// less than half of what a large fleet says for seconds.
 const FIRST_FAN_OUT: usize = 32;
 
 /// What the task works with.
--- a/crates/gateway/src/peers/aggregators.rs
+++ b/crates/gateway/src/peers/aggregators.rs
@@ -36,7 +36,7 @@
 /// In a large fleet a router hears each other one too seldom to notice by that
 /// that it died. One that adds up is noticed by its own sums: were it not, the
 /// loads of its zone would go to a dead router for as long as all others take
-/// to have their turn, which is half a minute with 85.
+/// to have their turn.
 #[derive(Clone, Debug, Default)]
 pub struct Aggregators {
     records: BTreeMap<u32, Record>,
--- a/crates/gateway/src/peers/directory.rs
+++ b/crates/gateway/src/peers/directory.rs
@@ -8,9 +8,9 @@
 
 /// The registered routers by the tags that they seal with.
 ///
-/// A router that adds up in a zone of 45 hears 225 datagrams a second. Were the
-/// names of 1,000 routers hashed for each, that would take a fiftieth of a core
-/// (worked out from 100 ns a hash).
+/// A router that adds up in a large zone hears hundreds of datagrams a second.
+/// Were the names of all routers hashed for each, that would take more of the
+/// processor than its requests.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     members: Arc<Vec<Member>>,
--- a/crates/gateway/src/peers/relays.rs
+++ b/crates/gateway/src/peers/relays.rs
@@ -21,9 +21,8 @@
 
 /// Divides `members` among some of them, for a router that adds up to send to.
 ///
-/// Sent by the one who adds up to each, sums took 107 KB a second of its link
-/// with 28 routers in a zone and 472 KB with 100, four tenths of 10 Mbit/s. Only
-/// routers that were heard lately, `alive`, pass on, and in each `round` others
+/// Sent by the one who adds up to each, sums would fill the link of a small host
+/// in a large zone. Only routers that were heard lately, `alive`, pass on, and in each `round` others
 /// do, so that one that has just died hides only one sum from those behind it.
 pub fn relays<'a>(
     members: &[&'a Member],
--- a/crates/gateway/src/peers/turn.rs
+++ b/crates/gateway/src/peers/turn.rs
@@ -13,10 +13,8 @@
 /// nothing for as many rounds as there are turns.
 ///
 /// The steps are in an order without a pattern. Taken one after the other, news
-/// went round the fleet step by step, since a router that had just heard told
-/// those whom its neighbours had told: with eight told at a time, all of 85,
-/// 300 and 1,000 routers had heard after 5, 9 and 16 rounds, and after 3, 4 and 5
-/// with this (simulated, with one datagram in a hundred lost).
+/// would go round the fleet step by step, since a router that has just heard
+/// would tell those whom its neighbours have told.
 pub fn turn<'a>(
     members: &'a [Member],
     own: &host::Id,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -116,13 +116,10 @@
     Cold(Instant),
 }
 
-/// Fewer tokens than this are read anew rather than copied: setting up a copy
-/// takes about 3 ms, in which an engine reads some 200 tokens.
+/// Fewer tokens than this are read anew rather than copied: an engine reads them
+/// in the time that setting up a copy takes.
 const LEAST_COPY: u64 = 200;
 /// How much of the room above the mean is used, since peers' loads are late.
-///
-/// With the servers of the larger of two zones out, 0.92 for the few that were
-/// left let 37 of 389 requests reach servers above the bound, in a simulated day.
 const BOUND_USED: f64 = 0.75;
 /// Requests above the multiple of the mean that the deployment allows.
 const BOUND_EXTRA: f64 = 3.0;
@@ -217,14 +214,10 @@
     /// others. A source that keeps nothing of the prompt costs nothing, so the
     /// likeliest one is named also where none is known to have it: the first in
     /// the prompt's order, and it may be leaving. A server that this router
-    /// knows to have a part of the prompt gives way to it. In a simulated day of
-    /// 85 routers while servers were replaced, naming the one with a part made
-    /// 1.65 million shared tokens be read again.
+    /// knows to have a part of the prompt gives way to it.
     ///
     /// None is named in a zone that cannot be reached from here: the chosen
-    /// server would wait for it. In a simulated day of 8 routers before 21
-    /// servers 112 of 207 slow first bytes during such a cut, of 310 ms and more
-    /// in place of less than 100, came from that.
+    /// server would wait for it.
     fn source(
         &self,
         choice: &backend::Server,
@@ -275,10 +268,9 @@
             return Err(Denial::Empty);
         }
         let bound = self.bound(now);
-        // Requests of a plain service take some tens of milliseconds, and what
-        // others told of theirs is older. Counted, it made requests wait 200 ms
-        // at the median for slots that were free (85 routers, 118 requests a
-        // second on 18 slots). A server that is full says so.
+        // Requests of a plain service are over before others hear of them. Counted,
+        // they would keep requests waiting for slots that are free. A server that
+        // is full says so.
         let counts_others = self.service.cache_tokens > 0;
         candidates.retain(|server| {
             server.has_room(demand.is_modest, counts_others)
@@ -304,9 +296,8 @@
     /// the bound has no exception for that.
     ///
     /// Servers of zones that cannot be reached do not count. Their loads are not
-    /// known then, and taken for none they made callers of a zone that was cut
-    /// off wait 1.1 to 2.4 s for servers with 4 of 64 slots in use (a simulated
-    /// day of 6 routers before 18 servers).
+    /// known then, and taken for none they would make callers of a zone that was
+    /// cut off wait beside free slots.
     pub fn bound(&self, now: Instant) -> f64 {
         let is_known = |server: &&Server| !self.ways.is_unknown(server.zone(), now);
         let all = if self.servers.values().any(|server| is_known(&server)) {
--- a/crates/gateway/src/pool/cost.rs
+++ b/crates/gateway/src/pool/cost.rs
@@ -9,18 +9,15 @@
 
 use super::{Part, Server};
 
-/// Tokens that an engine reads in a millisecond.
-///
-/// The sheets of today's engines say 62 and 101.
+/// Tokens that an engine reads in a millisecond; only its ratio to the other
+/// costs here matters.
 const TOKENS_PER_MS: u64 = 60;
 /// What one request in flight adds to the time of another at an engine, in microseconds.
 ///
-/// A step of the engines on the sheets takes 17 us more for each request in
-/// the batch, and a stream has some 30 steps. With 2.5 ms, and 75% for
-/// [`HOME_READ_PERCENT`], short prompts moved for small differences of load: all
-/// prices of a quiet day were 0.155 of its worth in place of 0.149.
+/// Much more than its share of a step would move short prompts for small
+/// differences of load.
 const ENGINE_LOAD_US: u64 = 500;
-/// The same at a plain service, in microseconds: its work of 30 ms over six slots.
+/// The same at a plain service, in microseconds: a short answer over a few slots.
 const SERVICE_LOAD_US: u64 = 5_000;
 /// The way to another availability zone and back, in microseconds.
 const ZONE_US: u64 = 2_000;
@@ -36,13 +33,12 @@
 ///
 /// What the first one has no room for goes to the second, so that one is likelier
 /// to have it than any other. Without that, zones and small differences of load
-/// scattered such requests: in a simulated quiet day of 85 routers 0.85 million
-/// shared tokens were read again in place of 0.53 million. Expecting the second
-/// to have read half of it instead drew prompts from servers that are known to
-/// have them: reuse through churn fell from 0.906 to 0.898.
+/// would scatter such requests. Expecting the second to have read half of it
+/// instead would draw prompts from servers that are known to have them.
 const PLACE_PERCENT: u64 = 25;
 /// The place from which on all are alike.
 const LAST_PLACE: usize = 3;
+
 /// Servers in the order that all routers agree on for this prompt.
 pub fn order<'a>(
     parts: &[Part],
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -48,7 +48,7 @@
 }
 
 /// One part in this many of a server's slots is kept for workspaces that use
-/// less than their share; as in `admission`, where it was measured.
+/// less than their share; as in `admission`.
 const KEPT_SLOTS: u32 = 4;
 /// How long a server that refused a connection gets nothing; doubled with each further refusal.
 const AWAY: Duration = Duration::from_millis(400);
