Let requests wait for a router that starts

Ruled out: a slow start of the process (listening at once), servers that are missing (known with it).

Change: within 400 ms of the start requests wait until the router can serve; after that they are refused at once, with a time to come back.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod intake;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -13,16 +13,19 @@
     body::{Frame, Incoming},
     header,
 };
-use tokio::sync::{Semaphore, mpsc, watch};
-use units::workspace;
+use tokio::{
+    sync::{Semaphore, mpsc, watch},
+    time,
+};
+use units::{time::Instant, workspace};
 use verdict::{Code, Refusal};
 
 pub use exchange::Exchange;
 pub use intake::BODY_UNIT;
 
 use crate::{
-    activity, ages::Ages, clock::Clock, dispatch, metrics::Metrics, protocol::Protocol, refusal,
-    relay, route::Table, shutdown::Phase,
+    activity, ages::Ages, clock::Clock, dispatch, metrics::Metrics, protocol::Protocol,
+    readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
 };
 
 /// What all requests share.
@@ -46,6 +49,10 @@
     pub metrics: Arc<Metrics>,
     /// How old the views are that decide.
     pub ages: Arc<Ages>,
+    /// Whether the router can serve.
+    pub readiness: watch::Receiver<Readiness>,
+    /// Until when requests wait for that at the start.
+    pub start_by: Instant,
 }
 
 /// The body of an answer: a refusal's text, or a server's bytes.
@@ -98,7 +105,31 @@
     }
 }
 
-/// No configuration is known yet, so nothing can be said of a request.
-fn not_ready() -> Refusal {
-    Refusal::not_run(Code::NotReady, "The router has no configuration yet.")
+/// How long requests that come right after the start wait for the configuration
+/// and the servers: some calls to the store.
+///
+/// After a process was killed, its callers are there before what it has to know.
+/// Refused, they would come back later than it takes to know it. A router that
+/// knows nothing for longer refuses at once.
+pub const START: Duration = Duration::from_millis(400);
+/// When a caller may come back that met a router without configuration.
+const RETRY_START: Duration = Duration::from_millis(200);
+
+impl<P> Context<P> {
+    /// Waits until the router can serve, or its start has taken too long.
+    async fn started(&self) {
+        if self.clock.now() >= self.start_by {
+            return;
+        }
+        let mut readiness = self.readiness.clone();
+        let ready = readiness.wait_for(|readiness| *readiness == Readiness::Ready);
+        // If it takes too long the request is refused by what is missing.
+        drop(time::timeout_at(self.clock.at(self.start_by), ready).await);
+    }
+
+    /// No configuration is known yet, so nothing can be said of a request.
+    fn not_ready(&self) -> Refusal {
+        let refusal = Refusal::not_run(Code::NotReady, "The router has no configuration yet.");
+        refusal.retry_at(self.clock.now() + RETRY_START)
+    }
 }
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -13,7 +13,7 @@
 use verdict::{Code, Refusal};
 use xxhash_rust::xxh3;
 
-use super::{Context, Exchange, exchange, not_ready};
+use super::{Context, Exchange, exchange};
 use crate::{
     headers,
     pool::Demand,
@@ -37,7 +37,9 @@
     let (mut parts, body) = request.into_parts();
     let head = context.protocol.read(&parts);
     let head = head.inspect_err(log_unread)?;
-    let table = context.table.borrow().clone().ok_or_else(not_ready);
+    context.started().await;
+    let table = context.table.borrow().clone();
+    let table = table.ok_or_else(|| context.not_ready());
     let table = table.inspect_err(|refusal| log_refusal(&head, &Table::default(), refusal))?;
     let checked = check(&table, &head, parts.uri.path(), &body);
     let (route, tenancy) = checked.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -25,7 +25,7 @@
     },
     protocol::Protocol,
     readiness::Readiness,
-    serve::{BODY_UNIT, Context},
+    serve::{self, BODY_UNIT, Context},
     settings::Settings,
     shutdown::Phase,
     source::{self, Batch, Member, Secret, Source, Topic},
@@ -174,7 +174,7 @@
             outputs,
         ));
         let sources = observer::Sources {
-            readiness: readiness_receiver,
+            readiness: readiness_receiver.clone(),
             phase: phase_receiver.clone(),
             metrics: Arc::clone(&metrics),
             host: settings.host.clone(),
@@ -194,6 +194,8 @@
             memory: Arc::new(Semaphore::new(settings.body_memory / BODY_UNIT)),
             metrics,
             ages,
+            readiness: readiness_receiver,
+            start_by: clock.now() + serve::START,
         });
         let callers = listener::serve(
             sockets.callers,
