Charge nothing for a later place by itself

Change: the constant is gone; routers that know nothing of a prompt still agree by what later places are expected to read.

--- a/crates/gateway/src/pool/cost.rs
+++ b/crates/gateway/src/pool/cost.rs
@@ -21,10 +21,6 @@
 const SERVICE_LOAD_US: u64 = 5_000;
 /// The way to another availability zone and back, in microseconds.
 const ZONE_US: u64 = 2_000;
-/// What a later place in a prompt's order of servers costs, in microseconds.
-///
-/// Routers that know nothing yet of a prompt agree on its servers by it.
-const PLACE_US: u64 = 500;
 /// How much of its prompt the first server in order is expected to have read
 /// for other routers, in percent.
 const HOME_READ_PERCENT: u64 = 95;
@@ -82,7 +78,7 @@
     let unread = expected_unread(server.unread(parts, now), expected_place);
     let queued = server.pending().0 / 4;
     let read = (unread + queued) * 1000 / TOKENS_PER_MS;
-    common + read + load * ENGINE_LOAD_US + place as u64 * PLACE_US
+    common + read + load * ENGINE_LOAD_US
 }
 
 /// What the server at a place of a prompt's order has to read of it, as far as
