--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -14,9 +14,9 @@
 use gateway::{
     ages::Ages,
     clock::Clock,
-    dispatch, evidence,
+    dispatch, evidence, load,
     metrics::Metrics,
-    peers, roster,
+    peers, pool, reads, roster,
     source::{self, Batch, Member, Secret, Source, Topic},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -25,7 +25,7 @@
     sync::{mpsc, watch},
     time,
 };
-use units::{host, time::Instant};
+use units::{chat, host, time::Instant};
 use wire::seal::{Boot, Key};
 
 /// How long routers talk before it is counted, and for how long it is.
@@ -33,6 +33,10 @@
 const COUNT: Duration = Duration::from_secs(10);
 /// How long a request is at its server.
 const REQUEST: Duration = Duration::from_millis(900);
+/// The share of requests whose prompt their server had not read for any router.
+const NEW_PROMPTS: f64 = 0.1;
+/// The length of such a prompt, in tokens.
+const PROMPT: u32 = 10_000;
 
 /// One fleet.
 struct Size {
@@ -113,6 +117,10 @@
     }
 }
 
+fn name(server: usize) -> String {
+    format!("i-{server:010x}")
+}
+
 /// The requests of one router, drawn.
 struct Requests {
     random: SmallRng,
@@ -121,6 +129,7 @@
     next_at: Instant,
     running: VecDeque<(usize, Instant)>,
     tallies: Vec<evidence::Tally>,
+    reads: reads::Reads,
 }
 
 impl Requests {
@@ -132,6 +141,7 @@
             next_at: clock.now(),
             running: VecDeque::new(),
             tallies: vec![evidence::Tally::default(); size.servers],
+            reads: reads::Reads::default(),
         }
     }
 
@@ -140,6 +150,9 @@
         while self.next_at <= now {
             let server = self.random.random_range(0..self.tallies.len());
             self.running.push_back((server, self.next_at + REQUEST));
+            if self.random.random_bool(NEW_PROMPTS) {
+                self.read(server, now);
+            }
             let gap = -self.random.random::<f64>().max(1e-9).ln() / self.rate;
             self.next_at = self.next_at + Duration::from_secs_f64(gap);
         }
@@ -149,7 +162,7 @@
         let loads = self.tallies.iter().enumerate().map(|(server, tally)| {
             let running = self.running.iter().filter(|(at, _)| *at == server);
             dispatch::Load {
-                server: format!("i-{server:010x}").parse().expect("a name"),
+                server: name(server).parse().expect("a name"),
                 running: u32::try_from(running.count()).expect("few"),
                 ends: tally.ends(now),
             }
@@ -158,10 +171,20 @@
         dispatch::News {
             loads: loads.collect(),
             strikes: Vec::new(),
-            reads: Vec::new(),
+            reads: self.reads.news(now),
         }
     }
 
+    /// A server has read a prompt that no other has.
+    fn read(&mut self, server: usize, now: Instant) {
+        let part = pool::Part {
+            key: chat::Key(self.random.random()),
+            tokens: PROMPT,
+        };
+        let name = name(server).parse().expect("a name");
+        self.reads.note(load::Load::hash(&name), &part, now);
+    }
+
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<dispatch::Message>) {
         while let Some(message) = messages.recv().await {
             if let dispatch::Message::News(reply) = message {
