Wait until the writer stands still before its lines are counted

The writer collects lines for 20 ms before it stands still at the gate, and takes the count of those left out for the line that tells of them. On a busy machine it woke late, when most lines had been written, and the test read what was left out after that.

Change: the test writes its lines once the writer stands still. The product's code is as before.

--- a/crates/logging/tests/sink.rs
+++ b/crates/logging/tests/sink.rs
@@ -9,6 +9,8 @@
 
 /// A writer that stands still until it is let go, and then keeps what it gets.
 struct Stuck {
+    /// Told once it stands still.
+    stuck: mpsc::Sender<()>,
     gate: mpsc::Receiver<()>,
     is_open: bool,
     written: Arc<Mutex<Vec<u8>>>,
@@ -18,6 +20,7 @@
 impl Write for Stuck {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if !self.is_open {
+            self.stuck.send(()).expect("the test waits");
             self.is_open = self.gate.recv().is_ok();
         }
         let mut written = self.written.lock().expect("nobody panicked");
@@ -38,15 +41,20 @@
 /// request. Lines are left out instead, the least important first, and counted.
 #[test]
 fn a_reader_that_stopped_holds_nobody_up() {
+    let (stuck, is_stuck) = mpsc::channel();
     let (open, gate) = mpsc::channel();
     let (done, is_done) = mpsc::channel();
     let written = Arc::new(Mutex::new(Vec::new()));
     let mut sink = Sink::start(Stuck {
+        stuck,
         gate,
         is_open: false,
         written: Arc::clone(&written),
         done,
     });
+    // Until it stands still the writer takes lines, and tells of those left out.
+    writeln!(sink, "level=info event=request_done number=first").expect("it never fails");
+    is_stuck.recv().expect("the writer stands still");
     for index in 0..20_000 {
         writeln!(sink, "level=info event=request_done number={index}").expect("it never fails");
     }
