--- a/crates/gateway/src/peers/relays.rs
+++ b/crates/gateway/src/peers/relays.rs
@@ -22,8 +22,9 @@
 /// Divides `members` among some of them, for a router that adds up to send to.
 ///
 /// Sent by the one who adds up to each, sums would fill the link of a small host
-/// in a large zone. Only routers that were heard lately, `alive`, pass on, and in each `round` others
-/// do, so that one that has just died hides only one sum from those behind it.
+/// in a large zone. Only routers that were heard lately, `alive`, pass on, and in
+/// each `round` others do, so that one that has just died hides only one sum from
+/// those behind it.
 pub fn relays<'a>(
     members: &[&'a Member],
     alive: &BTreeSet<host::Id>,
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -393,6 +393,7 @@
         self.fleet_reads.pass_on(reads, now);
     }
 
+    /// Passes on to whoever chooses servers what other routers saw them read.
     pub(super) fn hear_reads(&self, reads: Vec<Read>) {
         if !reads.is_empty() {
             self.tell(dispatch::Message::Reads(reads));
