--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 pub mod connect;
 mod cost;
+mod others;
 mod server;
 mod zone;
 
@@ -13,7 +14,7 @@
 
 pub use server::{Outcome, Server};
 
-use crate::{evidence::Ends, fence, reads::Read, roster, route, settings::Bounds};
+use crate::{fence, roster, route, settings::Bounds};
 
 /// One part of a prompt; parts that requests share have the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -355,59 +356,6 @@
         Some(best.name().clone())
     }
 
-    /// Sets what other routers have at each server, and how requests of theirs
-    /// lately ended there. Servers are named by their hashes.
-    pub fn hear(&mut self, sums: impl Fn(u32) -> (u32, Ends)) {
-        for server in self.servers.values_mut() {
-            let (running, ends) = sums(server.hash());
-            server.set_elsewhere(running);
-            server.set_ends_elsewhere(ends);
-        }
-    }
-
-    /// Takes in prompts that servers have read for other routers.
-    pub fn hear_reads(&mut self, reads: &[Read], now: Instant) {
-        for server in self.servers.values_mut() {
-            let hash = server.hash();
-            for read in reads.iter().filter(|read| read.server == hash) {
-                server.heard(*read, now);
-            }
-        }
-    }
-
-    /// Sets how requests of other routers lately ended at each server.
-    pub fn set_ends_elsewhere(&mut self, ends: impl Fn(&backend::Server) -> Ends) {
-        for server in self.servers.values_mut() {
-            let ends = ends(server.name());
-            server.set_ends_elsewhere(ends);
-        }
-    }
-
-    /// Leaves servers alone that fail by what all routers saw. Returns those
-    /// that are left alone from now on.
-    ///
-    /// Of many routers each meets a server too seldom to see by itself that it
-    /// fails, and a server may fail every request and say that it is well.
-    pub fn judge(&mut self, now: Instant) -> Vec<(backend::Server, Ends)> {
-        let all = || {
-            let servers = self.servers.values();
-            servers.map(|server| (server, server.all_ends(now)))
-        };
-        let total = all().fold(Ends::default(), |sum, (_, ends)| sum + ends);
-        if total.failed == 0 {
-            return Vec::new();
-        }
-        let failing: Vec<_> = all()
-            .filter(|(_, ends)| ends.show_failing(total.without(*ends)))
-            .filter(|(server, _)| !self.ejection.is_failing(server.name(), now))
-            .map(|(server, ends)| (server.name().clone(), ends))
-            .collect();
-        for (name, _) in &failing {
-            self.ejection.eject(name, now);
-        }
-        failing
-    }
-
     /// Until then every server may have turned cold, or started anew, unnoticed.
     pub fn doubt(&mut self, until: Instant) {
         for server in self.servers.values_mut() {
@@ -484,14 +432,6 @@
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
     }
-
-    /// Sets how many requests other routers have at each server.
-    pub fn set_elsewhere(&mut self, loads: impl Fn(&backend::Server) -> u32) {
-        for server in self.servers.values_mut() {
-            let load = loads(server.name());
-            server.set_elsewhere(load);
-        }
-    }
 }
 
 /// The mean load of some servers; zero if there are none.
