Log how far an answer had come when it was given up

A failed read of the store or of another router told its time limit only. Whether bytes were still coming, none had come, or all had come and were decoded late could not be told apart. The lines of a failed read now give the bytes and the times of the first and the last; a read that brings something new has a line of its own, and the size of the configuration in force stands in its line and in a metric. Answers are collected in one buffer of the announced size. No decision changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,7 @@
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
     control_bytes: Family<DirectionLabels, Counter>,
     config: Gauge,
+    config_bytes: Gauge,
     servers: Gauge,
     members: Gauge,
 }
@@ -101,6 +102,7 @@
         let ages = Family::default();
         let control_bytes = Family::default();
         let config = Gauge::default();
+        let config_bytes = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
         registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
@@ -155,6 +157,11 @@
             "Configuration in force",
             config.clone(),
         );
+        registry.register(
+            "weir_config_bytes",
+            "Size of the configuration in force as it is stored",
+            config_bytes.clone(),
+        );
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
         Self {
@@ -171,6 +178,7 @@
             ages,
             control_bytes,
             config,
+            config_bytes,
             servers,
             members,
         }
@@ -271,9 +279,11 @@
         self.calls.get_or_create(&labels).inc();
     }
 
-    /// The configuration in force is this version.
-    pub fn set_config(&self, version: u64) {
+    /// The configuration in force is this version, of so many bytes.
+    pub fn set_config(&self, version: u64, bytes: usize) {
         self.config.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.config_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
     /// So many servers and routers are registered.
--- a/crates/gateway/src/peers/asking.rs
+++ b/crates/gateway/src/peers/asking.rs
@@ -137,10 +137,7 @@
                     }
                     End::PeerAnswered
                 }
-                Err(error) => {
-                    logging::event!(info, "peer_fetch_failed", peer = address, reason = error);
-                    End::PeerFailed(address)
-                }
+                Err(_) => End::PeerFailed(address),
             };
             let _ = done.send(end).await;
         });
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use storage::progress::Progress;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -52,17 +53,44 @@
     key: &Key,
     versions: Versions,
 ) -> Result<Vec<(Topic, Batch)>, Error> {
+    let mut progress = Progress::new(time::Instant::now());
     let answer = async {
         let mut link = Link::connect(address, key).await?;
         link.writer.send(&Question { versions }).await?;
-        receive(&mut link).await
+        receive(&mut link, &mut progress).await
     };
-    time::timeout(LIMIT, answer)
-        .await
-        .map_err(|_| Error::Timeout)?
+    let answered = time::timeout(LIMIT, answer).await;
+    let answered = answered.unwrap_or(Err(Error::Timeout));
+    note(address, answered.as_ref().err(), progress);
+    answered
 }
 
-async fn receive(link: &mut Link) -> Result<Vec<(Topic, Batch)>, Error> {
+fn note(address: SocketAddr, error: Option<&Error>, progress: Progress) {
+    let bytes = progress.bytes();
+    let first_ms = progress.first_ms().unwrap_or_default();
+    let last_ms = progress.last_ms();
+    match error {
+        None => logging::event!(
+            info,
+            "peer_answered",
+            peer = address,
+            bytes = bytes,
+            first_ms = first_ms,
+            last_ms = last_ms
+        ),
+        Some(error) => logging::event!(
+            info,
+            "peer_fetch_failed",
+            peer = address,
+            reason = error,
+            bytes = bytes,
+            first_ms = first_ms,
+            last_ms = last_ms
+        ),
+    }
+}
+
+async fn receive(link: &mut Link, progress: &mut Progress) -> Result<Vec<(Topic, Batch)>, Error> {
     let mut batches: Vec<(Topic, Batch)> = Vec::new();
     loop {
         match link.reader.receive().await? {
@@ -80,7 +108,7 @@
                 length,
             }) => {
                 let value = match length {
-                    Some(length) => Some(value(link, length).await?),
+                    Some(length) => Some(value(link, length, progress).await?),
                     None => None,
                 };
                 if let Some((_, batch)) = batches.last_mut() {
@@ -97,12 +125,15 @@
     }
 }
 
-async fn value(link: &mut Link, length: u64) -> Result<Bytes, Error> {
+async fn value(link: &mut Link, length: u64, progress: &mut Progress) -> Result<Bytes, Error> {
     let length = usize::try_from(length.min(MAX_VALUE)).unwrap_or_default();
     let mut value = BytesMut::new();
     while value.len() < length {
         match link.reader.receive::<Reply>().await? {
-            Frame::Data(piece) => value.extend_from_slice(&piece),
+            Frame::Data(piece) => {
+                progress.received(piece.len(), time::Instant::now());
+                value.extend_from_slice(&piece);
+            }
             Frame::Message(_) => return Err(Error::Closed),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use bytes::Bytes;
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -129,7 +130,10 @@
         let mut tables = Vec::new();
         for row in self.rows(Topic::Configuration) {
             match self.source.directive(row) {
-                Ok(Directive::Table(table)) => tables.push((row.version, table)),
+                Ok(Directive::Table(table)) => {
+                    let bytes = row.value.as_ref().map_or(0, Bytes::len);
+                    tables.push((row.version, bytes, table));
+                }
                 Ok(Directive::Unknown) => {}
                 Ok(Directive::Evacuation(zone)) => {
                     zones.insert(zone);
@@ -139,8 +143,8 @@
                 }
             }
         }
-        for (version, table) in tables {
-            self.put_in_force(version, table);
+        for (version, bytes, table) in tables {
+            self.put_in_force(version, bytes, table);
         }
         if self.roster.set_evacuated(zones.clone()) {
             let zones: Vec<_> = zones.iter().map(|zone| zone.as_str()).collect();
@@ -150,7 +154,7 @@
         self.publish_readiness();
     }
 
-    fn put_in_force(&mut self, version: u64, table: Box<Table>) {
+    fn put_in_force(&mut self, version: u64, bytes: usize, table: Box<Table>) {
         if version <= self.table_version {
             return;
         }
@@ -159,9 +163,10 @@
             info,
             "configuration_in_force",
             config = table.version,
-            row = version
+            row = version,
+            bytes = bytes
         );
-        self.outputs.metrics.set_config(table.version);
+        self.outputs.metrics.set_config(table.version, bytes);
         let table = Arc::from(table);
         let message = dispatch::Message::Table(Arc::clone(&table));
         tell(&self.outputs.dispatch, message);
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -5,14 +5,20 @@
 
 use std::{fmt, net, sync};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, body, client::conn::http1, header};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, StatusCode,
+    body::{self, Body as _},
+    client::conn::http1,
+    header,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
 use crate::{
     error::Error,
+    progress::Progress,
     traffic::{Metered, Traffic},
 };
 
@@ -22,6 +28,9 @@
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 256 * 1024 * 1024;
 
+/// The most memory that is taken before any of an answer has come, in bytes.
+const MAX_RESERVED: usize = 8 * 1024 * 1024;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// What a server answered.
@@ -33,6 +42,8 @@
     pub headers: header::HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// How its body came.
+    pub progress: Progress,
 }
 
 /// A client of one HTTP server.
@@ -84,7 +95,9 @@
         if time::Instant::now() >= deadline {
             return Err(unreachable(self.address, "the deadline has passed"));
         }
-        match time::timeout_at(deadline, exchange(&mut sender, request)).await {
+        let mut progress = Progress::new(time::Instant::now());
+        let exchange = exchange(&mut sender, request, &mut progress);
+        match time::timeout_at(deadline, exchange).await {
             Ok(Ok(answer)) => {
                 self.keep(sender);
                 Ok(answer)
@@ -97,7 +110,7 @@
                 self.forget_idle();
                 let address = self.address;
                 Err(Error::MayHaveRun(format!(
-                    "no answer from {address} by the deadline"
+                    "no answer from {address} by the deadline, {progress}"
                 )))
             }
         }
@@ -176,7 +189,11 @@
 }
 
 /// Sends `request` on one connection and reads the whole answer.
-async fn exchange(sender: &mut Sender, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
+async fn exchange(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+    progress: &mut Progress,
+) -> Result<Answer, Error> {
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut failed) => {
@@ -190,22 +207,33 @@
             });
         }
     };
-    read(response).await
-}
-
-async fn read(response: Response<body::Incoming>) -> Result<Answer, Error> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER)
-        .collect()
-        .await
-        .map_err(|error| Error::MayHaveRun(error.to_string()))?;
+    let body = read(body, progress).await?;
     Ok(Answer {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body,
+        progress: *progress,
     })
 }
 
+async fn read(mut body: body::Incoming, progress: &mut Progress) -> Result<Bytes, Error> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(MAX_RESERVED);
+    let mut bytes = BytesMut::with_capacity(announced.min(MAX_RESERVED));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::MayHaveRun(error.to_string()))?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + piece.len() > MAX_ANSWER {
+            return Err(Error::MayHaveRun(String::from("the answer is too long")));
+        }
+        progress.received(piece.len(), time::Instant::now());
+        bytes.extend_from_slice(&piece);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Builds a request with a JSON body, which may be empty.
 ///
 /// # Errors
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod http;
 pub mod objects;
+pub mod progress;
 pub mod table;
 pub mod traffic;
 
--- /dev/null
+++ b/crates/storage/src/progress.rs
@@ -0,0 +1,60 @@
+//! How far an answer has come.
+
+use std::fmt;
+
+use tokio::time::Instant;
+
+/// What has come of an answer, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    asked_at: Instant,
+    first_at: Option<Instant>,
+    last_at: Instant,
+    bytes: u64,
+}
+
+impl Progress {
+    /// Nothing has come of an answer that was asked for at `now`.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            asked_at: now,
+            first_at: None,
+            last_at: now,
+            bytes: 0,
+        }
+    }
+
+    /// So many more bytes have come.
+    pub fn received(&mut self, bytes: usize, now: Instant) {
+        self.first_at.get_or_insert(now);
+        self.last_at = now;
+        self.bytes = self.bytes.saturating_add(bytes as u64);
+    }
+
+    /// How many bytes have come.
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Milliseconds from the question to the first bytes.
+    pub fn first_ms(&self) -> Option<u128> {
+        let first_at = self.first_at?;
+        Some(first_at.duration_since(self.asked_at).as_millis())
+    }
+
+    /// Milliseconds from the question to the last bytes.
+    pub fn last_ms(&self) -> u128 {
+        self.last_at.duration_since(self.asked_at).as_millis()
+    }
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(first_ms) = self.first_ms() else {
+            return f.write_str("nothing received");
+        };
+        let Self { bytes, .. } = self;
+        let last_ms = self.last_ms();
+        write!(f, "{bytes} bytes received in {first_ms} to {last_ms} ms")
+    }
+}
