Add failing tests for large configurations over slow links

Callers were refused on a route that had been added more than 3 s before, or served by the version before. A router gives a read of the store up after 0.8, 1.5 or 2.6 s, and one of another router after 1 s, also while its bytes still come, and the next try begins at zero.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 mod asking;
 mod digest;
 mod directory;
-mod fetch;
+pub mod fetch;
 pub mod introduction;
 mod readers;
 mod relays;
--- /dev/null
+++ b/crates/gateway/tests/network/fetch.rs
@@ -0,0 +1,68 @@
+//! Rows that one router asks of another.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use gateway::{
+    mirror::{Mirror, Mirrors},
+    peers::{Versions, fetch},
+    source::{Batch, Row, Topic},
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use standin::link::Link;
+use tokio::{net::TcpListener, sync::watch};
+use wire::seal::Key;
+
+/// What a link of 10 Mbit/s carries.
+const LINK_BYTES_PER_S: u64 = 1_250_000;
+/// As much as that link carries in three seconds.
+const LARGE: usize = 3_750_000;
+
+fn key() -> Key {
+    Key::from_bytes([7; 32])
+}
+
+/// Bytes that cannot be made smaller.
+fn noise(length: usize) -> Bytes {
+    let mut bytes = vec![0; length];
+    SmallRng::seed_from_u64(1).fill(&mut bytes[..]);
+    Bytes::from(bytes)
+}
+
+/// A router that knows one configuration.
+async fn router(value: Bytes) -> SocketAddr {
+    let batch = Batch {
+        rows: vec![Row {
+            key: String::from("config"),
+            version: 5,
+            value: Some(value),
+        }],
+        version: 5,
+        is_whole: true,
+    };
+    let mut mirror = Mirror::default();
+    mirror.merge(&batch);
+    let mirrors: Mirrors = BTreeMap::from([(Topic::Configuration, mirror)]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let (sender, receiver) = watch::channel(Arc::new(mirrors));
+    tokio::spawn(async move {
+        let _keep = sender;
+        fetch::serve(listener, key(), receiver).await;
+    });
+    address
+}
+
+/// Guards against rows that are given up while their bytes still come.
+#[tokio::test]
+async fn large_rows_come_over_a_slow_link() {
+    let value = noise(LARGE);
+    let link = Link::start(router(value.clone()).await)
+        .await
+        .expect("a port");
+    link.limit(LINK_BYTES_PER_S);
+    let answered = fetch::ask(link.address(), &key(), Versions::default()).await;
+    let batches = answered.expect("the rows");
+    let (_, batch) = &batches[0];
+    assert_eq!(Some(&value), batch.rows[0].value.as_ref());
+}
--- /dev/null
+++ b/crates/gateway/tests/network/main.rs
@@ -0,0 +1,3 @@
+//! What routers ask each other, over real connections.
+
+mod fetch;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod answer;
 pub mod engine;
 pub mod http;
+pub mod link;
 pub mod platform;
 pub mod process;
 pub mod server;
--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,123 @@
+//! A link to a server that can be shut or slowed down.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    time,
+};
+
+/// How much is carried at a time, in bytes.
+const PIECE: usize = 8 * 1024;
+
+/// A loopback address whose connections are carried to a server.
+#[derive(Clone, Debug)]
+pub struct Link {
+    address: SocketAddr,
+    open: watch::Sender<bool>,
+    /// Bytes a second that each connection carries from the server.
+    rate: watch::Sender<u64>,
+}
+
+impl Link {
+    /// Starts a link to the server at `target` that does no harm.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (open, is_open) = watch::channel(true);
+        let (rate, rates) = watch::channel(u64::MAX);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(connection(near, target, is_open.clone(), rates.clone()));
+            }
+        });
+        Ok(Self {
+            address,
+            open,
+            rate,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts all connections and refuses new ones.
+    pub fn shut(&self) {
+        self.open.send_replace(false);
+    }
+
+    /// Lets connections through again.
+    pub fn reopen(&self) {
+        self.open.send_replace(true);
+    }
+
+    /// Lets so many bytes a second come from the server on each connection
+    /// from now on; with zero they fall silent.
+    pub fn limit(&self, bytes_per_s: u64) {
+        self.rate.send_replace(bytes_per_s);
+    }
+}
+
+async fn connection(
+    near: TcpStream,
+    target: SocketAddr,
+    mut is_open: watch::Receiver<bool>,
+    rates: watch::Receiver<u64>,
+) {
+    if !*is_open.borrow() {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let shut = is_open.wait_for(|open| !open);
+    tokio::select! {
+        () = carry(near, far, rates) => {}
+        shut = shut => drop(shut),
+    }
+}
+
+/// Carries bytes until both ends have closed.
+async fn carry(near: TcpStream, far: TcpStream, rates: watch::Receiver<u64>) {
+    let (mut near_read, near_write) = near.into_split();
+    let (far_read, mut far_write) = far.into_split();
+    let there = async {
+        // Either end may close.
+        drop(tokio::io::copy(&mut near_read, &mut far_write).await);
+        drop(far_write);
+    };
+    tokio::join!(there, carry_back(far_read, near_write, rates));
+}
+
+/// Carries bytes at the rate that is set, piece by piece.
+async fn carry_back(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut rates: watch::Receiver<u64>,
+) {
+    let mut piece = [0; PIECE];
+    let mut free_at = time::Instant::now();
+    while let Ok(length @ 1..) = from.read(&mut piece).await {
+        let rate = match rates.wait_for(|rate| *rate > 0).await {
+            Ok(rate) => *rate,
+            Err(_) => return,
+        };
+        let taken = Duration::from_secs_f64(length as f64 / rate as f64);
+        free_at = free_at.max(time::Instant::now()) + taken;
+        time::sleep_until(free_at).await;
+        if to.write_all(&piece[..length]).await.is_err() {
+            return;
+        }
+    }
+}
