Ask for the configuration apart from servers and routers

A router asked another one for servers; by then that one knew a new configuration of 0.9 MB and answered with it first, over a link that others shared. Until it was through, there was one question to other routers at a time, and no server was heard of. Ruled out: watchers that were late (their reads of servers took 6 to 194 ms).

There is one question for the configuration and one for the rest now, and a question for the rest names any configuration as known.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,7 +27,7 @@
 pub use directory::Directory;
 pub use readers::{Readers, WATCHERS, Watcher};
 pub use relays::{Relay, relays};
-pub use roll::Roll;
+pub use roll::{Part, Roll};
 pub use sums::{Sum, Sums};
 pub use turn::turn;
 
--- a/crates/gateway/src/peers/roll.rs
+++ b/crates/gateway/src/peers/roll.rs
@@ -1,6 +1,6 @@
 //! Which routers are heard, and which of them know more.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use units::{host, time::Instant};
 
@@ -12,12 +12,65 @@
 /// other. One that is still behind after this long cannot reach the store, or
 /// its connection to it went silent.
 const BEHIND: Duration = Duration::from_millis(150);
-/// How long to wait between two questions: an answer takes a few milliseconds.
+/// How long to wait between two questions for the configuration: an answer takes
+/// a few milliseconds if it is small.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
-/// The same while only servers or routers have changed. Their changes come in
-/// series, and those that follow each other are asked for together.
+/// The same for servers and routers. Their changes come in series, and those
+/// that follow each other are asked for together.
 const SERIES_PAUSE: Duration = Duration::from_millis(250);
 
+/// What is asked for in a question of its own.
+///
+/// A configuration may be large. Were it asked for together with the rest, a
+/// server that leaves would be heard of only after all its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The configuration.
+    Configuration,
+    /// Servers and routers.
+    Rest,
+}
+
+impl Part {
+    /// `known`, but for what is no part of the question: that counts as known whatever it is.
+    pub const fn of(self, known: Versions) -> Versions {
+        match self {
+            Self::Configuration => Versions {
+                servers: u64::MAX,
+                routers: u64::MAX,
+                ..known
+            },
+            Self::Rest => Versions {
+                configuration: u64::MAX,
+                ..known
+            },
+        }
+    }
+
+    const fn pause(self) -> Duration {
+        match self {
+            Self::Configuration => ASK_PAUSE,
+            Self::Rest => SERIES_PAUSE,
+        }
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Configuration => "configuration",
+            Self::Rest => "rest",
+        })
+    }
+}
+
+/// When a part may be asked for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    behind_since: Option<Instant>,
+    ask_at: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     /// Where its datagrams come from; it may not be known as a member yet.
@@ -30,10 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roll {
     records: BTreeMap<host::Id, Record>,
-    behind_since: Option<Instant>,
-    ask_at: Instant,
-    /// The same for anything but the configuration.
-    ask_series_at: Instant,
+    configuration: Pace,
+    rest: Pace,
 }
 
 impl Roll {
@@ -67,46 +118,45 @@
         silent
     }
 
-    /// A router to ask for what this one, which knows `own`, has missed. One
-    /// that `is_watching` waits a moment for the store's own word.
+    /// A router to ask for the `part` that this one, which knows `own`, has
+    /// missed. One that `is_watching` waits a moment for the store's own word.
     ///
     /// Of those that know more, any may be chosen: were it always the one that
-    /// knows most, all routers would ask the same one at the same moment. Where
-    /// there is no new configuration, which may be large and is wanted at once,
+    /// knows most, all routers would ask the same one at the same moment. For
+    /// what is no configuration, which may be large and is wanted at once,
     /// those that `is_near` holds for go first: bytes between zones are dear.
     pub fn ahead(
         &mut self,
+        part: Part,
         own: Versions,
         is_watching: bool,
         is_near: impl Fn(&host::Id) -> bool,
         random: usize,
         now: Instant,
     ) -> Option<SocketAddr> {
+        let known = part.of(own);
         let records = self.records.iter();
         let mut ahead: Vec<_> = records
-            .filter(|(_, record)| record.versions.is_ahead_of(own))
+            .filter(|(_, record)| record.versions.is_ahead_of(known))
             .map(|(host, record)| (is_near(host), record.address))
             .collect();
+        let pace = match part {
+            Part::Configuration => &mut self.configuration,
+            Part::Rest => &mut self.rest,
+        };
         if ahead.is_empty() {
-            self.behind_since = None;
+            pace.behind_since = None;
             return None;
         }
-        let is_urgent = self.newest_configuration() > own.configuration;
-        if !is_urgent && ahead.iter().any(|(is_near, _)| *is_near) {
+        if part == Part::Rest && ahead.iter().any(|(is_near, _)| *is_near) {
             ahead.retain(|(is_near, _)| *is_near);
         }
-        let since = *self.behind_since.get_or_insert(now);
+        let since = *pace.behind_since.get_or_insert(now);
         let patience = if is_watching { BEHIND } else { Duration::ZERO };
-        let ask_at = if is_urgent {
-            self.ask_at
-        } else {
-            self.ask_series_at
-        };
-        if now < ask_at.max(since + patience) {
+        if now < pace.ask_at.max(since + patience) {
             return None;
         }
-        self.ask_at = now + ASK_PAUSE;
-        self.ask_series_at = now + SERIES_PAUSE;
+        pace.ask_at = now + part.pause();
         Some(ahead[random % ahead.len()].1)
     }
 
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -12,7 +12,9 @@
 
 use super::{
     Aggregators, Digest, Directory, FAN_OUT, FIRST_FAN_OUT, Frame, INTERVAL, Inputs, Outputs,
-    QUIET_FAN_OUT, Readers, Roll, Sums, Versions, digest, sums, turn,
+    QUIET_FAN_OUT, Readers, Roll, Sums, Versions,
+    asking::{Asking, End},
+    digest, sums, turn,
 };
 use crate::{
     clock::Clock,
@@ -29,27 +31,11 @@
 /// The least time after which a router that is not heard counts as lost.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
 
-/// How a question to the store or to another router ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum End {
-    /// The store's rows have come.
-    StoreAnswered,
-    /// The store did not answer, or knew nothing new.
-    StoreFailed,
-    /// The rows of another router have come.
-    PeerAnswered,
-    /// The router at this address did not answer.
-    PeerFailed(SocketAddr),
-}
-
 /// The task's state.
 pub(super) struct Task<S> {
     pub(super) clock: Clock,
     pub(super) source: S,
-    /// Whether the store is being asked; there is one question at a time.
-    pub(super) is_asking_store: bool,
-    /// Whether another router is being asked; there is one question at a time.
-    pub(super) is_asking_peer: bool,
+    pub(super) is_asking: Asking,
     /// Until when other routers are asked in place of the store.
     pub(super) store_failed_until: Instant,
     pub(super) done: mpsc::Sender<End>,
@@ -113,8 +99,7 @@
         let task = Self {
             clock,
             source,
-            is_asking_store: false,
-            is_asking_peer: false,
+            is_asking: Asking::default(),
             store_failed_until: Instant::ZERO,
             done,
             seals,
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -12,7 +12,7 @@
     evidence::Ends,
     load::Teller,
     peers::{
-        Digest, Directory, Frame, Readers, Roll, Versions, WATCHERS, Watcher,
+        Digest, Directory, Frame, Part, Readers, Roll, Versions, WATCHERS, Watcher,
         loads as digest_loads, turn,
     },
 };
@@ -53,7 +53,8 @@
     random: usize,
     now: Instant,
 ) -> Option<SocketAddr> {
-    roll.ahead(own, is_watching, |_| false, random, now)
+    let mut ask = |part| roll.ahead(part, own, is_watching, |_| false, random, now);
+    ask(Part::Configuration).or_else(|| ask(Part::Rest))
 }
 
 /// The store refuses this router and serves the others. A key is taken away,
@@ -181,7 +182,8 @@
         roll.heard(&far, at(2), now, PATIENCE);
         roll.heard(&changed(2 + step), at(1), now, PATIENCE);
         let near = host("r1");
-        asked.extend(roll.ahead(own(5), false, |host| *host == near, step as usize, now));
+        let is_near = |host: &_| *host == near;
+        asked.extend(roll.ahead(Part::Rest, own(5), false, is_near, step as usize, now));
     }
     assert_eq!(asked, [at(1); 4], "four in a second, all near by");
 }
@@ -201,6 +203,18 @@
     assert!(ahead(&mut roll, own(5), false, 0, next).is_some());
 }
 
+/// Guards against servers that leave and are heard of only after a large configuration.
+#[test]
+fn the_rest_is_asked_for_while_a_configuration_comes() {
+    let mut roll = Roll::default();
+    let mut news = digest("r1", 6);
+    news.versions.servers = 2;
+    roll.heard(&news, at(1), START, PATIENCE);
+    let mut ask = |part| roll.ahead(part, own(5), false, |_| false, 0, START);
+    assert_eq!(ask(Part::Configuration), Some(at(1)));
+    assert_eq!(ask(Part::Rest), Some(at(1)));
+}
+
 /// A router that died would count with its last requests for ever.
 #[test]
 fn a_silent_router_is_forgotten() {
--- a/crates/gateway/tests/network/fetch.rs
+++ b/crates/gateway/tests/network/fetch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gateway::{
     mirror::{Mirror, Mirrors},
-    peers::{Versions, fetch},
+    peers::{Part, Versions, fetch},
     source::{Batch, Row, Topic},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -29,20 +29,27 @@
     Bytes::from(bytes)
 }
 
-/// A router that knows one configuration.
-async fn router(value: Bytes) -> SocketAddr {
+fn mirror(key: &str, version: u64, value: Bytes) -> Mirror {
     let batch = Batch {
         rows: vec![Row {
-            key: String::from("config"),
-            version: 5,
+            key: String::from(key),
+            version,
             value: Some(value),
         }],
-        version: 5,
+        version,
         is_whole: true,
     };
     let mut mirror = Mirror::default();
     mirror.merge(&batch);
-    let mirrors: Mirrors = BTreeMap::from([(Topic::Configuration, mirror)]);
+    mirror
+}
+
+/// A router that knows one configuration and one server.
+async fn router(value: Bytes) -> SocketAddr {
+    let mirrors: Mirrors = BTreeMap::from([
+        (Topic::Configuration, mirror("config", 5, value)),
+        (Topic::Servers, mirror("s1", 6, Bytes::from_static(b"{}"))),
+    ]);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     let (sender, receiver) = watch::channel(Arc::new(mirrors));
@@ -66,3 +73,18 @@
     let (_, batch) = &batches[0];
     assert_eq!(Some(&value), batch.rows[0].value.as_ref());
 }
+
+/// Guards against servers that leave and are heard of only after a large configuration.
+#[tokio::test]
+async fn servers_come_without_the_configuration() {
+    let link = Link::start(router(noise(LARGE)).await)
+        .await
+        .expect("a port");
+    link.limit(LINK_BYTES_PER_S);
+    let known = Part::Rest.of(Versions::default());
+    let batches = fetch::ask(link.address(), &key(), known).await;
+    let batches = batches.expect("the rows").into_iter();
+    let rows: Vec<_> = batches.flat_map(|(_, batch)| batch.rows).collect();
+    let keys: Vec<_> = rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["s1"]);
+}
