Wait for answers whose bytes keep coming

Cause: the time a read may take was fixed (0.8 s, 1.5 s and 2.6 s for the store, 1 s for another router, on both ends), and the time that it needs grows with the configuration: 1.2 MB take 1 s over a link of 10 Mbit/s. A read was given up while its bytes came, all of it was thrown away, and the next began at its first byte, over a link that abandoned answers still filled. The class: a fixed limit on work whose size grows, with a retry from the beginning.

Ruled out: a store that answers late (first bytes after 5 to 162 ms), the processor (46 ms from the whole answer to the version in force, 130 ms at most).

An answer that has begun is now waited for beyond its limit as long as bytes come within half a second of each other, at a least rate. A connection that falls silent is found as before, at the limit or half a second after its last byte. Values go between routers in pieces of 8 KB, so that one that shares a link shows that it goes on. The same limit stood before lists of rows, objects and hosts that the product's own routers, the administration and weirctl read; they wait in the same way. Writes, orders and single rows keep their deadlines.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -116,7 +116,7 @@
     pub async fn page(&self, path: &str) -> Result<String, Error> {
         let request = http::request(Method::GET, path, Bytes::new()).map_err(lost)?;
         let deadline = time::Instant::now() + TIMEOUT;
-        let answer = self.http.call(request, deadline).await.map_err(lost)?;
+        let answer = self.http.read(request, deadline).await.map_err(lost)?;
         if !answer.status.is_success() {
             let message = format!("the router answers {}", answer.status);
             return Err(Error::new(exit::Code::Unavailable, message));
@@ -160,7 +160,7 @@
             request.headers_mut().insert(header::AUTHORIZATION, value);
         }
         let deadline = time::Instant::now() + timeout;
-        let answer = self.http.call(request, deadline).await.map_err(lost)?;
+        let answer = self.http.read(request, deadline).await.map_err(lost)?;
         if answer.status.is_success() {
             return http::parse(&answer).map_err(lost);
         }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt, io, net, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -195,7 +195,7 @@
     /// # Errors
     ///
     /// As [`Writer::send`].
-    pub async fn send_data(&mut self, data: &Bytes) -> Result<(), Error> {
+    pub async fn send_data(&mut self, data: &[u8]) -> Result<(), Error> {
         for piece in data.chunks(hop::MAX_DATA) {
             self.write(&[&[hop::DATA], piece]).await?;
         }
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -19,8 +19,14 @@
     source::{Batch, Row, Topic},
 };
 
-/// How long one question and its answer may take.
+/// How long one question and its answer may take; an answer whose bytes keep
+/// coming may take longer.
 const LIMIT: Duration = Duration::from_millis(1000);
+/// How long one piece of an answer may take to be sent.
+const SEND_LIMIT: Duration = Duration::from_millis(1000);
+/// The size of the pieces of a value, in bytes: each shows the one who asks
+/// that more is coming, also where many share a slow link.
+const PIECE: usize = 8 * 1024;
 /// The largest value of a row, in bytes.
 const MAX_VALUE: u64 = 8 * 1024 * 1024;
 
@@ -53,14 +59,13 @@
     key: &Key,
     versions: Versions,
 ) -> Result<Vec<(Topic, Batch)>, Error> {
-    let mut progress = Progress::new(time::Instant::now());
-    let answer = async {
-        let mut link = Link::connect(address, key).await?;
-        link.writer.send(&Question { versions }).await?;
-        receive(&mut link, &mut progress).await
+    let now = time::Instant::now();
+    let mut reception = Reception {
+        due: now + LIMIT,
+        progress: Progress::new(now),
     };
-    let answered = time::timeout(LIMIT, answer).await;
-    let answered = answered.unwrap_or(Err(Error::Timeout));
+    let answered = reception.ask(address, key, versions).await;
+    let progress = reception.progress;
     note(address, answered.as_ref().err(), progress);
     answered
 }
@@ -90,54 +95,87 @@
     }
 }
 
-async fn receive(link: &mut Link, progress: &mut Progress) -> Result<Vec<(Topic, Batch)>, Error> {
-    let mut batches: Vec<(Topic, Batch)> = Vec::new();
-    loop {
-        match link.reader.receive().await? {
-            Frame::Message(Reply::Topic(topic, version)) => {
-                let batch = Batch {
-                    rows: Vec::new(),
-                    version,
-                    is_whole: false,
-                };
-                batches.push((topic, batch));
-            }
-            Frame::Message(Reply::Row {
-                key,
-                version,
-                length,
-            }) => {
-                let value = match length {
-                    Some(length) => Some(value(link, length, progress).await?),
-                    None => None,
-                };
-                if let Some((_, batch)) = batches.last_mut() {
-                    batch.rows.push(Row {
-                        key,
+/// An answer that is being received.
+struct Reception {
+    due: time::Instant,
+    progress: Progress,
+}
+
+impl Reception {
+    async fn ask(
+        &mut self,
+        address: SocketAddr,
+        key: &Key,
+        versions: Versions,
+    ) -> Result<Vec<(Topic, Batch)>, Error> {
+        let asked = async {
+            let mut link = Link::connect(address, key).await?;
+            link.writer.send(&Question { versions }).await?;
+            Ok::<Link, Error>(link)
+        };
+        let asked = time::timeout_at(self.due, asked).await;
+        let mut link = asked.map_err(|_| Error::Timeout)??;
+        self.batches(&mut link).await
+    }
+
+    async fn batches(&mut self, link: &mut Link) -> Result<Vec<(Topic, Batch)>, Error> {
+        let mut batches: Vec<(Topic, Batch)> = Vec::new();
+        loop {
+            match self.frame(link).await? {
+                Frame::Message(Reply::Topic(topic, version)) => {
+                    let batch = Batch {
+                        rows: Vec::new(),
                         version,
-                        value,
-                    });
+                        is_whole: false,
+                    };
+                    batches.push((topic, batch));
                 }
+                Frame::Message(Reply::Row {
+                    key,
+                    version,
+                    length,
+                }) => {
+                    let value = match length {
+                        Some(length) => Some(self.value(link, length).await?),
+                        None => None,
+                    };
+                    if let Some((_, batch)) = batches.last_mut() {
+                        batch.rows.push(Row {
+                            key,
+                            version,
+                            value,
+                        });
+                    }
+                }
+                Frame::Message(Reply::End) => return Ok(batches),
+                Frame::Data(_) => return Err(Error::Closed),
             }
-            Frame::Message(Reply::End) => return Ok(batches),
-            Frame::Data(_) => return Err(Error::Closed),
         }
     }
-}
 
-async fn value(link: &mut Link, length: u64, progress: &mut Progress) -> Result<Bytes, Error> {
-    let length = usize::try_from(length.min(MAX_VALUE)).unwrap_or_default();
-    let mut value = BytesMut::new();
-    while value.len() < length {
-        match link.reader.receive::<Reply>().await? {
-            Frame::Data(piece) => {
-                progress.received(piece.len(), time::Instant::now());
-                value.extend_from_slice(&piece);
+    async fn value(&mut self, link: &mut Link, length: u64) -> Result<Bytes, Error> {
+        let length = usize::try_from(length.min(MAX_VALUE)).unwrap_or_default();
+        let mut value = BytesMut::with_capacity(length);
+        while value.len() < length {
+            match self.frame(link).await? {
+                Frame::Data(piece) => value.extend_from_slice(&piece),
+                Frame::Message(_) => return Err(Error::Closed),
             }
-            Frame::Message(_) => return Err(Error::Closed),
         }
+        Ok(value.freeze())
+    }
+
+    async fn frame(&mut self, link: &mut Link) -> Result<Frame<Reply>, Error> {
+        let patience = self.progress.patience(self.due);
+        let received = time::timeout_at(patience, link.reader.receive()).await;
+        let frame = received.map_err(|_| Error::Timeout)??;
+        let length = match &frame {
+            Frame::Message(_) => 0,
+            Frame::Data(piece) => piece.len(),
+        };
+        self.progress.received(length, time::Instant::now());
+        Ok(frame)
     }
-    Ok(value.freeze())
 }
 
 /// Answers the questions of other routers until the process ends.
@@ -154,8 +192,7 @@
         let key = key.clone();
         let mirrors = Arc::clone(&mirrors.borrow());
         tokio::spawn(async move {
-            let answered = time::timeout(LIMIT, answer(stream, &key, &mirrors)).await;
-            if let Ok(Err(error)) = answered {
+            if let Err(error) = answer(stream, &key, &mirrors).await {
                 logging::event!(debug, "peer_question_failed", reason = error);
             }
         });
@@ -164,7 +201,7 @@
 
 async fn answer(stream: TcpStream, key: &Key, mirrors: &Mirrors) -> Result<(), Error> {
     let mut link = Link::accept(stream, key).await?;
-    let Frame::Message(Question { versions }) = link.reader.receive().await? else {
+    let Frame::Message(Question { versions }) = link.reader.receive_within(LIMIT).await? else {
         return Err(Error::Closed);
     };
     for (&topic, mirror) in mirrors {
@@ -174,26 +211,33 @@
             Topic::Routers => versions.routers,
         };
         let batch = mirror.since(after);
-        link.writer
-            .send(&Reply::Topic(topic, batch.version))
-            .await?;
+        send(&mut link, &Reply::Topic(topic, batch.version)).await?;
         for row in batch.rows {
-            send(&mut link, row).await?;
+            send_row(&mut link, row).await?;
         }
     }
-    link.writer.send(&Reply::End).await
+    send(&mut link, &Reply::End).await
 }
 
-async fn send(link: &mut Link, row: Row) -> Result<(), Error> {
+async fn send_row(link: &mut Link, row: Row) -> Result<(), Error> {
     let length = row.value.as_ref().map(|value| value.len() as u64);
     let reply = Reply::Row {
         key: row.key,
         version: row.version,
         length,
     };
-    link.writer.send(&reply).await?;
-    match row.value {
-        Some(value) => link.writer.send_data(&value).await,
-        None => Ok(()),
+    send(link, &reply).await?;
+    for piece in row.value.iter().flat_map(|value| value.chunks(PIECE)) {
+        let sent = link.writer.send_data(piece);
+        time::timeout(SEND_LIMIT, sent)
+            .await
+            .map_err(|_| Error::Timeout)??;
     }
+    Ok(())
+}
+
+async fn send(link: &mut Link, reply: &Reply) -> Result<(), Error> {
+    time::timeout(SEND_LIMIT, link.writer.send(reply))
+        .await
+        .map_err(|_| Error::Timeout)?
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -132,13 +132,16 @@
 /// The store and the form of its rows.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Reads all rows of a topic.
+    ///
+    /// The answer is due at `deadline`; one whose bytes keep coming is waited for.
     fn read(
         &self,
         topic: Topic,
         deadline: time::Instant,
     ) -> impl Future<Output = Result<Batch, Error>> + Send;
 
-    /// Waits for changes after a version, a while at most.
+    /// Waits for changes after a version, a while at most. The deadline is as
+    /// for [`Source::read`].
     fn changes(
         &self,
         topic: Topic,
--- a/crates/storage/src/hosts.rs
+++ b/crates/storage/src/hosts.rs
@@ -54,7 +54,8 @@
 
 /// The host list service.
 pub trait Hosts: Send + Sync {
-    /// The present list.
+    /// The present list. An answer whose bytes keep coming is waited for beyond
+    /// the deadline.
     ///
     /// # Errors
     ///
@@ -113,7 +114,7 @@
             let tag = last.tag.clone();
             request.headers_mut().insert(header::IF_NONE_MATCH, tag);
         }
-        let answer = self.http.call(request, deadline).await?;
+        let answer = self.http.read(request, deadline).await?;
         match (answer.status, last) {
             (StatusCode::OK, _) => self.take(&answer),
             (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.hosts),
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -88,32 +88,41 @@
         request: Request<Bytes>,
         deadline: time::Instant,
     ) -> Result<Answer, Error> {
+        self.exchange(request, Limit::Whole(deadline)).await
+    }
+
+    /// The same for an answer of any size, which is due at `due` and waited
+    /// for as long as its bytes keep coming ([`Progress::patience`]).
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`].
+    pub async fn read(&self, request: Request<Bytes>, due: time::Instant) -> Result<Answer, Error> {
+        self.exchange(request, Limit::Moving(due)).await
+    }
+
+    async fn exchange(&self, request: Request<Bytes>, limit: Limit) -> Result<Answer, Error> {
         let request = self.addressed(request)?;
+        let deadline = limit.start();
         let mut sender = self.connection(deadline).await?;
         // A process that was paused here would send the request long after its
         // caller had a right to: a timer is looked at only after the first step.
         if time::Instant::now() >= deadline {
             return Err(unreachable(self.address, "the deadline has passed"));
         }
-        let mut progress = Progress::new(time::Instant::now());
-        let exchange = exchange(&mut sender, request, &mut progress);
-        match time::timeout_at(deadline, exchange).await {
-            Ok(Ok(answer)) => {
-                self.keep(sender);
-                Ok(answer)
-            }
-            Ok(Err(error)) => {
-                self.forget_idle();
-                Err(error)
-            }
-            Err(_) => {
-                self.forget_idle();
+        let answer = exchange(&mut sender, request, limit).await;
+        match &answer {
+            Ok(_) => self.keep(sender),
+            Err(_) => self.forget_idle(),
+        }
+        answer.map_err(|error| match error {
+            Failure::Late(progress) => {
                 let address = self.address;
-                Err(Error::MayHaveRun(format!(
-                    "no answer from {address} by the deadline, {progress}"
-                )))
+                let reason = format!("no answer from {address} by the deadline, {progress}");
+                Error::MayHaveRun(reason)
             }
-        }
+            Failure::Other(error) => error,
+        })
     }
 
     fn addressed(&self, request: Request<Bytes>) -> Result<Request<Full<Bytes>>, Error> {
@@ -188,50 +197,94 @@
     Error::NotRun(format!("{address}: {reason}"))
 }
 
+/// Until when an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+enum Limit {
+    /// All of it has to be there by then.
+    Whole(time::Instant),
+    /// It is due then, and waited for longer while its bytes come.
+    Moving(time::Instant),
+}
+
+impl Limit {
+    /// By when the answer has to begin.
+    const fn start(self) -> time::Instant {
+        match self {
+            Self::Whole(deadline) | Self::Moving(deadline) => deadline,
+        }
+    }
+
+    /// By when its next bytes have to come.
+    fn next(self, progress: Progress) -> time::Instant {
+        match self {
+            Self::Whole(deadline) => deadline,
+            Self::Moving(due) => progress.patience(due),
+        }
+    }
+}
+
+/// Why an exchange failed.
+enum Failure {
+    /// The answer, or more of it, was waited for too long.
+    Late(Progress),
+    /// Anything else.
+    Other(Error),
+}
+
 /// Sends `request` on one connection and reads the whole answer.
 async fn exchange(
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
-    progress: &mut Progress,
-) -> Result<Answer, Error> {
-    let response = match sender.try_send_request(request).await {
+    limit: Limit,
+) -> Result<Answer, Failure> {
+    let progress = Progress::new(time::Instant::now());
+    let sent = time::timeout_at(limit.start(), sender.try_send_request(request)).await;
+    let response = match sent.map_err(|_| Failure::Late(progress))? {
         Ok(response) => response,
         Err(mut failed) => {
             // The request comes back only when no byte of it has been sent.
             let unsent = failed.take_message().is_some();
             let reason = failed.into_error().to_string();
-            return Err(if unsent {
+            return Err(Failure::Other(if unsent {
                 Error::NotRun(reason)
             } else {
                 Error::MayHaveRun(reason)
-            });
+            }));
         }
     };
     let (head, body) = response.into_parts();
-    let body = read(body, progress).await?;
+    let (body, progress) = read(body, progress, limit).await?;
     Ok(Answer {
         status: head.status,
         headers: head.headers,
         body,
-        progress: *progress,
+        progress,
     })
 }
 
-async fn read(mut body: body::Incoming, progress: &mut Progress) -> Result<Bytes, Error> {
+async fn read(
+    mut body: body::Incoming,
+    mut progress: Progress,
+    limit: Limit,
+) -> Result<(Bytes, Progress), Failure> {
+    let lost = |reason: String| Failure::Other(Error::MayHaveRun(reason));
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(MAX_RESERVED);
     let mut bytes = BytesMut::with_capacity(announced.min(MAX_RESERVED));
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| Error::MayHaveRun(error.to_string()))?;
+    loop {
+        let frame = time::timeout_at(limit.next(progress), body.frame()).await;
+        let frame = match frame.map_err(|_| Failure::Late(progress))? {
+            Some(frame) => frame.map_err(|error| lost(error.to_string()))?,
+            None => return Ok((bytes.freeze(), progress)),
+        };
         let Ok(piece) = frame.into_data() else {
             continue;
         };
         if bytes.len() + piece.len() > MAX_ANSWER {
-            return Err(Error::MayHaveRun(String::from("the answer is too long")));
+            return Err(lost(String::from("the answer is too long")));
         }
         progress.received(piece.len(), time::Instant::now());
         bytes.extend_from_slice(&piece);
     }
-    Ok(bytes.freeze())
 }
 
 /// Builds a request with a JSON body, which may be empty.
--- a/crates/storage/src/objects.rs
+++ b/crates/storage/src/objects.rs
@@ -34,7 +34,8 @@
 
 /// The object store service.
 pub trait Objects: Send + Sync {
-    /// Reads the object `key`, `None` when it is absent.
+    /// Reads the object `key`, `None` when it is absent. An answer whose bytes
+    /// keep coming is waited for beyond the deadline.
     ///
     /// # Errors
     ///
@@ -59,7 +60,7 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// The keys that begin with `prefix`, in order.
+    /// The keys that begin with `prefix`, in order, with the deadline as in [`Objects::get`].
     ///
     /// # Errors
     ///
@@ -96,7 +97,7 @@
         let path = format!("/objects/{}", http::escape(key));
         let answer = self
             .http
-            .call(http::request(Method::GET, &path, Bytes::new())?, deadline)
+            .read(http::request(Method::GET, &path, Bytes::new())?, deadline)
             .await?;
         match answer.status {
             StatusCode::OK => Ok(Some(Object {
@@ -132,7 +133,7 @@
         let path = format!("/objects?prefix={}", http::escape(prefix));
         let answer = self
             .http
-            .call(http::request(Method::GET, &path, Bytes::new())?, deadline)
+            .read(http::request(Method::GET, &path, Bytes::new())?, deadline)
             .await?;
         match answer.status {
             StatusCode::OK => http::parse::<Keys>(&answer).map(|keys| keys.keys),
--- a/crates/storage/src/progress.rs
+++ b/crates/storage/src/progress.rs
@@ -1,9 +1,16 @@
 //! How far an answer has come.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use tokio::time::Instant;
 
+/// How long an answer that has begun may pause once it is overdue.
+pub const PAUSE: Duration = Duration::from_millis(500);
+/// The least rate at which an overdue answer has to come, in bytes a second.
+///
+/// It is a fraction of what the slowest link carries, so that transfers may share one.
+const LEAST_RATE: u64 = 64 * 1024;
+
 /// What has come of an answer, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
@@ -31,6 +38,19 @@
         self.bytes = self.bytes.saturating_add(bytes as u64);
     }
 
+    /// Until when to wait for more of an answer that was due at `due`.
+    ///
+    /// How long an answer takes depends on its size and on the link. One that is
+    /// given up at a fixed time while its bytes still come is asked for again
+    /// from its first byte, and may never be had.
+    pub fn patience(&self, due: Instant) -> Instant {
+        if self.first_at.is_none() {
+            return due;
+        }
+        let earned = Duration::from_millis(self.bytes.saturating_mul(1000) / LEAST_RATE);
+        due.max((self.last_at + PAUSE).min(due + earned))
+    }
+
     /// How many bytes have come.
     pub const fn bytes(&self) -> u64 {
         self.bytes
--- a/crates/storage/src/table.rs
+++ b/crates/storage/src/table.rs
@@ -79,6 +79,7 @@
     ) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
 
     /// Reads the rows of `range` in the order of their keys, as they stood at one moment.
+    /// An answer whose bytes keep coming is waited for beyond the deadline.
     ///
     /// # Errors
     ///
@@ -167,7 +168,7 @@
         );
         let answer = self
             .http
-            .call(http::request(Method::GET, &path, Bytes::new())?, deadline)
+            .read(http::request(Method::GET, &path, Bytes::new())?, deadline)
             .await?;
         match answer.status {
             StatusCode::OK => http::parse::<Rows>(&answer).map(|rows| rows.rows),
