Take a removal found by a whole read for the newest change

Callers saw nothing of it; the store and other routers did. A router that learned by a whole read that a row is gone kept the version before as its newest one, and the row that said so was refused as known.

The version of a whole read that finds a row gone is its newest change now. Another router that knows the true, lower version takes the higher one over once, and both agree. The test failed before ("it would ask again").

--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -69,6 +69,9 @@
             self.rows.remove(key);
             self.remember_removal(key.clone(), batch.version);
         }
+        if !missing.is_empty() {
+            self.newest = self.newest.max(batch.version);
+        }
         let removal = |key| Row {
             key,
             version: batch.version,
--- a/crates/gateway/tests/decisions/mirror.rs
+++ b/crates/gateway/tests/decisions/mirror.rs
@@ -45,6 +45,22 @@
     assert_eq!(changed, [row("a", 9, None)]);
 }
 
+/// Guards against routers that ask others for ever for a removal that they know of by a whole read.
+#[test]
+fn a_router_that_read_a_removal_is_not_behind() {
+    let mut watcher = Mirror::default();
+    let mut reader = Mirror::default();
+    for mirror in [&mut watcher, &mut reader] {
+        mirror.merge(&batch(vec![row("a", 1, Some("x"))], 1, true));
+    }
+    watcher.merge(&batch(vec![row("a", 3, None)], 3, false));
+    reader.merge(&batch(Vec::new(), 4, true));
+    reader.merge(&watcher.since(reader.newest()));
+    assert!(reader.newest() >= watcher.newest(), "it would ask again");
+    watcher.merge(&reader.since(watcher.newest()));
+    assert_eq!(watcher.newest(), reader.newest(), "nor is the other behind");
+}
+
 /// The same read, but stale: it was made before the row was written.
 #[test]
 fn a_row_newer_than_a_whole_read_stays() {
