Log entries of servers that are waited for after an outage

A server whose entry goes missing around an outage of the store is used for up to 2.2 s more. No decision changes.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -52,6 +52,16 @@
     },
 }
 
+impl Change {
+    /// The server that it is about.
+    pub const fn server(&self) -> &backend::Server {
+        match self {
+            Self::Present(entry) => &entry.server,
+            Self::Absent { server, .. } => server,
+        }
+    }
+}
+
 /// The registered servers, as far as this router knows.
 ///
 /// Reads may be stale, so a row counts only if its revision is higher than
@@ -134,6 +144,11 @@
         }
     }
 
+    /// Whether the entry of a server went missing and is waited for.
+    pub fn is_lapsing(&self, server: &backend::Server) -> bool {
+        self.lapsing.contains_key(server)
+    }
+
     /// Drops entries that lapsed and did not return. Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let due: Vec<_> = self
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -89,7 +89,10 @@
                 self.merge(topic, &batch);
             }
             Event::Relayed(topic, batch) => self.merge(topic, &batch),
-            Event::Returned(Topic::Servers) => self.roster.store_returned(self.clock.now()),
+            Event::Returned(Topic::Servers) => {
+                logging::event!(info, "servers_may_return");
+                self.roster.store_returned(self.clock.now());
+            }
             Event::Steady => {
                 if self.roster.store_was_steady(self.clock.now()) {
                     self.publish_roster();
@@ -176,8 +179,18 @@
         let now = self.clock.now();
         let mut changed = false;
         for row in rows {
-            if let Some(change) = self.entry(row, now) {
-                changed |= self.roster.apply(change, now);
+            let Some(change) = self.entry(row, now) else {
+                continue;
+            };
+            let server = change.server().clone();
+            changed |= self.roster.apply(change, now);
+            if self.roster.is_lapsing(&server) {
+                logging::event!(
+                    info,
+                    "server_lapsed",
+                    server = server,
+                    revision = row.version
+                );
             }
         }
         if changed {
