Keep rows out that were gone at a whole read

Ruled out: late news (no router was more than 1.3 s behind), entries kept after an outage (no such line).

A mirror now remembers the version of its whole read: an unknown row of that version or an older one is refused, and one who knows less than that is told all rows, to find out what is missing. Removals do not count as listed.

The test mirrors plays five routers that start, read, follow and tell each other in any order, answers late: after each step a router knows all changes up to the version that it tells, and in the end all agree with the store and nobody takes itself for behind.

--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -20,6 +20,8 @@
     rows: BTreeMap<String, Row>,
     removed: BTreeMap<String, u64>,
     newest: u64,
+    /// The version of the newest whole read: a row that it did not list was gone.
+    whole: u64,
 }
 
 impl Mirror {
@@ -33,6 +35,7 @@
         }
         if batch.is_whole {
             changed.extend(self.drop_missing(batch));
+            self.whole = self.whole.max(batch.version);
         }
         changed
     }
@@ -43,6 +46,10 @@
         if known.max(removed).is_some_and(|known| row.version <= known) {
             return false;
         }
+        // The row is gone, and another router does not know that yet.
+        if row.value.is_some() && known.is_none() && row.version <= self.whole {
+            return false;
+        }
         self.newest = self.newest.max(row.version);
         if row.value.is_some() {
             self.removed.remove(&row.key);
@@ -56,7 +63,8 @@
 
     /// Rows that a whole read does not list are gone, unless they are newer than the read.
     fn drop_missing(&mut self, batch: &Batch) -> Vec<Row> {
-        let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
+        let present = batch.rows.iter().filter(|row| row.value.is_some());
+        let listed: BTreeSet<&str> = present.map(|row| row.key.as_str()).collect();
         let is_missing =
             |row: &&Row| !listed.contains(row.key.as_str()) && row.version < batch.version;
         let missing: Vec<String> = self
@@ -98,8 +106,13 @@
     }
 
     /// All changes after a version, as a router passes them on.
+    ///
+    /// What was gone at the whole read may stand nowhere by its name. One who
+    /// knows less than that read gets all rows, and finds it by what is missing.
     pub fn since(&self, version: u64) -> Batch {
-        let rows = self.rows.values().filter(|row| row.version > version);
+        let is_whole = version < self.whole;
+        let rows = self.rows.values();
+        let rows = rows.filter(|row| is_whole || row.version > version);
         let removed = self.removed.iter().filter(|&(_, &at)| at > version);
         let removed = removed.map(|(key, &version)| Row {
             key: key.clone(),
@@ -109,7 +122,7 @@
         Batch {
             rows: rows.cloned().chain(removed).collect(),
             version: self.newest,
-            is_whole: false,
+            is_whole,
         }
     }
 }
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -45,8 +45,13 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Reply {
-    /// The rows of a topic follow, up to this version.
-    Topic(Topic, u64),
+    /// The rows of a topic follow, up to this version: all of them, or those
+    /// that changed.
+    Topic {
+        topic: Topic,
+        version: u64,
+        is_whole: bool,
+    },
     /// A row; its value follows as data.
     Row {
         key: String,
@@ -169,11 +174,15 @@
         let mut batches: Vec<(Topic, Batch)> = Vec::new();
         loop {
             match self.frame(link).await? {
-                Frame::Message(Reply::Topic(topic, version)) => {
+                Frame::Message(Reply::Topic {
+                    topic,
+                    version,
+                    is_whole,
+                }) => {
                     let batch = Batch {
                         rows: Vec::new(),
                         version,
-                        is_whole: false,
+                        is_whole,
                     };
                     batches.push((topic, batch));
                 }
@@ -293,7 +302,12 @@
 
 async fn send_all(link: &mut Link, batches: Vec<(Topic, Batch)>) -> Result<(), Error> {
     for (topic, batch) in batches {
-        send(link, &Reply::Topic(topic, batch.version)).await?;
+        let head = Reply::Topic {
+            topic,
+            version: batch.version,
+            is_whole: batch.is_whole,
+        };
+        send(link, &head).await?;
         for row in batch.rows {
             send_row(link, row).await?;
         }
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod explore;
 mod fence;
 mod mirror;
+mod mirrors;
 mod peers;
 mod placing;
 mod reads;
--- a/crates/gateway/tests/decisions/mirror.rs
+++ b/crates/gateway/tests/decisions/mirror.rs
@@ -82,3 +82,50 @@
     assert_eq!(changed, [row("b", 2, Some("y")), row("a", 3, None)]);
     assert_eq!(other.newest(), 3);
 }
+
+/// Guards against servers that left and come back by what a router that is behind tells one that starts.
+#[test]
+fn a_row_that_was_gone_at_a_whole_read_does_not_come_back() {
+    let mut behind = Mirror::default();
+    behind.merge(&batch(
+        vec![row("a", 1, Some("x")), row("b", 2, Some("y"))],
+        2,
+        true,
+    ));
+    let mut started = Mirror::default();
+    started.merge(&batch(vec![row("b", 2, Some("y"))], 5, true));
+    assert_eq!(started.merge(&behind.since(0)), []);
+    let keys: Vec<_> = started.rows().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["b"]);
+}
+
+/// Guards against servers that left and stay with a router that is told the rest by one that started.
+#[test]
+fn a_router_that_started_passes_removals_on() {
+    let mut behind = Mirror::default();
+    behind.merge(&batch(
+        vec![row("a", 1, Some("x")), row("b", 2, Some("y"))],
+        2,
+        true,
+    ));
+    let mut started = Mirror::default();
+    started.merge(&batch(
+        vec![row("b", 2, Some("y")), row("c", 4, Some("z"))],
+        5,
+        true,
+    ));
+    behind.merge(&started.since(behind.newest()));
+    let keys: Vec<_> = behind.rows().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["b", "c"]);
+}
+
+/// Guards against whole answers to routers that lack a few changes.
+#[test]
+fn changes_after_a_whole_read_are_passed_on_alone() {
+    let mut watcher = Mirror::default();
+    watcher.merge(&batch(vec![row("a", 1, Some("x"))], 2, true));
+    watcher.merge(&batch(vec![row("b", 3, Some("y"))], 3, false));
+    let passed_on = watcher.since(2);
+    assert_eq!(passed_on.rows, [row("b", 3, Some("y"))]);
+    assert!(!passed_on.is_whole);
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/mirrors.rs
@@ -0,0 +1,242 @@
+//! Copies of the same rows in many routers that start, read the store and tell each other, in any order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use gateway::{
+    mirror::Mirror,
+    source::{Batch, Row},
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+const KEYS: u64 = 6;
+const ROUTERS: usize = 5;
+/// The routers that follow the store; the others ask those.
+const WATCHERS: usize = 2;
+const STEPS: usize = 400;
+/// After so many rounds without a change nobody may be behind.
+const ROUNDS: usize = 6;
+
+/// The rows of one topic, with all that ever happened to them.
+#[derive(Default)]
+struct Store {
+    changes: Vec<Row>,
+    /// Of all topics together.
+    version: u64,
+}
+
+impl Store {
+    fn change(&mut self, key: u64, is_there: bool) {
+        self.version += 1;
+        let version = self.version;
+        let value = Bytes::from(version.to_string()).into();
+        self.changes.push(Row {
+            key: format!("k{key}"),
+            version,
+            value: is_there.then_some(value),
+        });
+    }
+
+    /// The last change of each row up to a version.
+    fn last(&self, version: u64) -> BTreeMap<&str, &Row> {
+        let changes = self.changes.iter().filter(|row| row.version <= version);
+        changes.map(|row| (row.key.as_str(), row)).collect()
+    }
+
+    fn read(&self) -> Batch {
+        let rows = self.last(self.version).into_values();
+        Batch {
+            rows: rows.filter(|row| row.value.is_some()).cloned().collect(),
+            version: self.version,
+            is_whole: true,
+        }
+    }
+
+    fn changes(&self, after: u64) -> Batch {
+        let rows = self.last(self.version).into_values();
+        Batch {
+            rows: rows.filter(|row| row.version > after).cloned().collect(),
+            version: self.version,
+            is_whole: false,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Router {
+    mirror: Mirror,
+    /// What it follows the store from, once it has read everything.
+    after: Option<u64>,
+    /// Tells its starts apart.
+    start: u64,
+}
+
+/// A batch that is under way to one start of a router.
+struct Answer {
+    to: usize,
+    start: u64,
+    batch: Batch,
+    is_own: bool,
+}
+
+struct World {
+    store: Store,
+    routers: Vec<Router>,
+    answers: Vec<Answer>,
+    random: SmallRng,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            store: Store::default(),
+            routers: (0..ROUTERS).map(|_| Router::default()).collect(),
+            answers: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn step(&mut self) {
+        let router = self.random.random_range(0..ROUTERS);
+        match self.random.random_range(0..12) {
+            0..2 => {
+                let key = self.random.random_range(0..KEYS);
+                let is_there = self.random.random_bool(0.5);
+                self.store.change(key, is_there);
+            }
+            // A change of another topic.
+            2 => self.store.version += 1,
+            3 if self.random.random_bool(0.2) => {
+                let start = self.routers[router].start + 1;
+                self.routers[router] = Router {
+                    start,
+                    ..Router::default()
+                };
+            }
+            3..6 => self.ask_store(router),
+            6..9 => self.ask_router(router),
+            _ => self.deliver(),
+        }
+    }
+
+    fn ask_store(&mut self, router: usize) {
+        let batch = match self.routers[router].after {
+            None => self.store.read(),
+            Some(after) if router < WATCHERS => self.store.changes(after),
+            Some(_) => return,
+        };
+        self.send(router, batch, true);
+    }
+
+    fn ask_router(&mut self, router: usize) {
+        let known = self.routers[router].mirror.newest();
+        let ahead: Vec<usize> = (0..ROUTERS)
+            .filter(|&other| self.routers[other].mirror.newest() > known)
+            .collect();
+        if ahead.is_empty() {
+            return;
+        }
+        let other = ahead[self.random.random_range(0..ahead.len())];
+        let batch = self.routers[other].mirror.since(known);
+        self.send(router, batch, false);
+    }
+
+    fn send(&mut self, to: usize, batch: Batch, is_own: bool) {
+        let start = self.routers[to].start;
+        self.answers.push(Answer {
+            to,
+            start,
+            batch,
+            is_own,
+        });
+    }
+
+    /// One of the answers arrives, whichever was asked for first.
+    fn deliver(&mut self) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let index = self.random.random_range(0..self.answers.len());
+        let answer = self.answers.swap_remove(index);
+        let router = &mut self.routers[answer.to];
+        if router.start != answer.start {
+            return;
+        }
+        router.mirror.merge(&answer.batch);
+        if answer.is_own {
+            router.after = router.after.max(Some(answer.batch.version));
+        }
+        self.check(answer.to);
+    }
+
+    /// A router knows all that happened up to the version that it tells others.
+    fn check(&self, router: usize) {
+        let mirror = &self.routers[router].mirror;
+        let held: BTreeMap<&str, u64> = mirror
+            .rows()
+            .map(|row| (row.key.as_str(), row.version))
+            .collect();
+        for (key, row) in self.store.last(mirror.newest()) {
+            match held.get(key) {
+                Some(&version) => assert!(
+                    version > row.version || (version == row.version && row.value.is_some()),
+                    "{key} at {version}, which changed at {}",
+                    row.version
+                ),
+                None => assert!(
+                    row.value.is_none() || self.is_gone_later(row),
+                    "{key} is missing since {}",
+                    row.version
+                ),
+            }
+        }
+    }
+
+    /// Whether a newer change took the row away; the router may have read that.
+    fn is_gone_later(&self, row: &Row) -> bool {
+        let later = self.store.changes.iter();
+        let mut later = later.filter(|change| change.key == row.key);
+        later.any(|change| change.version > row.version && change.value.is_none())
+    }
+
+    /// All are told all, and nobody asks for ever.
+    fn settle(&mut self) {
+        for _ in 0..ROUNDS {
+            for router in 0..ROUTERS {
+                self.ask_store(router);
+                self.ask_router(router);
+            }
+            while !self.answers.is_empty() {
+                self.deliver();
+            }
+        }
+        let newest: BTreeSet<u64> = self
+            .routers
+            .iter()
+            .map(|router| router.mirror.newest())
+            .collect();
+        assert_eq!(
+            newest.len(),
+            1,
+            "some take themselves for behind: {newest:?}"
+        );
+        let expected: Vec<Row> = self.store.read().rows;
+        for router in &self.routers {
+            let rows: Vec<Row> = router.mirror.rows().cloned().collect();
+            assert_eq!(rows, expected);
+        }
+    }
+}
+
+/// Guards against rows that come back, and against routers that take themselves for behind for ever.
+#[test]
+fn routers_that_start_and_tell_each_other_agree_with_the_store() {
+    for seed in 0..300 {
+        println!("seed {seed}");
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+        }
+        world.settle();
+    }
+}
