--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,7 +47,8 @@
     clock: Clock,
     outputs: Outputs,
     mirrors: Mirrors,
-    table_version: u64,
+    /// The key and the version of the row whose table is in force.
+    in_force: Option<(String, u64)>,
     roster: Roster,
     readiness: Readiness,
 }
@@ -60,7 +61,7 @@
             clock,
             outputs,
             mirrors: Mirrors::new(),
-            table_version: 0,
+            in_force: None,
             roster: Roster::default(),
             readiness: Readiness::default(),
         }
@@ -135,11 +136,12 @@
         let mut zones = BTreeSet::new();
         let mut tables = Vec::new();
         for row in self.rows(Topic::Configuration) {
+            // Reading a large table once more takes the processor from callers.
+            if self.is_in_force(row) {
+                continue;
+            }
             match self.source.directive(row) {
-                Ok(Directive::Table(table)) => {
-                    let bytes = row.value.as_deref().map_or(0, <[u8]>::len);
-                    tables.push((row.version, bytes, table));
-                }
+                Ok(Directive::Table(table)) => tables.push((row.clone(), table)),
                 Ok(Directive::Unknown) => {}
                 Ok(Directive::Evacuation(zone)) => {
                     zones.insert(zone);
@@ -149,8 +151,8 @@
                 }
             }
         }
-        for (version, bytes, table) in tables {
-            self.put_in_force(version, bytes, table);
+        for (row, table) in tables {
+            self.put_in_force(row, table);
         }
         if self.roster.set_evacuated(zones.clone()) {
             let zones: Vec<_> = zones.iter().map(|zone| zone.as_str()).collect();
@@ -160,18 +162,25 @@
         self.publish_readiness();
     }
 
-    fn put_in_force(&mut self, version: u64, bytes: usize, table: Box<Table>) {
-        if version <= self.table_version {
+    fn is_in_force(&self, row: &Row) -> bool {
+        let mut in_force = self.in_force.iter();
+        in_force.any(|(key, version)| *key == row.key && *version == row.version)
+    }
+
+    fn put_in_force(&mut self, row: Row, table: Box<Table>) {
+        let known = self.in_force.as_ref().map(|(_, version)| *version);
+        if known.is_some_and(|known| row.version <= known) {
             return;
         }
-        self.table_version = version;
+        let bytes = row.value.as_deref().map_or(0, <[u8]>::len);
         logging::event!(
             info,
             "configuration_in_force",
             config = table.version,
-            row = version,
+            row = row.version,
             bytes = bytes
         );
+        self.in_force = Some((row.key, row.version));
         self.outputs.metrics.set_config(table.version, bytes);
         let table = Arc::from(table);
         let message = dispatch::Message::Table(Arc::clone(&table));
@@ -263,7 +272,7 @@
 
     fn publish_readiness(&mut self) {
         self.publish_sizes();
-        let readiness = if self.table_version == 0 {
+        let readiness = if self.in_force.is_none() {
             Readiness::NoConfiguration
         } else if self.roster.is_empty() {
             Readiness::NoServers
