--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -24,7 +24,7 @@
     newest: u64,
     /// The version of the newest whole read: a row that it did not list was gone.
     whole: u64,
-    /// Adds the rows up, whatever their order.
+    /// The hashes of the rows, added up in any order.
     sum: u64,
 }
 
@@ -127,8 +127,8 @@
         self.newest
     }
 
-    /// A sum over the rows. With the same version it differs where this router
-    /// holds a row that is gone by what another knows.
+    /// A sum over the rows. At the same version those of two routers differ if one
+    /// holds a row that is gone by what the other knows.
     pub fn sum(&self) -> u64 {
         self.sum
     }
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -110,7 +110,7 @@
         if time::Instant::now() >= deadline {
             return Err(unreachable(self.address, "the deadline has passed"));
         }
-        let answer = exchange(&mut sender, request, limit).await;
+        let answer = exchange_on(&mut sender, request, limit).await;
         match &answer {
             Ok(_) => self.keep(sender),
             Err(_) => self.forget_idle(),
@@ -232,7 +232,7 @@
 }
 
 /// Sends `request` on one connection and reads the whole answer.
-async fn exchange(
+async fn exchange_on(
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
     limit: Limit,
@@ -253,7 +253,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    let (body, progress) = read(body, progress, limit).await?;
+    let (body, progress) = read_body(body, progress, limit).await?;
     Ok(Answer {
         status: head.status,
         headers: head.headers,
@@ -262,7 +262,7 @@
     })
 }
 
-async fn read(
+async fn read_body(
     mut body: body::Incoming,
     mut progress: Progress,
     limit: Limit,
