Stop at a router that refuses a request as suspect

Callers of a request that crashes servers could take a third server down, of two that the request may cost: a run of all checks failed once (failures::a_request_that_crashes_engines_is_refused_after_two, "3 engines crashed"), alone on the machine.

Cause, from its lines: two servers of router 0 died with the request; 20 ms later the same request came to router 1, which had not heard of the deaths yet. Router 0 refused it as suspect for each of its servers (offer_refused code=suspect), router 1 counted that as a server without room and sent it to a server of its own, which died too.

A refusal as suspect is final now, whoever gives it. The test is as it was; a deterministic one would need a router that hears no heartbeats.

--- a/crates/router/src/entry/serve.rs
+++ b/crates/router/src/entry/serve.rs
@@ -121,6 +121,10 @@
         let verdict = failed.refusal.verdict;
         progress.refuse(failed.refusal);
         let server = target.server.clone();
+        if verdict == Verdict::NotRun && code == Code::Suspect {
+            // The owner has heard of deaths that this router has not heard of yet.
+            return Err(progress.refusal.clone());
+        }
         if verdict == Verdict::NotRun {
             self.metrics.spilled();
             progress.spill(server, code);
