Rank the first servers of a prompt instead of sorting all

What callers saw: nothing yet at today's sizes.

Cause: for each request all servers were sorted by their score for its prompt, their names hashed anew, and the place of each candidate was looked up by comparing names one after the other: a square of the servers. Costs tell only the first three places apart.

Change: the first three are kept in one pass, by the hash of the name that each server holds. The order is that of the scores as before: the logarithm is monotone in the hash that it is taken of.

What is left is linear: what each server has read is looked up by name of the part, twice.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -38,7 +38,12 @@
     /// Of two servers with the same each counts with the load of both, which keeps
     /// every bound.
     pub fn hash(server: &backend::Server) -> u32 {
-        (xxh3::xxh3_64(server.as_str().as_bytes()) >> 40) as u32
+        Self::short(xxh3::xxh3_64(server.as_str().as_bytes()))
+    }
+
+    /// The part of the hash of a server's name that stands for it between routers.
+    pub fn short(name_hash: u64) -> u32 {
+        (name_hash >> 40) as u32
     }
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -232,17 +232,15 @@
         if missing < LEAST_COPY {
             return None;
         }
-        let all = cost::order(&demand.parts, self.servers.values());
-        let others = all
-            .iter()
-            .filter_map(|name| self.servers.get(*name))
-            .filter(|server| server.name() != choice && server.is_reachable(now))
-            .filter(|server| !self.ways.is_unknown(server.zone(), now));
-        let expected = |(place, server): &(usize, &Server)| {
-            cost::expected_unread(server.unread(shared, now), *place)
+        let others = || {
+            let servers = self.servers.values();
+            servers
+                .filter(|server| server.name() != choice && server.is_reachable(now))
+                .filter(|server| !self.ways.is_unknown(server.zone(), now))
         };
-        let best = others.enumerate().min_by_key(expected)?;
-        Some(best.1.address())
+        let order = cost::Order::new(parts, others())?;
+        let best = others().min_by_key(|server| order.doubt(server, shared, now))?;
+        Some(best.address())
     }
 
     fn choose(
@@ -347,9 +345,9 @@
         now: Instant,
     ) -> Option<backend::Server> {
         let staying = self.servers.values().filter(|server| !server.is_leaving());
-        let order = cost::order(&demand.parts, staying);
+        let order = cost::Order::new(&demand.parts, staying);
         let cost = |server: &&Server| {
-            let place = order.iter().position(|name| *name == server.name());
+            let place = order.as_ref().map(|order| order.place(server));
             cost::time_us(server, &self.zone, &demand.parts, place, now)
         };
         let best = candidates.iter().min_by_key(|server| cost(server))?;
--- a/crates/gateway/src/pool/cost.rs
+++ b/crates/gateway/src/pool/cost.rs
@@ -1,11 +1,10 @@
 //! What a request costs at a server, and the order of servers for a prompt.
 
-use std::cmp::Ordering;
+use std::cmp::Reverse;
 
 use placement::score;
 use smallvec::SmallVec;
-use units::{availability, backend, chat, time::Instant};
-use xxhash_rust::xxh3;
+use units::{availability, chat, time::Instant};
 
 use super::{Part, Server};
 
@@ -35,23 +34,59 @@
 /// The place from which on all are alike.
 const LAST_PLACE: usize = 3;
 
-/// Servers in the order that all routers agree on for this prompt.
-pub fn order<'a>(
-    parts: &[Part],
-    servers: impl Iterator<Item = &'a Server>,
-) -> SmallVec<[&'a backend::Server; 16]> {
-    let Some(anchor) = anchor(parts) else {
-        return SmallVec::new();
-    };
-    let mut scored: SmallVec<[(f64, &backend::Server); 16]> = servers
-        .map(|server| {
-            let name = server.name();
-            let hash = xxh3::xxh3_64(name.as_str().as_bytes());
-            (score::weighted(score::pair(anchor, hash), 1), name)
-        })
-        .collect();
-    scored.sort_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(Ordering::Equal));
-    scored.into_iter().map(|(_, name)| name).collect()
+/// A server's rank in an order, with the hash of its name; the lowest is first.
+type Rank = (Reverse<u64>, u64);
+
+/// The order of servers for a prompt, on which all routers agree.
+///
+/// Only as many servers are told apart as have places of their own in what a
+/// prompt costs: sorting thousands for each request would take longer than
+/// most answers.
+#[derive(Clone, Debug)]
+pub struct Order {
+    anchor: chat::Key,
+    first: SmallVec<[Rank; LAST_PLACE]>,
+}
+
+impl Order {
+    /// The order of `servers` for a prompt; `None` if there is no prompt.
+    pub fn new<'a>(parts: &[Part], servers: impl Iterator<Item = &'a Server>) -> Option<Self> {
+        let mut order = Self {
+            anchor: anchor(parts)?,
+            first: SmallVec::new(),
+        };
+        for server in servers {
+            order.insert(order.rank(server));
+        }
+        Some(order)
+    }
+
+    fn rank(&self, server: &Server) -> Rank {
+        let hash = server.name_hash();
+        (Reverse(score::pair(self.anchor, hash)), hash)
+    }
+
+    fn insert(&mut self, rank: Rank) {
+        let place = self.first.partition_point(|before| *before < rank);
+        if place < LAST_PLACE {
+            self.first.truncate(LAST_PLACE - 1);
+            self.first.insert(place, rank);
+        }
+    }
+
+    /// The place of a server; [`LAST_PLACE`] stands for all from there on.
+    pub fn place(&self, server: &Server) -> usize {
+        let hash = server.name_hash();
+        let place = self.first.iter().position(|(_, first)| *first == hash);
+        place.unwrap_or(LAST_PLACE)
+    }
+
+    /// What servers are compared by that may have read `parts`; the likeliest is the lowest.
+    pub fn doubt(&self, server: &Server, parts: &[Part], now: Instant) -> (u64, usize, Rank) {
+        let place = self.place(server);
+        let unread = expected_unread(server.unread(parts, now), place);
+        (unread, place, self.rank(server))
+    }
 }
 
 /// The expected time to the first byte at `server`, in microseconds, for a router
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -4,6 +4,7 @@
 
 use placement::Warmth;
 use units::{availability, backend, chat, cost::Cost, time::Instant};
+use xxhash_rust::xxh3;
 
 use super::Part;
 use crate::{
@@ -68,8 +69,7 @@
 #[derive(Debug)]
 pub struct Server {
     entry: roster::Entry,
-    /// Stands for its name between routers.
-    hash: u32,
+    name_hash: u64,
     is_leaving: bool,
     running: u32,
     elsewhere: u32,
@@ -97,7 +97,7 @@
             ..placement::Settings::default()
         };
         Self {
-            hash: Load::hash(&entry.server),
+            name_hash: xxh3::xxh3_64(entry.server.as_str().as_bytes()),
             entry,
             is_leaving: false,
             running: 0,
@@ -140,9 +140,14 @@
         &self.entry.server
     }
 
+    /// The hash of its name.
+    pub fn name_hash(&self) -> u64 {
+        self.name_hash
+    }
+
     /// What stands for its name between routers.
     pub fn hash(&self) -> u32 {
-        self.hash
+        Load::short(self.name_hash)
     }
 
     /// Its availability zone.
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -1,6 +1,7 @@
 //! Which server gets a request.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
@@ -9,7 +10,9 @@
     pause,
     pool::{Demand, Denial, Outcome, Place, Pool},
 };
-use units::{backend, time::Instant};
+use placement::score;
+use units::{backend, chat, time::Instant};
+use xxhash_rust::xxh3;
 
 use crate::world::{START, bounds, demand, entry, fleet, pool, pool_of, server};
 
@@ -62,6 +65,35 @@
     }
 }
 
+/// Routers of different versions that rank servers differently would read each
+/// prompt on two servers.
+#[test]
+fn requests_take_the_servers_of_a_prompt_in_order_of_their_scores() {
+    let entries: Vec<_> = (0..40)
+        .map(|index| entry(&format!("s{index}"), "a"))
+        .collect();
+    for topic in 0..50 {
+        let mut full: Vec<backend::Server> = Vec::new();
+        for expected in by_score(1_000 + topic, &entries).into_iter().take(3) {
+            let mut pool = pool(&entries);
+            pool.set_elsewhere(|name| if full.contains(name) { 20 } else { 1 });
+            let place = admit(&mut pool, topic, topic, START).expect("a place");
+            assert_eq!(place.server, expected, "topic {topic}, full {full:?}");
+            full.push(expected);
+        }
+    }
+}
+
+/// The servers for the prompts whose longest shared part is `anchor`.
+fn by_score(anchor: u64, entries: &[gateway::roster::Entry]) -> Vec<backend::Server> {
+    let mut servers: Vec<_> = entries.iter().map(|entry| entry.server.clone()).collect();
+    servers.sort_by_cached_key(|server| {
+        let hash = xxh3::xxh3_64(server.as_str().as_bytes());
+        Reverse(score::pair(chat::Key(anchor), hash))
+    });
+    servers
+}
+
 /// Prompts must not all go to one server either.
 #[test]
 fn prompts_spread_over_the_servers() {
