Leave servers out whose address a later start has

Cause: the entry of a crashed server stays until it has missed three heartbeats, 3.6 s, while the new one is registered after 2 s. Both were used.

Ruled out: a router that is late with the list (its age was below 0.3 s).

Why the fix works: an entry that started and was registered after another one of its service at the same address shows that the other is over. Both are asked for, since a clock may have been set back and a write may land late; then both are used as before. Entries of other services say nothing, since other writers' entries may name any.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -354,9 +354,10 @@
     /// Starts of servers that are over by what the store says.
     fn note_ends(&mut self, roster: &Roster) {
         let now = self.clock.now();
+        let starts = roster.starts();
         let servers = self.lines.values().flat_map(|line| line.pool().servers());
         let ended: Vec<_> = servers
-            .filter(|server| roster.born(server.name()) != Some(server.born()))
+            .filter(|server| starts.get(server.name()) != Some(&server.born()))
             .map(|server| (server.name().clone(), server.born()))
             .collect();
         for (server, born) in ended {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,7 +1,7 @@
 //! The backend servers that are registered, and what happens to them in an outage.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -38,6 +38,16 @@
     pub revision: u64,
 }
 
+impl Entry {
+    /// Whether `other` started, and was registered, after this one.
+    ///
+    /// Either alone may mislead: a server's clock may have been set back, and a
+    /// write may reach the store late.
+    fn is_followed_by(&self, other: &Self) -> bool {
+        other.born > self.born && other.revision > self.revision
+    }
+}
+
 /// What the store says of one server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -177,24 +187,48 @@
     }
 
     /// All registered servers, each with whether it gets nothing new.
+    ///
+    /// Those whose address a later server of their service has are left out. A server
+    /// that crashed and came back under a new name stays registered under the
+    /// old one for some heartbeats, and refuses what is sent to it under that.
     pub fn all(&self) -> impl Iterator<Item = (&Entry, bool)> {
-        self.entries
-            .values()
+        let latest = self.latest();
+        let is_over = move |entry: &Entry| {
+            let latest = latest.get(&place(entry));
+            latest.is_some_and(|latest| entry.is_followed_by(latest))
+        };
+        let entries = self.entries.values();
+        entries
+            .filter(move |entry| !is_over(entry))
             .map(|entry| (entry, !self.is_usable(entry)))
     }
 
+    /// The latest server of a service at each address.
+    fn latest(&self) -> HashMap<(SocketAddr, &pool::Id), &Entry> {
+        let mut latest = HashMap::new();
+        for entry in self.entries.values() {
+            let known = latest.entry(place(entry)).or_insert(entry);
+            if known.is_followed_by(entry) {
+                *known = entry;
+            }
+        }
+        latest
+    }
+
     fn is_usable(&self, entry: &Entry) -> bool {
         !entry.is_draining && !self.evacuated.contains(&entry.zone)
     }
 
     /// The servers that may get work.
     pub fn usable(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values().filter(|entry| self.is_usable(entry))
+        let all = self.all();
+        all.filter_map(|(entry, is_leaving)| (!is_leaving).then_some(entry))
     }
 
-    /// The start of a server that is registered.
-    pub fn born(&self, server: &backend::Server) -> Option<u64> {
-        self.entries.get(server).map(|entry| entry.born)
+    /// The starts of all servers that are registered and not over.
+    pub fn starts(&self) -> HashMap<&backend::Server, u64> {
+        let all = self.all();
+        all.map(|(entry, _)| (&entry.server, entry.born)).collect()
     }
 
     /// How many servers are registered.
@@ -208,5 +242,10 @@
     }
 }
 
+/// What a service has one server at.
+fn place(entry: &Entry) -> (SocketAddr, &pool::Id) {
+    (entry.address, &entry.pool)
+}
+
 /// How many removals are remembered against stale reads.
 const MAX_REMOVED: usize = 4096;
--- a/crates/gateway/tests/decisions/roster.rs
+++ b/crates/gateway/tests/decisions/roster.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use gateway::roster::{Change, Roster};
+use units::backend;
 
 use crate::world::{START, entry, server};
 
@@ -99,3 +100,69 @@
     assert!(roster.set_evacuated(BTreeSet::new()));
     assert_eq!(roster.usable().count(), 1);
 }
+
+/// A server that started and was registered at the moment `born`.
+fn started(name: &str, address: u16, born: u64) -> Change {
+    let mut entry = entry(name, "a");
+    entry.address = ([127, 0, 0, 1], address).into();
+    entry.born = born;
+    entry.revision = born;
+    Change::Present(entry)
+}
+
+fn usable(roster: &Roster) -> Vec<backend::Server> {
+    roster.usable().map(|entry| entry.server.clone()).collect()
+}
+
+/// A server crashes and comes back under another name while its old entry has not
+/// lapsed. It refuses what names the old one, and callers whose request may be
+/// sent to one server only are refused with it.
+#[test]
+fn a_server_is_over_once_its_address_is_taken_by_a_later_start() {
+    let mut roster = Roster::default();
+    roster.apply(started("old", 1, 10), START);
+    roster.apply(started("other", 2, 5), START);
+    roster.apply(started("new", 1, 20), START);
+    assert_eq!(usable(&roster), [server("new"), server("other")]);
+    assert_eq!(roster.starts().get(&server("old")), None);
+}
+
+/// Entries come in any order, and routers have to agree on the servers.
+#[test]
+fn the_latest_start_counts_in_whatever_order_entries_come() {
+    let mut roster = Roster::default();
+    roster.apply(started("new", 1, 20), START);
+    roster.apply(started("old", 1, 10), START);
+    assert_eq!(usable(&roster), [server("new")]);
+    roster.apply(absent("new", 30), START);
+    assert_eq!(usable(&roster), [server("old")]);
+}
+
+/// An address that a server of another service has taken says nothing sure: the
+/// entry may be another writer's.
+#[test]
+fn an_entry_of_another_service_ends_no_server() {
+    let mut roster = Roster::default();
+    roster.apply(started("s0", 1, 10), START);
+    let mut foreign = entry("foreign", "a");
+    foreign.address = ([127, 0, 0, 1], 1).into();
+    foreign.pool = "other".parse().expect("a name");
+    foreign.born = 20;
+    foreign.revision = 20;
+    roster.apply(Change::Present(foreign), START);
+    assert_eq!(usable(&roster).len(), 2);
+}
+
+/// The clock of a server's host was set back before the server started again. Taken
+/// for the earlier one, the server that runs would get nothing.
+#[test]
+fn a_start_that_seems_earlier_ends_no_server() {
+    let mut roster = Roster::default();
+    roster.apply(started("old", 1, 20), START);
+    let mut entry = entry("new", "a");
+    entry.address = ([127, 0, 0, 1], 1).into();
+    entry.born = 10;
+    entry.revision = 30;
+    roster.apply(Change::Present(entry), START);
+    assert_eq!(usable(&roster).len(), 2);
+}
