Do not copy prompts from servers that have just started

What callers saw: prompts were read anew although another server had them.

After a crash or a replacement the new server is the first in a prompt's order at once. It was taken to have read 95% of it, while the one that was first before, now second or third, was taken to have none.

Ruled out: that word of these reads was crowded out.

Why the fix works: a server counts as having read what it is first for only ten seconds after it stopped being cold. Until then the next in order is named, which keeps what it has read. A server that was not cold when its entry was first read is not new, as far as known.

The new test fails without the change.

--- a/crates/gateway/src/pool/cost.rs
+++ b/crates/gateway/src/pool/cost.rs
@@ -82,8 +82,15 @@
     }
 
     /// What servers are compared by that may have read `parts`; the likeliest is the lowest.
+    ///
+    /// One that has just started is the first for prompts that still lie at the
+    /// next, and nowhere else.
     pub fn doubt(&self, server: &Server, parts: &[Part], now: Instant) -> (u64, usize, Rank) {
-        let place = self.place(server);
+        let place = if server.is_settled(now) {
+            self.place(server)
+        } else {
+            LAST_PLACE
+        };
         let unread = expected_unread(server.unread(parts, now), place);
         (unread, place, self.rank(server))
     }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -60,6 +60,9 @@
 /// It may have started anew, and the store may say so later than the server
 /// takes requests, or not at all while it is away.
 const DOUBT: Duration = Duration::from_secs(3);
+/// How long a server that is no longer cold takes to meet most of the prompts
+/// that it is the first for. Prompts come again within seconds.
+const SETTLING: Duration = Duration::from_secs(10);
 /// How fast the excess of the time to the first byte is forgotten, as a half-life.
 const LAG_HALF_LIFE: Duration = Duration::from_secs(2);
 /// The weight of one sample, as a divisor.
@@ -81,6 +84,8 @@
     refusals: u32,
     away_until: Instant,
     doubtful_until: Instant,
+    /// When it is taken to have read the prompts that it is the first for.
+    settles_at: Instant,
     lag_us: u64,
     lag_at: Instant,
     tally: Tally,
@@ -97,6 +102,7 @@
             ..placement::Settings::default()
         };
         Self {
+            settles_at: settles_at(entry.cold_until),
             name_hash: xxh3::xxh3_64(entry.server.as_str().as_bytes()),
             entry,
             is_leaving: false,
@@ -221,6 +227,12 @@
         now < self.entry.cold_until.max(self.doubtful_until)
     }
 
+    /// Whether it has run for long enough to have read the prompts that it is the
+    /// first for.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        now >= self.settles_at && !self.is_cold(now)
+    }
+
     /// Until then it counts as cold.
     pub fn doubt(&mut self, until: Instant) {
         self.doubtful_until = self.doubtful_until.max(until);
@@ -338,6 +350,14 @@
     }
 }
 
+/// When a server that is cold until then, or not at all, has settled.
+fn settles_at(cold_until: Instant) -> Instant {
+    if cold_until == Instant::ZERO {
+        return Instant::ZERO;
+    }
+    cold_until + SETTLING
+}
+
 /// How many parts of prompts are remembered for one server; 200 bytes each.
 const MAX_PARTS: usize = 512;
 /// How long a part counts as cached after its last use.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -30,7 +30,7 @@
     pub slots: u32,
     /// Whether it is leaving and gets nothing new.
     pub is_draining: bool,
-    /// When it stops being cold.
+    /// When it stops being cold; [`Instant::ZERO`] if it was not when the entry was read.
     pub cold_until: Instant,
     /// Tells its starts apart.
     pub born: u64,
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -221,6 +221,27 @@
     assert_eq!(place.source, Some(home.address));
 }
 
+/// A server that has just started is the first of a prompt, and has no room. Copied
+/// from that one, which has read nothing yet, the prompt would be read anew,
+/// though the one that was first before still has it.
+#[test]
+fn a_prompt_is_not_copied_from_a_first_server_that_has_just_started() {
+    let ranked = by_score(1_007, &dozen());
+    let mut entries = dozen();
+    for entry in &mut entries {
+        if entry.server == ranked[0] {
+            entry.cold_until = START + Duration::from_secs(1);
+        }
+    }
+    let mut pool = pool(&entries);
+    pool.set_elsewhere(|name| if ranked[..2].contains(name) { 20 } else { 1 });
+    let now = START + Duration::from_secs(2);
+    let place = admit(&mut pool, 7, 0, now).expect("a place");
+    assert_eq!(place.server, ranked[2]);
+    let before = entries.iter().find(|entry| entry.server == ranked[1]);
+    assert_eq!(place.source, before.map(|entry| entry.address));
+}
+
 /// A server leaves that other routers sent a prompt to. This one does not know
 /// of that, but the server was the prompt's first, so it is the likeliest to
 /// have read it.
