Count refused connections as failures that all routers add up

Cause: whether a server can be reached was learned by each router alone. Of 195 routers each sends some four requests a second over 122 servers, so that each met most of the dead ones itself: about fifty attempts for each, until their entries lapse after 3.6 s. Besides, three refused connections in a row counted as a zone out of reach, and the zone's other servers got nothing.

Ruled out: a late list of servers (the entries had not lapsed); a separate word for unreachable servers, since a cut looks different from each side.

Why the fix works: a refused connection shows that nothing runs there, whoever asks. It counts as a failure now, and failures are added up over the fleet already and end in an ejection by all. Connections that hang are not counted, since they may say more of the way than of the server. A refused one says nothing of the way to its zone.

The ejection's panic threshold is looked at once for a request, and not once for each server that fails.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One request at one backend server.
 
-use std::sync::Arc;
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -66,7 +66,7 @@
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
-            permit.end(Outcome::Unreachable);
+            permit.end(unreached(&error));
             return End::Unsent(error.to_string());
         }
     };
@@ -95,6 +95,14 @@
     }
 }
 
+/// What an attempt to connect says of the server.
+fn unreached(error: &io::Error) -> Outcome {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => Outcome::Refused,
+        _ => Outcome::Unreachable,
+    }
+}
+
 fn judged(judgement: Judgement, head: response::Parts, body: Incoming, permit: Permit) -> End {
     match judgement {
         Judgement::Answer | Judgement::Failure => End::Answered(Box::new(Answer {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -338,7 +338,9 @@
                 self.deaths
                     .broke(ticket.fingerprint, server, born, ticket.sent_at, now);
             }
-            Outcome::Unreachable => self.died(&ticket.server, ticket.born, now),
+            Outcome::Refused | Outcome::Unreachable => {
+                self.died(&ticket.server, ticket.born, now);
+            }
             Outcome::Completed => self.deaths.completed(ticket.fingerprint),
             Outcome::Failed | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -218,10 +218,11 @@
             let servers = self.servers.values().filter(|server| !server.is_leaving());
             servers.filter(|server| !demand.tried.contains(server.name()))
         };
+        let is_panicking = self.ejection.is_panicking(now);
         let sound = |server: &&Server| {
             server.is_reachable(now)
                 && !self.ways.is_away(server.zone(), now)
-                && !self.ejection.is_ejected(server.name(), now)
+                && (is_panicking || !self.ejection.is_failing(server.name(), now))
         };
         let mut candidates: Vec<&Server> = untried().filter(sound).collect();
         if candidates.is_empty() {
@@ -364,7 +365,12 @@
         match outcome {
             Outcome::Completed => self.ejection.succeeded(name, now),
             Outcome::Failed | Outcome::Broken => self.ejection.failed(name, now),
-            Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
+            // What all routers saw decides on these; a cut would eject whole zones.
+            Outcome::Refused
+            | Outcome::Unreachable
+            | Outcome::Moved
+            | Outcome::Full
+            | Outcome::Cancelled => {}
         }
         if let Some(server) = self.servers.get_mut(name) {
             self.ways.note(server, outcome, now);
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -24,6 +24,8 @@
     Failed,
     /// The server broke off in the middle of it.
     Broken,
+    /// Its host refused the connection, so nothing was sent and nothing runs there.
+    Refused,
     /// No connection came about, so nothing was sent.
     Unreachable,
     /// Another server has the address.
@@ -40,6 +42,7 @@
             Self::Completed => "completed",
             Self::Failed => "failed",
             Self::Broken => "broken",
+            Self::Refused => "refused",
             Self::Unreachable => "unreachable",
             Self::Moved => "moved",
             Self::Full => "full",
@@ -51,7 +54,7 @@
 /// One part in this many of a server's slots is kept for workspaces that use
 /// less than their share; as in `admission`.
 const KEPT_SLOTS: u32 = 4;
-/// How long a server that refused a connection gets nothing; doubled with each further refusal.
+/// How long a server that could not be reached gets nothing; doubled with each further time.
 const AWAY: Duration = Duration::from_millis(400);
 /// The longest such time.
 const MAX_AWAY: Duration = Duration::from_millis(3200);
@@ -81,7 +84,7 @@
     /// What it has read for other routers, by the hashes of the parts.
     told: Warmth,
     fence: Fence,
-    refusals: u32,
+    misses: u32,
     away_until: Instant,
     doubtful_until: Instant,
     /// When it is taken to have read the prompts that it is the first for.
@@ -112,7 +115,7 @@
             warmth: Warmth::new(settings.clone()),
             told: Warmth::new(settings),
             fence: Fence::default(),
-            refusals: 0,
+            misses: 0,
             away_until: Instant::ZERO,
             doubtful_until: Instant::ZERO,
             lag_us: 0,
@@ -325,26 +328,26 @@
         self.running = self.running.saturating_sub(1);
         match outcome {
             Outcome::Completed => self.tally.note(false, now),
-            Outcome::Failed | Outcome::Broken => self.tally.note(true, now),
+            Outcome::Failed | Outcome::Broken | Outcome::Refused => self.tally.note(true, now),
             Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
         }
         match outcome {
-            Outcome::Unreachable => self.refused(now),
+            Outcome::Refused | Outcome::Unreachable => self.missed(now),
             Outcome::Moved => self.away_until = now + MAX_AWAY,
-            Outcome::Completed | Outcome::Failed | Outcome::Full => self.refusals = 0,
+            Outcome::Completed | Outcome::Failed | Outcome::Full => self.misses = 0,
             Outcome::Broken | Outcome::Cancelled => {}
         }
     }
 
-    fn refused(&mut self, now: Instant) {
-        // Requests that were sent side by side are refused side by side, which
-        // says no more than one refusal.
+    fn missed(&mut self, now: Instant) {
+        // Requests that were sent side by side fail side by side, which says no
+        // more than one of them.
         if now < self.away_until {
             return;
         }
-        let factor = 1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX);
+        let factor = 1_u32.checked_shl(self.misses).unwrap_or(u32::MAX);
         let away = AWAY.saturating_mul(factor).min(MAX_AWAY);
-        self.refusals = self.refusals.saturating_add(1);
+        self.misses = self.misses.saturating_add(1);
         self.away_until = now + away;
         self.doubtful_until = self.away_until + DOUBT;
     }
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -48,8 +48,14 @@
                 logging::event!(info, "zone_away", zone = zone, last = name);
             }
             Outcome::Completed | Outcome::Failed | Outcome::Full => self.answered(server),
-            // A way says nothing by what a server does, or its caller.
-            _ => {}
+            // What a server does, or its caller, says nothing of the way there. Nor
+            // does a refused connection, whoever refused it: it costs no time, and
+            // servers that crash side by side would take their zone with them.
+            Outcome::Unreachable
+            | Outcome::Broken
+            | Outcome::Refused
+            | Outcome::Moved
+            | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/gateway/tests/decisions/evidence.rs
+++ b/crates/gateway/tests/decisions/evidence.rs
@@ -57,6 +57,39 @@
     }
 }
 
+/// A server crashes. Each router finds out by itself that its host refuses
+/// connections, so that for seconds nearly each request in a fleet of hundreds
+/// meets servers that are gone.
+#[test]
+fn a_server_whose_host_refuses_connections_is_left_alone_by_all() {
+    let refused = |_| {
+        let mut pool = dozen();
+        pool.ended(&server("s5"), Outcome::Refused, START);
+        pool.server_mut(&server("s5"))
+            .expect("the server")
+            .ends(START)
+    };
+    let told = (0..5)
+        .map(refused)
+        .fold(Ends::default(), |sum, ends| sum + ends);
+    let mut pool = dozen();
+    let failing = judged(
+        &mut pool,
+        |index| if index == 5 { told } else { ends(0, 3) },
+    );
+    assert_eq!(failing, ["s5"]);
+}
+
+/// A zone is cut off. Counted as failures, connections that hang would keep its
+/// servers out for seconds after the way is back.
+#[test]
+fn a_server_that_cannot_be_reached_is_no_failure() {
+    let mut pool = dozen();
+    pool.ended(&server("s5"), Outcome::Unreachable, START);
+    let server = pool.server_mut(&server("s5")).expect("the server");
+    assert!(server.ends(START).is_empty());
+}
+
 /// What is too little to say anything of a server, or is no fault of its own.
 /// Left alone for it, it would leave its work to others that are no better.
 #[parameterized(
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -546,3 +546,15 @@
     let near = places.filter(|place| ["s2", "s5", "s8", "s11"].contains(&place.server.as_str()));
     assert!(near.count() >= 5);
 }
+
+/// A fourth of all servers crash, and a router meets some of one zone in a row. Left
+/// alone with them, the zone's other servers would idle while callers are refused.
+#[test]
+fn servers_that_refuse_connections_do_not_take_their_zone_with_them() {
+    let mut pool = pool(&dozen());
+    for name in ["s1", "s4", "s7"] {
+        pool.ended(&server(name), Outcome::Refused, START);
+    }
+    let places = (0..60).map(|topic| run(&mut pool, topic, topic, START).server);
+    assert!(places.into_iter().any(|place| place == server("s10")));
+}
