Refuse at once what only zones out of reach could serve

Its callers were kept for 0.3 to 0.8 s while four connections hung one after the other, and then were refused, or left: 597 requests between 33.5 and 40 s were held for 0.3 s or more and sent nowhere.

Cause: where no server was left that seemed sound, all were tried again, those of zones that were known to be out of reach too. With 39 routers in the zone and one such request a second at each, every request met that.

Evidence: logs of all routers in that span; 175 of the refusals had met four servers out of reach and 154 three, all in the zone that was cut off.

Ruled out: the queue (no request had waited for a place); one request at a time for each zone (that stands already, and each router has no more).

Why the fix works: a zone that is left alone is tried again by one request at set times. Until the first of these a request that has nobody else is refused at once and told to return then, spread by half. The router's own zone is never taken for cut off, and servers that failed in zones within reach are still tried.

--- a/crates/gateway/src/line.rs
+++ b/crates/gateway/src/line.rs
@@ -123,7 +123,9 @@
         self.shares.seen(&ask.workspace, 1, &self.settings, now);
         let denial = match self.offer_now(&ask, fleet, now) {
             Ok(place) => return Offered::Placed(place),
-            Err(Denial::Empty) => return Offered::Refused(self.refusal(Denial::Empty, &ask, now)),
+            Err(denial @ (Denial::Empty | Denial::Away(_))) => {
+                return Offered::Refused(self.refusal(denial, &ask, now));
+            }
             Err(denial) => denial,
         };
         if self.is_hopeless(&ask, now) || !self.make_room(&ask, now) {
@@ -229,9 +231,9 @@
                     self.waiting.remove(&attempt);
                     return Some((attempt, Ok(place)));
                 }
-                Err(Denial::Empty) => {
+                Err(denial @ (Denial::Empty | Denial::Away(_))) => {
                     self.queue.remove(attempt);
-                    return self.refuse(attempt, Denial::Empty, now);
+                    return self.refuse(attempt, denial, now);
                 }
                 Err(denial) => self.note_cold(denial),
             }
@@ -285,11 +287,15 @@
         }
     }
 
-    /// A refusal with the time by which the present line will be served.
+    /// A refusal with the time by which the present line will be served, or a
+    /// zone that cannot be reached is tried again.
     ///
     /// It is spread by half, so that those refused together do not return together.
     fn refusal(&self, denial: Denial, ask: &Ask, now: Instant) -> Refusal {
-        let wait = self.meter.time_for(self.queue.cost(), now);
+        let wait = match denial {
+            Denial::Away(at) => at.since(now),
+            _ => self.meter.time_for(self.queue.cost(), now),
+        };
         let wait = wait.clamp(LEAST_RETURN, LONGEST_RETURN);
         let spread = f64::from(ask.attempt.0 as u8) / f64::from(u8::MAX);
         Refusal {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -113,6 +113,8 @@
 pub enum Denial {
     /// No server of the service is known, or all have been tried.
     Empty,
+    /// All are in zones that cannot be reached; the first of these is tried again then.
+    Away(Instant),
     /// All are at their limit.
     Full,
     /// Those that have room are cold and have had their share; one opens then.
@@ -227,10 +229,11 @@
         let mut candidates: Vec<&Server> = untried().filter(sound).collect();
         if candidates.is_empty() {
             // What failed lately is still better than a refusal.
-            candidates = untried().collect();
+            let near = untried().filter(|server| !self.is_cut_off(server, now));
+            candidates = near.collect();
         }
         if candidates.is_empty() {
-            return Err(Denial::Empty);
+            return Err(self.nobody(untried(), now));
         }
         let bound = self.bound(now);
         // Requests of a plain service are over before others hear of them. Counted,
@@ -254,6 +257,21 @@
         best.ok_or(Denial::Cold(opens_at.unwrap_or(now)))
     }
 
+    /// Whether a server is in a zone that cannot be reached.
+    ///
+    /// One after the other, each of its servers would keep a request for as long as
+    /// a connection may take. The router's own zone is never taken for cut off.
+    fn is_cut_off(&self, server: &Server, now: Instant) -> bool {
+        *server.zone() != self.zone && self.ways.is_away(server.zone(), now)
+    }
+
+    /// Why none of `servers` may be tried.
+    fn nobody<'a>(&self, servers: impl Iterator<Item = &'a Server>, now: Instant) -> Denial {
+        let returns = servers.map(|server| self.ways.away_until(server.zone()));
+        let first = returns.min();
+        first.map_or(Denial::Empty, |at| Denial::Away(at.max(now)))
+    }
+
     /// The most requests that one server may hold at `now`.
     ///
     /// The mean is that of all servers of the service, also of those that get
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -128,7 +128,12 @@
 
     /// Whether the zone gets nothing at present.
     pub fn is_away(&self, zone: &availability::Zone, now: Instant) -> bool {
+        now < self.away_until(zone)
+    }
+
+    /// Until when the zone gets nothing.
+    pub fn away_until(&self, zone: &availability::Zone) -> Instant {
         let record = self.records.get(zone);
-        record.is_some_and(|record| now < record.away_until)
+        record.map_or(Instant::ZERO, |record| record.away_until)
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -299,6 +299,7 @@
             dispatch::Refusal::Denied(refusal) => {
                 let (code, message) = match refusal.denial {
                     Denial::Empty => (Code::NoServer, "No server takes the request."),
+                    Denial::Away(_) => (Code::NoServer, "No server can be reached."),
                     Denial::Full => (Code::Busy, "All servers are at their limit."),
                     Denial::Cold(_) => (Code::Cold, "All servers with room are starting."),
                 };
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -558,3 +558,22 @@
     let places = (0..60).map(|topic| run(&mut pool, topic, topic, START).server);
     assert!(places.into_iter().any(|place| place == server("s10")));
 }
+
+/// A zone that has no server of a service is cut off. Each of its callers would be
+/// kept for as long as four connections hang, and then be refused.
+#[test]
+fn a_request_that_no_reachable_zone_can_serve_is_refused_at_once() {
+    let entries = [entry("s1", "b"), entry("s2", "b"), entry("s3", "b")];
+    let mut pool = pool(&entries);
+    for name in ["s1", "s2", "s3"] {
+        pool.ended(&server(name), Outcome::Unreachable, START);
+    }
+    let Err(Denial::Away(at)) = admit(&mut pool, 7, 0, START) else {
+        panic!("not refused");
+    };
+    assert!(START < at && at <= START + Duration::from_secs(1), "{at:?}");
+    let place = admit(&mut pool, 7, 1, at);
+    assert!(place.is_ok(), "the zone is tried again: {place:?}");
+    let others = admit(&mut pool, 7, 2, at);
+    assert!(matches!(others, Err(Denial::Away(_))), "{others:?}");
+}
--- a/crates/gateway/tests/decisions/waiting.rs
+++ b/crates/gateway/tests/decisions/waiting.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a server.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use gateway::{
     line::{Ask, Line, Offered, Served},
@@ -254,3 +254,29 @@
     assert!(served.iter().all(|(_, result)| result.is_err()));
     assert!(line.is_empty());
 }
+
+/// A zone without a server of a service is cut off, and its callers come on. Told to
+/// return before the way is tried again, they would be refused once more; told to
+/// return at one moment, they would come as one wave.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_are_told_when_the_way_is_tried_again() {
+    let entries = ["s1", "s2", "s3"].map(|name| entry(name, "b"));
+    let mut line = Line::new(pool(&entries));
+    for entry in &entries {
+        let owner = workspace("team");
+        line.ended(&entry.server, &owner, Outcome::Unreachable, START);
+    }
+    let mut returns = BTreeSet::new();
+    for attempt in 0..200 {
+        let offered = offer(&mut line, ask(attempt, "team", 800), START);
+        let Offered::Refused(refusal) = offered else {
+            panic!("not refused: {offered:?}");
+        };
+        let Denial::Away(at) = refusal.denial else {
+            panic!("another denial: {refusal:?}");
+        };
+        assert!(refusal.retry_at >= at, "{refusal:?}");
+        returns.insert(refusal.retry_at);
+    }
+    assert!(returns.len() > 100, "{} moments", returns.len());
+}
