--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -18,5 +18,6 @@
 mod route;
 mod spread;
 mod value;
+mod versions;
 mod waiting;
 mod world;
