Count refused connections against their zone again

A cut may refuse connections as well as swallow them.

Why the fix works: three refusals in a row count as a zone out of reach as they did before.

--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -43,17 +43,15 @@
     pub fn note(&mut self, server: &Server, outcome: Outcome, now: Instant) {
         let (zone, name) = (server.zone(), server.name());
         match outcome {
-            Outcome::Unreachable if !server.is_reachable(now) => {}
-            Outcome::Unreachable if self.missed(zone, now) => {
+            Outcome::Refused | Outcome::Unreachable if !server.is_reachable(now) => {}
+            Outcome::Refused | Outcome::Unreachable if self.missed(zone, now) => {
                 logging::event!(info, "zone_away", zone = zone, last = name);
             }
             Outcome::Completed | Outcome::Failed | Outcome::Full => self.answered(server),
-            // What a server does, or its caller, says nothing of the way there. Nor
-            // does a refused connection, whoever refused it: it costs no time, and
-            // servers that crash side by side would take their zone with them.
-            Outcome::Unreachable
+            // What a server does, or its caller, says nothing of the way there.
+            Outcome::Refused
+            | Outcome::Unreachable
             | Outcome::Broken
-            | Outcome::Refused
             | Outcome::Moved
             | Outcome::Cancelled => {}
         }
