--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod configurations;
 mod connect;
+mod copies;
 mod deaths;
 mod events;
 mod evidence;
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -1,12 +1,16 @@
 //! Servers and requests for tests.
 
+use std::cmp::Reverse;
+
 use gateway::{
-    pool::{Demand, Fleet, Part, Pool},
+    pool::{Demand, Denial, Fleet, Part, Place, Pool},
     roster, route,
     settings::Bounds,
     source::Member,
 };
+use placement::score;
 use units::{backend, chat, host, time::Instant, workspace};
+use xxhash_rust::xxh3;
 
 /// The moment at which tests begin.
 pub const START: Instant = Instant::from_millis(1_000);
@@ -115,3 +119,34 @@
         ..Demand::default()
     }
 }
+
+/// Asks for a place for a request of a topic.
+pub fn admit(pool: &mut Pool, topic: u64, own: u64, now: Instant) -> Result<Place, Denial> {
+    pool.admit(&demand(topic, own), &fleet(), now)
+}
+
+/// Admits a request and lets its first byte come.
+pub fn run(pool: &mut Pool, topic: u64, own: u64, now: Instant) -> Place {
+    let place = admit(pool, topic, own, now).expect("a place");
+    let server = pool.server_mut(&place.server).expect("the server");
+    server.read(place.unread);
+    server.remember(&demand(topic, own).parts, now);
+    place
+}
+
+/// Twelve servers in three zones.
+pub fn dozen() -> Vec<roster::Entry> {
+    let zones = ["a", "b", "c"];
+    let named = (0..12).map(|index| entry(&format!("s{index}"), zones[index % 3]));
+    named.collect()
+}
+
+/// The servers for the prompts whose longest shared part is `anchor`.
+pub fn by_score(anchor: u64, entries: &[roster::Entry]) -> Vec<backend::Server> {
+    let mut servers: Vec<_> = entries.iter().map(|entry| entry.server.clone()).collect();
+    servers.sort_by_cached_key(|server| {
+        let hash = xxh3::xxh3_64(server.as_str().as_bytes());
+        Reverse(score::pair(chat::Key(anchor), hash))
+    });
+    servers
+}
