--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -11,8 +11,7 @@
 /// most and a lost datagram hides few.
 const NEWS_FOR: Duration = Duration::from_millis(300);
 /// The most reads that one datagram tells of as news, where its loads leave room for
-/// them; each takes up to twelve bytes. Once a fourth of a hundred servers has
-/// crashed, as many prompts are read at new places in a round.
+/// them; each takes up to twelve bytes.
 const MOST_NEWS: usize = 64;
 /// How long a read that was told is known, so that it is not passed on once for
 /// each router that tells of it.
