--- a/crates/units/src/backend.rs
+++ b/crates/units/src/backend.rs
@@ -4,3 +4,8 @@
     /// The name of one backend server, unique in the deployment.
     Server
 }
+
+crate::name::identifier! {
+    /// The version of the software that a backend server runs.
+    Version
+}
