Carry out roll-outs: versions in placement, messages between routers, states in the store

Change: servers carry their version; a pool tries the servers of the version that a request prefers, and idle versions receive nothing. A task drives the stages, reports counts to the aggregators of its zone and records states by one conditional write. A router that starts lets requests wait until it knows the stage. weirctl rollouts and the page /rollouts show stage, evidence by route and verdict.

Versions count only where the settings bound the exposure of new versions, so other deployments are unchanged.

Datagrams of the previous version keep their bytes; it ignores the new kind.

--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -36,6 +36,7 @@
         burst: 50.0,
         window_s: 10,
     },
+    rollouts: None,
 };
 
 /// Events of the entry routers.
@@ -249,6 +250,7 @@
                 server: member.id.clone(),
                 pool: "engines".parse().expect("a valid name"),
                 address: ([127, 0, 0, 1], u16::try_from(index).unwrap_or(0)).into(),
+                version: "v1".parse().expect("a valid version"),
                 zone: member.zone.clone(),
                 slots: core.deployment.engine.capacity,
                 is_draining: false,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -213,6 +213,13 @@
         #[bpaf(positional("IP:PORT"))]
         address: net::SocketAddr,
     },
+    /// Show a router's view of the roll-outs: stage, evidence by route and verdict
+    #[bpaf(command)]
+    Rollouts {
+        /// The metrics address of the router
+        #[bpaf(positional("IP:PORT"))]
+        address: net::SocketAddr,
+    },
     /// Print the hash of a token or caller key that is read from standard input
     #[bpaf(command)]
     Hash,
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -93,6 +93,10 @@
             print_line!("{}", client.page("/status").await?.trim_end());
             Ok(Code::Success)
         }
+        Command::Rollouts { .. } => {
+            print_line!("{}", client.page("/rollouts").await?.trim_end());
+            Ok(Code::Success)
+        }
         Command::Hash => {
             print_line!("{}", input::hash()?);
             Ok(Code::Success)
--- a/crates/gateway/benches/place.rs
+++ b/crates/gateway/benches/place.rs
@@ -20,6 +20,7 @@
         server: format!("engine-{number}").parse().expect("a valid name"),
         pool: "llm".parse().expect("a valid name"),
         address: ([127, 0, 0, 1], 1).into(),
+        version: "v1".parse().expect("a valid version"),
         zone: format!("zone-{}", number % 5)
             .parse()
             .expect("a valid name"),
--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -1,7 +1,8 @@
 //! Measures the gossip traffic of fleets of several sizes over the loopback interface.
 //!
 //! The gossip tasks are real. Requests are simulated at random, and the store is a stub
-//! without changes. Prints one line for each size.
+//! without changes. Prints two lines for each size: without a roll-out, and during one whose
+//! new version is sound.
 
 use std::{
     collections::VecDeque,
@@ -16,16 +17,20 @@
     clock::Clock,
     dispatch, load,
     metrics::Metrics,
-    outlier, peers, pool, prefixes, roster,
+    outlier, peers, pool, prefixes, rollouts, roster,
     source::{self, Batch, Member, Secret, Source, Topic},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rollout::{Counts, Order, counts, stage};
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, watch},
     time,
 };
-use units::{chat, host, time::Instant};
+use units::{
+    chat, host,
+    time::{Instant, Millis},
+};
 use wire::seal::{Boot, Key};
 
 /// The duration of gossip before the measurement, and of the measurement.
@@ -35,6 +40,10 @@
 const REQUEST_DURATION: Duration = Duration::from_millis(900);
 /// The fraction of requests with a prompt that their server has not cached yet.
 const NEW_PROMPT_RATIO: f64 = 0.1;
+/// The fraction of requests at the new version during a roll-out.
+const CANARY_RATIO: f64 = 0.09;
+/// The number of routes of the service that is rolled out.
+const ROUTES: u16 = 3;
 /// The length of such a prompt, in tokens.
 const PROMPT_TOKENS: u32 = 10_000;
 
@@ -108,6 +117,18 @@
         Ok(())
     }
 
+    async fn record_rollout(
+        &self,
+        _: &Order,
+        call: rollout::controller::Call,
+        _: time::Instant,
+    ) -> Result<rollout::controller::Recorded, source::Error> {
+        Ok(rollout::controller::Recorded {
+            state: stage::State::InProgress,
+            elapsed: call.elapsed,
+        })
+    }
+
     fn directive(&self, _: &source::Row) -> Result<source::Directive, source::Malformed> {
         Ok(source::Directive::Unknown)
     }
@@ -134,6 +155,8 @@
     in_flight: VecDeque<(usize, Instant)>,
     trackers: Vec<outlier::OutcomeTracker>,
     prefixes: prefixes::PrefixUpdates,
+    /// Outcomes during a roll-out.
+    counts: Counts,
 }
 
 impl Requests {
@@ -146,6 +169,7 @@
             in_flight: VecDeque::new(),
             trackers: vec![outlier::OutcomeTracker::default(); size.servers],
             prefixes: prefixes::PrefixUpdates::default(),
+            counts: Counts::default(),
         }
     }
 
@@ -155,6 +179,7 @@
             let server = self.random.random_range(0..self.trackers.len());
             self.in_flight
                 .push_back((server, self.next_at + REQUEST_DURATION));
+            self.count(server);
             if self.random.random_bool(NEW_PROMPT_RATIO) {
                 self.record_cached(server, now);
             }
@@ -180,6 +205,35 @@
         }
     }
 
+    /// Counts a response for the roll-out, on one of a few routes.
+    fn count(&mut self, server: usize) {
+        let route = counts::Route(self.random.random_range(1..=ROUTES) * 10_000);
+        let arm = if self.random.random_bool(CANARY_RATIO) {
+            counts::Arm::Candidate
+        } else {
+            counts::Arm::Baseline
+        };
+        let time = Duration::from_millis(self.random.random_range(20..90));
+        let expected = Duration::from_millis(100);
+        self.counts.record_success(route, arm, server as u64);
+        self.counts
+            .record_time(route, arm, server as u64, time, expected);
+    }
+
+    fn progress(&self) -> dispatch::Progress {
+        dispatch::Progress {
+            pool: order().pool,
+            counts: self.counts.clone(),
+            loads: pool::VersionLoads {
+                baseline: 100,
+                total: 110,
+                candidate_servers: 10,
+            },
+            is_serving: false,
+            longest_response: Millis(3000),
+        }
+    }
+
     /// Records that a server has cached a new prompt.
     fn record_cached(&mut self, server: usize, now: Instant) {
         let part = pool::Part {
@@ -192,8 +246,10 @@
 
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<dispatch::Message>) {
         while let Some(message) = messages.recv().await {
-            if let dispatch::Message::PeerUpdate(reply) = message {
-                drop(reply.send(self.peer_update()));
+            match message {
+                dispatch::Message::PeerUpdate(reply) => drop(reply.send(self.peer_update())),
+                dispatch::Message::Progress(reply) => drop(reply.send(vec![self.progress()])),
+                _ => {}
             }
         }
     }
@@ -215,7 +271,17 @@
     Ok((member, sockets))
 }
 
-async fn measure(size: &Size) -> io::Result<()> {
+/// An order of a roll-out that lasts longer than the measurement.
+fn order() -> Order {
+    Order {
+        pool: "llm".parse().expect("a name"),
+        to: "v2".parse().expect("a version"),
+        duration: Millis(600_000),
+        revision: 1_000_000,
+    }
+}
+
+async fn measure(size: &Size, has_rollout: bool) -> io::Result<()> {
     let clock = Clock::start();
     let mut members = Vec::new();
     let mut sockets = Vec::new();
@@ -244,7 +310,28 @@
         tasks.push(tokio::spawn(async move {
             while event_receiver.recv().await.is_some() {}
         }));
+        let (rollout_events, event_receiver) = mpsc::unbounded_channel();
+        let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
+        let ages = Arc::new(Ages::default());
+        let channels = rollouts::Channels {
+            members: members_receiver.clone(),
+            dispatch: dispatch.clone(),
+            peers: rollout_messages,
+            stages_known: watch::channel(false).0,
+            status: watch::channel(Vec::new()).0,
+            ages: Arc::clone(&ages),
+            metrics: Arc::clone(&metrics),
+        };
+        let settings = Some(rollout::Settings::default());
+        let (task, completions) =
+            rollouts::Task::new(clock, StaticSource, &own, settings, channels);
+        tasks.push(tokio::spawn(task.run(event_receiver, completions)));
+        if has_rollout {
+            let event = rollouts::Event::Orders(vec![order()]);
+            rollout_events.send(event).expect("the task runs");
+        }
         let inputs = peers::Inputs {
+            rollouts: rollout_receiver,
             own,
             members: members_receiver.clone(),
             replicas: replicas.clone(),
@@ -253,8 +340,9 @@
         let outputs = peers::Outputs {
             dispatch,
             events,
+            rollouts: rollout_events,
             is_watching: watch::channel(false).0,
-            ages: Arc::new(Ages::default()),
+            ages,
             metrics,
         };
         let secret = Secret {
@@ -297,7 +385,7 @@
     let median = rates[rates.len() / 2];
     let busiest = rates[rates.len() - 1];
     println!(
-        "routers={} servers={} rate={} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
+        "routers={} servers={} rate={} rollout={has_rollout} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
         size.routers, size.servers, size.rate, median.0, median.1, busiest.0, busiest.1
     );
     Ok(())
@@ -306,7 +394,8 @@
 #[tokio::main]
 async fn main() -> io::Result<()> {
     for size in &SIZES {
-        measure(size).await?;
+        measure(size, false).await?;
+        measure(size, true).await?;
     }
     Ok(())
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -112,15 +112,21 @@
     classification: Classification,
     head: response::Parts,
     body: Incoming,
-    permit: Permit,
+    mut permit: Permit,
 ) -> End {
     match classification {
-        Classification::Response | Classification::Failure => End::Responded(Box::new(Response {
-            head,
-            body,
-            permit: Some(permit),
-            is_failure: classification == Classification::Failure,
-        })),
+        Classification::Response | Classification::Failure => {
+            let is_failure = classification == Classification::Failure;
+            if is_failure {
+                permit.failed();
+            }
+            End::Responded(Box::new(Response {
+                head,
+                body,
+                permit: Some(permit),
+                is_failure,
+            }))
+        }
         Classification::Full | Classification::NotRun => {
             permit.end(Outcome::Full);
             End::Full
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod message;
 mod peers;
 mod permit;
+mod rollouts;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -14,7 +15,9 @@
 use tokio::{sync::mpsc, time};
 use units::{backend, host, pool, request, time::Instant};
 
-pub use message::{AcquireRequest, Load, Message, PeerUpdate, Refusal, Reply, Ticket};
+pub use message::{
+    AcquireRequest, Load, Message, PeerUpdate, Progress, Refusal, Reply, Ticket, TrialTicket,
+};
 pub use permit::Permit;
 
 use crate::{
@@ -63,6 +66,7 @@
     /// Prefixes that servers have cached for requests of this router.
     prefixes: PrefixUpdates,
     pauses: pause::Detector,
+    rollouts: rollouts::Rollouts,
 }
 
 impl Dispatch {
@@ -97,6 +101,7 @@
             crashes: crashes::Tracker::default(),
             prefixes: PrefixUpdates::default(),
             pauses: pause::Detector::default(),
+            rollouts: rollouts::Rollouts::default(),
         };
         (dispatch, sender, messages)
     }
@@ -158,6 +163,11 @@
                 self.sum_peers();
             }
             Message::Bounds(bounds) => self.set_bounds(bounds),
+            Message::Orders(orders) => self.set_orders(orders),
+            Message::Stage(pool, revision, stage) => self.set_stage(&pool, revision, stage, now),
+            Message::UpToDate(is_up_to_date) => self.set_up_to_date(is_up_to_date),
+            // The receiver may have been dropped.
+            Message::Progress(reply) => drop(reply.send(self.progress())),
             Message::Strikes(strikes) => self.crashes.merge(&strikes, now),
             Message::CachedPrefixes(prefixes) => self.add_peer_prefixes(&prefixes, now),
             Message::PeerUpdate(reply) => {
@@ -173,7 +183,7 @@
         }
     }
 
-    fn acquire(&mut self, request: AcquireRequest, reply: Reply, now: Instant) {
+    fn acquire(&mut self, mut request: AcquireRequest, reply: Reply, now: Instant) {
         if self.crashes.is_refused(request.fingerprint, now) {
             send_reply(reply, Err(Refusal::Suspect));
             return;
@@ -182,6 +192,7 @@
             send_reply(reply, Err(Refusal::RetryBudget));
             return;
         }
+        request.demand.preference = self.rollouts.preference(&request, now);
         let Some(queue) = self.queues.get_mut(&request.pool) else {
             send_reply(reply, Err(Refusal::Unknown));
             return;
@@ -229,7 +240,10 @@
             let members = self.fleet.members.len();
             self.retry_budget(&request.pool, now).deposit(members);
         }
+        let trial = self.rollouts.admitted(&request, &placement, now);
         let ticket = Ticket {
+            trial,
+            has_failed: false,
             pool: request.pool,
             server: placement.server.clone(),
             incarnation: placement.incarnation,
@@ -279,6 +293,7 @@
     }
 
     fn first_byte(&mut self, ticket: &Ticket, now: Instant) {
+        self.rollouts.first_byte(ticket, now);
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
@@ -304,6 +319,7 @@
 
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         self.record_crash(ticket, outcome, now);
+        self.rollouts.ended(ticket, outcome, now);
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
@@ -392,6 +408,7 @@
                 if let Some(service) = self.table.services.get(&name) {
                     pool.set_service(service.clone());
                 }
+                pool.set_order(self.rollouts.order(&name));
                 Queue::new(pool)
             });
             queue
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -2,14 +2,21 @@
 
 use std::sync::Arc;
 
+use rollout::{Counts, Order, Stage, counts};
 use tokio::sync::oneshot;
-use units::{backend, cost::Cost, host, pool, request, time::Instant, workspace};
+use units::{
+    backend,
+    cost::Cost,
+    host, pool, request,
+    time::{Instant, Millis},
+    workspace,
+};
 
 use super::Permit;
 use crate::{
     load,
     outlier::OutcomeCounts,
-    pool::{Demand, Outcome, Parts},
+    pool::{Demand, Outcome, Parts, VersionLoads},
     prefixes, queue,
     roster::Roster,
     route::Table,
@@ -22,6 +29,8 @@
 pub struct AcquireRequest {
     /// The service.
     pub pool: pool::Id,
+    /// The route.
+    pub route: counts::Route,
     /// The workspace to which the request is charged.
     pub workspace: workspace::Id,
     /// The estimated work of the request.
@@ -77,6 +86,21 @@
     pub prefixes: Vec<prefixes::CachedPrefix>,
 }
 
+/// How the service of a roll-out is doing, as far as this router knows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Progress {
+    /// The service.
+    pub pool: pool::Id,
+    /// The outcomes of this router's requests since the roll-out began.
+    pub counts: Counts,
+    /// The load of the versions.
+    pub loads: VersionLoads,
+    /// Whether the ordered version already is the version in service.
+    pub is_serving: bool,
+    /// The longest time that a response has taken recently.
+    pub longest_response: Millis,
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub enum Message {
@@ -100,6 +124,14 @@
     PeerLost(host::Id),
     /// The bounds of the deployment have changed.
     Bounds(Bounds),
+    /// The orders of roll-outs have changed.
+    Orders(Vec<Order>),
+    /// A roll-out has reached a stage.
+    Stage(pool::Id, u64, Stage),
+    /// Whether this router is up to date with the store.
+    UpToDate(bool),
+    /// Asks for the state of the services for which there is an order.
+    Progress(oneshot::Sender<Vec<Progress>>),
     /// Strikes reported by another router.
     Strikes(Vec<recovery::Strike>),
     /// Cached prefixes reported by another router.
@@ -135,4 +167,21 @@
     pub connect_deadline: Instant,
     /// Whether the first byte of the response has arrived.
     pub has_first_byte: bool,
+    /// Whether the server has responded that it failed.
+    pub has_failed: bool,
+    /// The request's part in a roll-out.
+    pub trial: Option<TrialTicket>,
+}
+
+/// The part of a request in a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialTicket {
+    /// The store's version of the order.
+    pub revision: u64,
+    /// The route of the request.
+    pub route: counts::Route,
+    /// The version that processes it.
+    pub arm: counts::Arm,
+    /// Whether the server was cold, so that its response time says nothing about its version.
+    pub is_cold: bool,
 }
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Records that the server has responded that it failed.
+    pub fn failed(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.has_failed = true;
+        }
+    }
+
     /// Frees the slot and records the outcome of the request.
     pub fn end(mut self, outcome: Outcome) {
         self.release(outcome);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 pub mod replica;
 pub mod retry_budget;
+pub mod rollouts;
 pub mod roster;
 pub mod route;
 pub mod serve;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use rollout::Stage;
 use units::time::Instant;
 use verdict::Refusal;
 
@@ -44,6 +45,12 @@
     standing: &'static str,
 }
 
+/// The labels of a stage of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+}
+
 /// The labels of a replicated view.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ViewLabels {
@@ -79,6 +86,7 @@
     gap_seconds: Histogram,
     attempts: Family<AttemptLabels, Counter>,
     standings: Family<StandingLabels, Counter>,
+    rollout_stages: Family<StageLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
     control_bytes: Family<DirectionLabels, Counter>,
     config: Gauge,
@@ -99,6 +107,7 @@
         let gap_seconds = Histogram::new(BUCKETS);
         let attempts = Family::default();
         let standings = Family::default();
+        let rollout_stages = Family::default();
         let ages = Family::default();
         let control_bytes = Family::default();
         let config = Gauge::default();
@@ -141,6 +150,11 @@
             "Attempts at servers by outcome",
             Family::clone(&attempts),
         );
+        registry.register(
+            "weir_rollout_stages",
+            "Stages of roll-outs that this router has entered",
+            Family::clone(&rollout_stages),
+        );
         registry.register(
             "weir_server_standings",
             "Times that a server came to stand so",
@@ -179,6 +193,7 @@
             gap_seconds,
             attempts,
             standings,
+            rollout_stages,
             ages,
             control_bytes,
             config,
@@ -238,6 +253,14 @@
         self.standings.get_or_create(&labels).inc();
     }
 
+    /// Counts a stage of a roll-out that this router enters.
+    pub fn rollout_stage_reached(&self, stage: Stage) {
+        let labels = StageLabels {
+            stage: stage.name(),
+        };
+        self.rollout_stages.get_or_create(&labels).inc();
+    }
+
     /// Sets the ages of the replicated views at `now`.
     pub fn set_ages(&self, ages: &Ages, now: Instant) {
         let views = [
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rollout::counts;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
@@ -13,8 +14,8 @@
 use units::host;
 
 use crate::{
-    ages::Ages, clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, shutdown::Phase,
-    status,
+    ages::Ages, clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, route::Table,
+    shutdown::Phase, status,
 };
 
 /// The data that the endpoints report.
@@ -34,6 +35,10 @@
     pub ages: Arc<Ages>,
     /// The dispatch task.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    /// The roll-outs.
+    pub rollouts: watch::Receiver<Vec<status::Rollout>>,
+    /// The configuration in force.
+    pub table: watch::Receiver<Option<Arc<Table>>>,
 }
 
 /// Serves the endpoints until the process ends.
@@ -68,6 +73,7 @@
         "/readyz" => readiness(sources),
         "/metrics" => (StatusCode::OK, metrics(sources)),
         "/status" => status(sources).await,
+        "/rollouts" => (StatusCode::OK, rollouts(sources)),
         _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -97,6 +103,20 @@
     (StatusCode::OK, status::page(&header, &report))
 }
 
+fn rollouts(sources: &Sources) -> String {
+    let table = sources.table.borrow().clone();
+    let route_name = |route| {
+        let names = table.iter().flat_map(|table| table.route_names());
+        let mut names = names.filter(|name| counts::Route::named(name) == route);
+        names.next().map(String::from)
+    };
+    let rollouts = sources.rollouts.borrow().clone();
+    let lines = rollouts
+        .iter()
+        .flat_map(|rollout| status::rollout_lines(rollout, route_name));
+    lines.map(|line| line + "\n").collect()
+}
+
 fn readiness(sources: &Sources) -> (StatusCode, String) {
     if *sources.phase.borrow() > Phase::Serving {
         return (StatusCode::SERVICE_UNAVAILABLE, String::from("leaving\n"));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 pub mod fetch;
 pub mod introduction;
 mod relays;
+mod rollouts;
 mod store_fallback;
 pub mod sums;
 mod table;
@@ -18,6 +19,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rollout::controller::Audience;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, watch},
@@ -41,6 +43,7 @@
     follow::Event,
     metrics::Metrics,
     replica::Replicas,
+    rollouts as rollouts_task,
     source::{Member, Secret, Source},
 };
 use introduction::Introducer;
@@ -76,6 +79,8 @@
     pub replicas: watch::Receiver<Arc<Replicas>>,
     /// Whether the store answers this router.
     pub is_store_reachable: watch::Receiver<bool>,
+    /// Messages about roll-outs, and whom they are for.
+    pub rollouts: mpsc::UnboundedReceiver<(Audience, rollout::Message)>,
 }
 
 /// The receivers of the gossip task's output.
@@ -87,6 +92,8 @@
     pub events: mpsc::Sender<Event>,
     /// Whether this router is to watch the store, for the tasks that follow it.
     pub is_watching: watch::Sender<bool>,
+    /// The task that controls roll-outs.
+    pub rollouts: mpsc::UnboundedSender<rollouts_task::Event>,
     /// The ages of the replicated views.
     pub ages: Arc<Ages>,
     /// The metrics.
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -104,6 +104,8 @@
     /// The loads of the whole fleet, for the routers of the aggregator's zone.
     #[serde(rename = "Total")]
     FleetTotal(FleetTotal),
+    /// The progress of a roll-out.
+    Rollout(rollout::Message),
 }
 
 /// The loads of the whole fleet.
@@ -183,14 +185,18 @@
         loop {
             let encoded = self.encode();
             let cached_prefixes = self.cached_prefixes_mut();
-            if encoded.is_ok() || cached_prefixes.is_empty() {
+            let Some(cached_prefixes) = cached_prefixes.filter(|prefixes| !prefixes.is_empty())
+            else {
+                return encoded;
+            };
+            if encoded.is_ok() {
                 return encoded;
             }
             cached_prefixes.truncate(cached_prefixes.len() * 3 / 4);
         }
     }
 
-    fn cached_prefixes_mut(&mut self) -> &mut Vec<CachedPrefix> {
+    fn cached_prefixes_mut(&mut self) -> Option<&mut Vec<CachedPrefix>> {
         match self {
             Self::Digest(Digest {
                 cached_prefixes, ..
@@ -203,7 +209,8 @@
             }
             | Self::FleetTotal(FleetTotal {
                 cached_prefixes, ..
-            }) => cached_prefixes,
+            }) => Some(cached_prefixes),
+            Self::Rollout(_) => None,
         }
     }
 
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -23,6 +23,7 @@
     load::{Load, ReportDecoder, ReportEncoder},
     prefixes::{CachedPrefix, PrefixUpdates},
     replica::Replica,
+    rollouts,
     source::{Member, Source, Topic},
 };
 
@@ -74,6 +75,8 @@
     pub(super) rounds: usize,
     /// The number of peers contacted so far, as a position in the shuffled order of peers.
     gossip_offset: usize,
+    /// The same for messages about roll-outs.
+    pub(super) rollout_offset: usize,
 }
 
 /// The keys that authenticate datagrams.
@@ -126,6 +129,7 @@
             outputs,
             rounds: 0,
             gossip_offset: 0,
+            rollout_offset: 0,
         };
         (task, completions)
     }
@@ -143,6 +147,9 @@
                     Ok(()) => self.gossip(FAN_OUT).await,
                     Err(_) => return,
                 },
+                Some((audience, message)) = self.inputs.rollouts.recv() => {
+                    self.send_rollout(audience, message).await;
+                }
                 Some(completion) = completions.recv() => self.complete(completion),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from).await,
@@ -293,7 +300,7 @@
     }
 
     /// The other aggregators of this router's zone.
-    fn own_aggregators(&mut self) -> Vec<Member> {
+    pub(super) fn own_aggregators(&mut self) -> Vec<Member> {
         let own = self.inputs.own.clone();
         let mut aggregators = self.aggregators(&own.zone);
         aggregators.retain(|aggregator| aggregator.host != own.host);
@@ -372,6 +379,10 @@
                 self.apply_cached_prefixes(cached_prefixes);
             }
             Ok(Frame::FleetTotal(total)) => self.receive_total(total).await,
+            Ok(Frame::Rollout(message)) => {
+                // The receiver lives as long as the process.
+                drop(self.outputs.rollouts.send(rollouts::Event::Peer(message)));
+            }
             Err(_) => logging::event!(debug, "digest_malformed"),
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,15 +6,18 @@
 mod peers;
 
 mod server;
+mod versions;
 mod zone;
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use recovery::OutlierDetector;
+use rollout::{Role, Serving};
 use smallvec::SmallVec;
 use units::{availability, backend, chat, cost::Cost, host, time::Instant};
 
 pub use server::{Outcome, Server};
+pub use versions::{Preference, VersionLoads};
 
 use crate::{roster, route, settings::Bounds, slow_start};
 
@@ -46,6 +49,8 @@
     pub tried: SmallVec<[backend::Server; 2]>,
     /// Whether the request must leave some slots of each server to other workspaces.
     pub leaves_reserve: bool,
+    /// The version that the request goes to during a roll-out.
+    pub preference: Preference,
 }
 
 /// The routers that share the limits of a service.
@@ -68,6 +73,10 @@
     pub address: SocketAddr,
     /// The incarnation of the server for which the request is meant.
     pub incarnation: u64,
+    /// The role of the server's version.
+    pub role: Role,
+    /// Whether the server was cold.
+    pub is_cold: bool,
     /// Prompt tokens that are not known to be in the server's cache.
     pub uncached: Cost,
     /// A server from which more of the prompt's cache may be copied.
@@ -141,6 +150,10 @@
     servers: BTreeMap<backend::Server, Server>,
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
+    serving: Serving,
+    /// Whether this router is up to date. If it is not, it cannot know that the version in
+    /// service was replaced.
+    is_up_to_date: bool,
 }
 
 impl Pool {
@@ -161,6 +174,8 @@
             servers: BTreeMap::new(),
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
+            serving: Serving::default(),
+            is_up_to_date: true,
         }
     }
 
@@ -188,6 +203,7 @@
         let zones = self.servers.values().filter(|server| !server.is_leaving());
         let zones = zones.map(|server| (server.name().clone(), server.zone().clone()));
         self.ejection.set_servers(zones);
+        self.update_versions();
     }
 
     /// Chooses a server for a request and counts the request as in flight there.
@@ -214,6 +230,8 @@
             zone: server.zone().clone(),
             address: server.address(),
             incarnation: server.incarnation(),
+            role: server.role(),
+            is_cold: server.is_cold(now),
             server: choice,
             uncached,
             source,
@@ -227,9 +245,33 @@
         demand: &Demand,
         fleet: &Fleet,
         now: Instant,
+    ) -> Result<backend::Server, Denial> {
+        let tiers = self.tiers(demand.preference);
+        let mut denial = Denial::NoServer;
+        for (position, tier) in tiers.iter().enumerate() {
+            let is_last = position + 1 == tiers.len();
+            match self.choose_in(*tier, is_last, demand, fleet, now) {
+                Ok(server) => return Ok(server),
+                // A tier without servers does not change why the others have no room.
+                Err(Denial::NoServer) => {}
+                Err(other) => denial = other,
+            }
+        }
+        Err(denial)
+    }
+
+    /// Chooses among the servers of one tier. Only in the last one, servers that failed
+    /// recently are considered if there are no others.
+    fn choose_in(
+        &self,
+        tier: versions::Tier,
+        is_last: bool,
+        demand: &Demand,
+        fleet: &Fleet,
+        now: Instant,
     ) -> Result<backend::Server, Denial> {
         let untried = || {
-            let servers = self.servers.values().filter(|server| !server.is_leaving());
+            let servers = self.tier(tier);
             servers.filter(|server| !demand.tried.contains(server.name()))
         };
         let is_panicking = self.ejection.is_in_panic_mode(now);
@@ -239,7 +281,7 @@
                 && (is_panicking || !self.ejection.is_failing(server.name(), now))
         };
         let mut candidates: Vec<&Server> = untried().filter(is_available).collect();
-        if candidates.is_empty() {
+        if candidates.is_empty() && is_last {
             // A server that failed recently is preferable to refusing the request.
             let reachable = untried().filter(|server| !self.is_cut_off(server, now));
             candidates = reachable.collect();
@@ -265,7 +307,7 @@
             .map(|server| server.slow_start_ready_at())
             .min();
         candidates.retain(|server| !self.is_slow_start_limited(server, fleet, now));
-        let best = self.cheapest(&candidates, demand, now);
+        let best = self.cheapest(tier, &candidates, demand, now);
         best.ok_or(Denial::SlowStart(slow_start_ready_at.unwrap_or(now)))
     }
 
@@ -341,12 +383,12 @@
     /// The candidate with the lowest expected time to first byte.
     fn cheapest(
         &self,
+        tier: versions::Tier,
         candidates: &[&Server],
         demand: &Demand,
         now: Instant,
     ) -> Option<backend::Server> {
-        let active = self.servers.values().filter(|server| !server.is_leaving());
-        let ranking = cost::Ranking::new(&demand.parts, active);
+        let ranking = cost::Ranking::new(&demand.parts, self.tier(tier));
         let cost = |server: &&Server| {
             let position = ranking.as_ref().map(|ranking| ranking.position(server));
             cost::time_us(server, &self.zone, &demand.parts, position, now)
@@ -434,10 +476,11 @@
         }
     }
 
-    /// Total slots of the servers that are not leaving.
+    /// Total slots of the servers that may receive requests without a preference.
     pub fn slots(&self) -> u32 {
-        let active = self.servers.values().filter(|server| !server.is_leaving());
-        active.map(Server::slots).sum()
+        let tiers = self.tiers(Preference::Baseline);
+        let servers = tiers.iter().flat_map(|tier| self.tier(*tier));
+        servers.map(Server::slots).sum()
     }
 
     /// All servers, ordered by name.
--- a/crates/gateway/src/pool/copies.rs
+++ b/crates/gateway/src/pool/copies.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use rollout::Role;
 use units::{backend, time::Instant};
 
 use super::{Demand, Pool, cost};
@@ -20,6 +21,7 @@
     /// prompt's ranking, even if it is leaving. That server is also preferred to one
     /// that is known to hold only a part of the prompt.
     ///
+    /// Servers that receive no requests or only those of a canary hold few prompts.
     /// Servers in unreachable zones are skipped, since the chosen server would wait for
     /// them.
     pub(super) fn source(
@@ -38,6 +40,7 @@
         let sources = || {
             let servers = self.servers.values();
             servers
+                .filter(|server| server.role() == Role::Serving)
                 .filter(|server| server.name() != choice && server.is_reachable(now))
                 .filter(|server| !self.zone_tracker.is_unknown(server.zone(), now))
         };
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use placement::CacheIndex;
+use rollout::Role;
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
@@ -78,6 +79,9 @@
     entry: roster::Entry,
     name_hash: u64,
     is_leaving: bool,
+    role: Role,
+    /// Whether the server receives the requests of a canary.
+    is_in_canary: bool,
     running: u32,
     peer_load: u32,
     pending_prefill: Cost,
@@ -110,6 +114,8 @@
             name_hash: xxh3::xxh3_64(entry.server.as_str().as_bytes()),
             entry,
             is_leaving: false,
+            role: Role::default(),
+            is_in_canary: false,
             running: 0,
             peer_load: 0,
             pending_prefill: Cost(0),
@@ -146,6 +152,31 @@
         self.is_leaving
     }
 
+    /// The version of its software.
+    pub fn version(&self) -> &backend::Version {
+        &self.entry.version
+    }
+
+    /// What the server may receive because of its version.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Sets what the server may receive because of its version.
+    pub fn set_role(&mut self, role: Role) {
+        self.role = role;
+    }
+
+    /// Whether the server receives the requests of a canary.
+    pub fn is_in_canary(&self) -> bool {
+        self.is_in_canary
+    }
+
+    /// Sets whether the server receives the requests of a canary.
+    pub fn set_in_canary(&mut self, is_in_canary: bool) {
+        self.is_in_canary = is_in_canary;
+    }
+
     /// The name of the server.
     pub fn name(&self) -> &backend::Server {
         &self.entry.server
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -26,6 +26,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: availability::Zone,
+    /// The version of its software.
+    pub version: backend::Version,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is draining and receives no new requests.
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -169,6 +169,12 @@
         None
     }
 
+    /// The names of all routes.
+    pub fn route_names(&self) -> impl Iterator<Item = &str> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes.map(|route| route.name.as_str())
+    }
+
     /// The owner of an API key.
     pub fn key_owner(&self, key: &str) -> Option<&Arc<KeyOwner>> {
         self.keys.get(key)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -51,6 +51,8 @@
     pub ages: Arc<Ages>,
     /// Whether the router can serve.
     pub readiness: watch::Receiver<Readiness>,
+    /// Whether the stages of all roll-outs are known.
+    pub stages_known: watch::Receiver<bool>,
     /// Until when requests wait for readiness after the start of the process.
     pub start_deadline: Instant,
 }
@@ -116,13 +118,20 @@
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(200);
 
 impl<P> Context<P> {
-    /// Waits until the router is ready or the start timeout has passed.
+    /// Waits until the router is ready and knows the stages of roll-outs, or the start timeout
+    /// has passed.
     async fn wait_until_ready(&self) {
         if self.clock.now() >= self.start_deadline {
             return;
         }
-        let mut readiness = self.readiness.clone();
-        let ready = readiness.wait_for(|readiness| *readiness == Readiness::Ready);
+        let (mut readiness, mut stages_known) = (self.readiness.clone(), self.stages_known.clone());
+        let ready = async {
+            let is_ready = readiness.wait_for(|readiness| *readiness == Readiness::Ready);
+            // The senders live as long as the process.
+            drop(is_ready.await);
+            // The servers of the version in service may be about to stop.
+            drop(stages_known.wait_for(|are_known| *are_known).await);
+        };
         // After a timeout, later checks refuse the request for whatever is missing.
         drop(time::timeout_at(self.clock.at(self.start_deadline), ready).await);
     }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
+use rollout::counts;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use units::{
     pool,
@@ -269,6 +270,7 @@
         }
         let request = AcquireRequest {
             pool: self.plan.pool.clone(),
+            route: counts::Route::named(&self.plan.route.name),
             workspace: self.workspace(),
             cost: self.plan.head.cost,
             rank: self.rank(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,6 +52,8 @@
     pub cold_extra: f64,
     /// The retries that one service may receive.
     pub retries: retry_budget::Allowance,
+    /// The bounds of roll-outs; `None` if the versions of servers are of no significance.
+    pub rollouts: Option<rollout::Settings>,
 }
 
 impl Default for Bounds {
@@ -65,6 +67,7 @@
                 burst: 0.0,
                 window_s: 10,
             },
+            rollouts: None,
         }
     }
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -2,6 +2,7 @@
 
 use std::{error, fmt, future::Future, net::SocketAddr};
 
+use rollout::controller;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 use units::{availability, host, time::Instant};
@@ -101,6 +102,8 @@
     Table(Box<route::Table>),
     /// The servers of a zone receive no new requests.
     Evacuation(availability::Zone),
+    /// A service moves to another version.
+    Rollout(rollout::Order),
     /// A directive that this version does not support.
     Unknown,
 }
@@ -166,6 +169,17 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Records the state of a roll-out, and returns what is recorded then.
+    ///
+    /// A final state is never replaced, and nothing is recorded for an order that has been
+    /// replaced or withdrawn. The call is idempotent.
+    fn record_rollout(
+        &self,
+        order: &rollout::Order,
+        call: controller::Call,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<controller::Recorded, Error>> + Send;
+
     /// Decodes a row of the configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -25,6 +25,7 @@
     },
     protocol::Protocol,
     readiness::Readiness,
+    rollouts,
     serve::{self, BODY_UNIT, Context},
     settings::Settings,
     shutdown::Phase,
@@ -123,7 +124,12 @@
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         tokio::spawn(dispatch.run(messages));
         let ages = Arc::new(Ages::default());
+        let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
+        let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
+        let (stages_sender, stages_known) = watch::channel(false);
+        let (rollout_status_sender, rollout_status) = watch::channel(Vec::new());
         let outputs = state::Outputs {
+            rollouts: rollouts_sender.clone(),
             ages: Arc::clone(&ages),
             table: table_sender,
             readiness: readiness_sender,
@@ -153,14 +159,29 @@
             zone: settings.zone.clone(),
             address: settings.peers,
         };
+        let channels = rollouts::Channels {
+            members: members.clone(),
+            dispatch: handle.clone(),
+            peers: rollout_messages,
+            stages_known: stages_sender,
+            status: rollout_status_sender,
+            ages: Arc::clone(&ages),
+            metrics: Arc::clone(&metrics),
+        };
+        let bounds = settings.bounds.rollouts;
+        let (task, completions) =
+            rollouts::Task::new(clock, source.clone(), &own, bounds, channels);
+        tokio::spawn(task.run(rollout_events, completions));
         let event_sender = events.clone();
         let inputs = peers::Inputs {
+            rollouts: rollout_receiver,
             own: own.clone(),
             members: members.clone(),
             replicas,
             is_store_reachable,
         };
         let outputs = peers::Outputs {
+            rollouts: rollouts_sender,
             dispatch: handle.clone(),
             events,
             is_watching: watching_sender,
@@ -183,6 +204,8 @@
             clock,
             ages: Arc::clone(&ages),
             dispatch: handle.clone(),
+            rollouts: rollout_status,
+            table: table.clone(),
         };
         tokio::spawn(observer::serve(sockets.readiness, sources.clone()));
         tokio::spawn(observer::serve(sockets.metrics, sources));
@@ -197,6 +220,7 @@
             metrics,
             ages,
             readiness: readiness_receiver,
+            stages_known,
             start_deadline: clock.now() + serve::START_TIMEOUT,
         });
         let callers = listener::serve(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use rollout::Order;
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -16,6 +17,7 @@
     metrics::Metrics,
     readiness::Readiness,
     replica::{Replica, Replicas},
+    rollouts,
     roster::{Change, Roster},
     route::Table,
     source::{Directive, Member, Row, Source, Topic},
@@ -36,6 +38,8 @@
     pub replicas: watch::Sender<Arc<Replicas>>,
     /// The task that selects backend servers.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    /// The task that controls roll-outs.
+    pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -50,6 +54,8 @@
     /// The key and the version of the row that holds the configuration in force.
     in_force: Option<(String, u64)>,
     roster: Roster,
+    /// The orders of roll-outs; `None` before the first configuration.
+    orders: Option<Vec<Order>>,
     readiness: Readiness,
 }
 
@@ -63,6 +69,7 @@
             replicas: Replicas::new(),
             in_force: None,
             roster: Roster::default(),
+            orders: None,
             readiness: Readiness::default(),
         }
     }
@@ -138,6 +145,7 @@
     fn publish_configuration(&mut self) {
         let mut zones = BTreeSet::new();
         let mut tables = Vec::new();
+        let mut orders = Vec::new();
         for row in self.rows(Topic::Configuration) {
             // Decoding a large table again would take CPU time from requests.
             if self.is_in_force(row) {
@@ -149,11 +157,15 @@
                 Ok(Directive::Evacuation(zone)) => {
                     zones.insert(zone);
                 }
+                Ok(Directive::Rollout(order)) => orders.push(order),
                 Err(error) => {
                     logging::event!(warn, "row_malformed", key = row.key, reason = error);
                 }
             }
         }
+        // The orders come first: requests of a new configuration must not go to a version
+        // that an order excludes.
+        self.publish_orders(orders);
         for (row, table) in tables {
             self.activate(row, table);
         }
@@ -165,6 +177,42 @@
         self.publish_readiness();
     }
 
+    fn publish_orders(&mut self, orders: Vec<Order>) {
+        if self.orders.as_ref() == Some(&orders) {
+            return;
+        }
+        let known = self.orders.as_deref().unwrap_or_default();
+        for order in orders.iter().filter(|order| !known.contains(order)) {
+            logging::event!(
+                info,
+                "rollout_ordered",
+                pool = order.pool,
+                to = order.to,
+                duration_ms = order.duration,
+                revision = order.revision
+            );
+        }
+        let is_kept = |known: &&Order| orders.iter().any(|order| order.pool == known.pool);
+        for order in known.iter().filter(|known| !is_kept(known)) {
+            logging::event!(
+                info,
+                "rollout_withdrawn",
+                pool = order.pool,
+                to = order.to,
+                revision = order.revision
+            );
+        }
+        let message = dispatch::Message::Orders(orders.clone());
+        notify_dispatch(&self.outputs.dispatch, message);
+        // The receiver lives as long as the process.
+        drop(
+            self.outputs
+                .rollouts
+                .send(rollouts::Event::Orders(orders.clone())),
+        );
+        self.orders = Some(orders);
+    }
+
     fn is_in_force(&self, row: &Row) -> bool {
         let mut in_force = self.in_force.iter();
         in_force.any(|(key, version)| *key == row.key && *version == row.version)
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -93,6 +93,67 @@
     pub reporting_peers: usize,
 }
 
+/// A router's view of one roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rollout {
+    /// The service.
+    pub pool: pool::Id,
+    /// The ordered version.
+    pub to: backend::Version,
+    /// The store's version of the order.
+    pub revision: u64,
+    /// The stage, if known.
+    pub stage: Option<rollout::Stage>,
+    /// The number of routers whose counts are known.
+    pub reporters: u16,
+    /// The known counts.
+    pub counts: rollout::Counts,
+    /// The comparison of the versions.
+    pub assessment: rollout::verdict::Assessment,
+}
+
+/// Renders the state of a roll-out: a line for the roll-out, and one for each route.
+/// `route_name` resolves the hash of a route's name.
+pub fn rollout_lines(
+    rollout: &Rollout,
+    route_name: impl Fn(rollout::counts::Route) -> Option<String>,
+) -> Vec<String> {
+    let assessment = &rollout.assessment;
+    let events = assessment.events;
+    let name_of = |route| route_name(route).unwrap_or_else(|| String::from("other"));
+    let mut lines = vec![format!(
+        "rollout={} to={} revision={} stage={} reporters={} score={:.1} evidence={} route={} \
+         baseline={}/{} candidate={}/{}",
+        rollout.pool,
+        rollout.to,
+        rollout.revision,
+        rollout.stage.map_or("unknown", rollout::Stage::name),
+        rollout.reporters,
+        assessment.score,
+        assessment.kind,
+        assessment
+            .route
+            .map_or_else(|| String::from("all"), name_of),
+        events.baseline,
+        events.baseline_total,
+        events.candidate,
+        events.candidate_total
+    )];
+    lines.extend(rollout.counts.routes().map(|(route, counts)| {
+        format!(
+            "rollout={} route={} baseline_answers={} baseline_failures={} candidate_answers={} \
+             candidate_failures={}",
+            rollout.pool,
+            name_of(route),
+            counts.baseline.outcomes(),
+            counts.baseline.failed,
+            counts.candidate.outcomes(),
+            counts.candidate.failed
+        )
+    }));
+    lines
+}
+
 /// The first line of the page.
 #[derive(Debug)]
 pub struct Header<'a> {
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod replica;
 mod replicas;
 mod retry_budget;
+mod rollouts;
 mod roster;
 mod route;
 mod slow_start;
--- a/crates/gateway/tests/decisions/prefixes.rs
+++ b/crates/gateway/tests/decisions/prefixes.rs
@@ -239,6 +239,7 @@
 fn acquire(task: &mut Dispatch) -> Permit {
     let request = AcquireRequest {
         pool: "llm".parse().expect("a valid name"),
+        route: rollout::counts::Route::default(),
         workspace: "w".parse().expect("a valid name"),
         cost: Cost(1),
         rank: 0,
--- a/crates/gateway/tests/decisions/versions.rs
+++ b/crates/gateway/tests/decisions/versions.rs
@@ -72,6 +72,19 @@
     })
 }
 
+/// Routers of the previous version ignore frames that they do not know. A new kind of frame
+/// must not take the number of an old one.
+#[test]
+fn the_frame_of_rollouts_is_unknown_to_the_previous_version() {
+    let frame = Frame::Rollout(rollout::Message::Query {
+        revision: 1,
+        host: 2,
+    });
+    let bytes = frame.encode().expect("the frame fits one datagram");
+    assert_eq!(bytes, [4, 3, 1, 2]);
+    assert_eq!(Frame::decode(&bytes), Ok(frame));
+}
+
 /// Guards against incompatible datagrams in a rolling update, where routers of both
 /// versions run side by side for minutes and would miss what they cannot decode. The
 /// recorded bytes were written by the previous version.
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -62,6 +62,7 @@
         server: server(name),
         pool: "llm".parse().expect("a valid name"),
         address: ([127, 0, 0, 1], port).into(),
+        version: "v1".parse().expect("a valid version"),
         zone: zone.parse().expect("a valid name"),
         slots: 64,
         is_draining: false,
