Do not compress values that do not become smaller

Cause: the first request for a large value compressed it on the task that serves it, also if nothing was gained, while the client waited one second for a first byte.

Change: a sample of 16 KiB decides. A value that becomes less than a tenth smaller is sent as it is.

Compressing in another task alone would not have helped: the client waits for the first byte all the same.

--- a/crates/gateway/src/value.rs
+++ b/crates/gateway/src/value.rs
@@ -13,6 +13,11 @@
 /// The minimum size of a value that is packed (compressed), in bytes. A value that fits a
 /// few network packets gains little.
 const MIN_PACKED_BYTES: usize = 4 * 1024;
+/// The length of the sample that decides whether a value is packed, in bytes.
+const SAMPLE_BYTES: usize = 16 * 1024;
+/// The largest packed size for which a value is packed, in percent of its size. Compressing
+/// the megabytes of a value takes longer than sending the few bytes that are saved.
+const MAX_PACKED_PERCENT: usize = 90;
 
 /// The value of a row.
 ///
@@ -22,8 +27,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Value {
     bytes: Bytes,
-    /// The packed form, computed on first use. Contains `None` if packing failed; the value
-    /// is sent unpacked then.
+    /// The packed form, computed on first use. Contains `None` if the value does not compress
+    /// or packing failed; it is sent unpacked then.
     packed: Arc<OnceLock<Option<Bytes>>>,
 }
 
@@ -59,14 +64,31 @@
         })
     }
 
-    /// The packed form; `None` if the value is too small to benefit or could not be packed.
+    /// The packed form; `None` if the value is too small to benefit, does not compress or
+    /// could not be packed.
     pub fn packed(&self) -> Option<&Bytes> {
         if self.bytes.len() < MIN_PACKED_BYTES {
             return None;
         }
-        let packed = self.packed.get_or_init(|| pack(&self.bytes).ok());
+        let packed = self.packed.get_or_init(|| {
+            let is_worthwhile = compresses(&self.bytes).unwrap_or_default();
+            is_worthwhile.then(|| pack(&self.bytes).ok()).flatten()
+        });
         packed.as_ref()
     }
+
+    /// Whether [`Self::packed`] responds without compressing the value first.
+    pub fn is_packed(&self) -> bool {
+        self.bytes.len() < MIN_PACKED_BYTES || self.packed.get().is_some()
+    }
+}
+
+/// Whether a sample from the middle of a value becomes smaller.
+fn compresses(bytes: &[u8]) -> io::Result<bool> {
+    let length = bytes.len().min(SAMPLE_BYTES);
+    let start = (bytes.len() - length) / 2;
+    let packed = pack(&bytes[start..start + length])?;
+    Ok(packed.len() * 100 <= length * MAX_PACKED_PERCENT)
 }
 
 fn pack(bytes: &[u8]) -> io::Result<Bytes> {
--- a/crates/gateway/tests/decisions/value.rs
+++ b/crates/gateway/tests/decisions/value.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use gateway::value::Value;
 use proptest::prelude::*;
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
 /// A repetitive text, as configurations are.
 fn repetitive() -> Bytes {
@@ -30,6 +31,15 @@
     assert!(Value::from(Bytes::from_static(b"{}")).packed().is_none());
 }
 
+/// A value that does not compress, such as an encrypted one, is transferred as it is.
+/// Compressing it would delay its first byte and save nothing.
+#[test]
+fn an_incompressible_value_is_not_packed() {
+    let mut bytes = vec![0; 100_000];
+    SmallRng::seed_from_u64(1).fill(&mut bytes[..]);
+    assert!(Value::from(Bytes::from(bytes)).packed().is_none());
+}
+
 /// Guards against memory exhaustion by a small compressed value from a peer.
 #[test]
 fn a_value_that_is_longer_than_announced_is_refused() {
