Fetch changes of servers from the own zone, or by few routers from another

Change: a router waits 0.1 to 0.5 s, by chance, for one of its zone before it asks another zone; routers alone in their zone do not wait. Configurations are fetched from any zone as before.

Tests: of a hundred routers at most twenty ask within 0.15 s, all within 0.5 s; before, all asked at once.

--- a/crates/gateway/src/peers/table.rs
+++ b/crates/gateway/src/peers/table.rs
@@ -64,11 +64,22 @@
     }
 }
 
+/// The time within which a router of this zone usually holds a change, and the time over
+/// which the others of the zone spread their requests to other zones if none does.
+///
+/// If all routers asked other zones at once, each change would cross between zones once for
+/// each router. The first ones that do hold the change for the others.
+const ZONE_GRACE: Duration = Duration::from_millis(100);
+/// See [`ZONE_GRACE`].
+const ZONE_SPREAD: Duration = Duration::from_millis(400);
+
 /// When a part may be requested next.
 #[derive(Clone, Copy, Debug, Default)]
 struct RequestPace {
     behind_since: Option<Instant>,
     next_request_at: Instant,
+    /// When other zones may be asked.
+    remote_at: Instant,
 }
 
 /// How long a peer has to hold different rows at the same versions before all its rows are
@@ -145,6 +156,7 @@
         now: Instant,
     ) -> Option<SocketAddr> {
         let known = part.of(own);
+        let has_zone_peers = self.records.keys().any(&is_same_zone);
         let records = self.records.iter();
         let mut ahead: Vec<_> = records
             .filter(|(_, record)| record.versions.is_ahead_of(known))
@@ -158,10 +170,19 @@
             pace.behind_since = None;
             return None;
         }
-        if part == Part::Rest && ahead.iter().any(|(is_same_zone, _)| *is_same_zone) {
-            ahead.retain(|(is_same_zone, _)| *is_same_zone);
+        if pace.behind_since.is_none() {
+            pace.remote_at = now + ZONE_GRACE + ZONE_SPREAD * (random % 64) as u32 / 64;
         }
         let since = *pace.behind_since.get_or_insert(now);
+        if part == Part::Rest && has_zone_peers {
+            ahead.retain(|(is_same_zone, _)| *is_same_zone || now >= pace.remote_at);
+        }
+        if ahead.iter().any(|(is_same_zone, _)| *is_same_zone) && part == Part::Rest {
+            ahead.retain(|(is_same_zone, _)| *is_same_zone);
+        }
+        if ahead.is_empty() {
+            return None;
+        }
         let grace = if is_watching {
             BEHIND_GRACE
         } else {
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -57,6 +57,51 @@
     select(Part::Configuration).or_else(|| select(Part::Rest))
 }
 
+/// A hundred routers of a zone learn at once that another zone holds a change of servers. If
+/// all asked there, the change would cross between the zones a hundred times. A zone of
+/// which no router holds it must not wait for long.
+#[test]
+fn few_routers_of_a_zone_fetch_changes_from_another_zone() {
+    let is_same_zone = |host: &host::Id| host.as_str().starts_with('a');
+    let newer = Versions {
+        servers: 2,
+        ..own(1)
+    };
+    let remote = Digest::new(host("b1"), newer, true, Vec::new(), Vec::new());
+    let asked_within = |limit: Duration| {
+        let routers = (0..100).filter(|router| {
+            let mut table = Table::default();
+            table.record(&digest("a1", 1), at(1), START, PEER_TIMEOUT);
+            table.record(&remote, at(2), START, PEER_TIMEOUT);
+            let mut select = |now| {
+                let random = router * 7;
+                table.select_ahead(Part::Rest, own(1), false, is_same_zone, random, now)
+            };
+            let first = select(START);
+            first.or_else(|| select(START + limit)).is_some()
+        });
+        routers.count()
+    };
+    assert_eq!(asked_within(Duration::from_millis(90)), 0);
+    let soon = asked_within(Duration::from_millis(150));
+    assert!((1..=20).contains(&soon), "{soon}");
+    assert_eq!(asked_within(Duration::from_millis(500)), 100);
+}
+
+/// The only router of a zone has nobody to wait for.
+#[test]
+fn a_router_that_is_alone_in_its_zone_asks_other_zones_at_once() {
+    let newer = Versions {
+        servers: 2,
+        ..own(1)
+    };
+    let mut table = Table::default();
+    let remote = Digest::new(host("b1"), newer, true, Vec::new(), Vec::new());
+    table.record(&remote, at(2), START, PEER_TIMEOUT);
+    let selected = table.select_ahead(Part::Rest, own(1), false, |_| false, 3, START);
+    assert_eq!(selected, Some(at(2)));
+}
+
 /// Guards against a router that goes on accepting a revoked key because the store answers
 /// other routers but not this one.
 #[test]
