--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -408,7 +408,7 @@
                 if let Some(service) = self.table.services.get(&name) {
                     pool.set_service(service.clone());
                 }
-                pool.set_order(self.rollouts.order(&name));
+                self.rollouts.apply(&name, &mut pool);
                 Queue::new(pool)
             });
             queue
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3;
 
 use super::{AcquireRequest, Dispatch, Progress, Ticket, TrialTicket, expected};
-use crate::pool::{Outcome, Placement, Preference};
+use crate::pool::{Outcome, Placement, Pool, Preference};
 
 /// The period after which a long response is forgotten, at least.
 const RESPONSE_WINDOW: Duration = Duration::from_secs(10);
@@ -49,6 +49,8 @@
 pub(super) struct Rollouts {
     orders: Vec<Order>,
     trials: BTreeMap<pool::Id, Trial>,
+    /// The stages of the orders, for services whose servers are not known yet.
+    stages: BTreeMap<pool::Id, (u64, Stage)>,
     response_times: BTreeMap<pool::Id, ResponseTime>,
 }
 
@@ -61,10 +63,22 @@
     fn set_orders(&mut self, orders: Vec<Order>) {
         self.orders = orders;
         let orders = &self.orders;
-        self.trials.retain(|pool, trial| {
+        let is_current = |pool: &pool::Id, revision| {
             let mut orders = orders.iter();
-            orders.any(|order| order.pool == *pool && order.revision == trial.revision())
-        });
+            orders.any(|order| order.pool == *pool && order.revision == revision)
+        };
+        self.trials
+            .retain(|pool, trial| is_current(pool, trial.revision()));
+        self.stages
+            .retain(|pool, (revision, _)| is_current(pool, *revision));
+    }
+
+    /// Applies the order and its stage to the servers of a service.
+    pub fn apply(&self, name: &pool::Id, pool: &mut Pool) {
+        pool.set_order(self.order(name));
+        if let Some((revision, stage)) = self.stages.get(name) {
+            pool.set_stage(*revision, *stage);
+        }
     }
 
     fn set_stage(
@@ -76,6 +90,7 @@
         seed: u64,
         now: Instant,
     ) {
+        self.stages.insert(pool.clone(), (revision, stage));
         if stage.is_final() {
             self.trials.remove(pool);
             return;
@@ -181,7 +196,7 @@
     pub(super) fn set_orders(&mut self, orders: Vec<Order>) {
         self.rollouts.set_orders(orders);
         for (name, queue) in &mut self.queues {
-            queue.pool_mut().set_order(self.rollouts.order(name));
+            self.rollouts.apply(name, queue.pool_mut());
         }
     }
 
@@ -198,7 +213,7 @@
         self.rollouts
             .set_stage(pool, stage, revision, settings, seed, now);
         if let Some(queue) = self.queues.get_mut(pool) {
-            queue.pool_mut().set_stage(revision, stage);
+            self.rollouts.apply(pool, queue.pool_mut());
         }
         self.dequeue_all();
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -75,6 +75,8 @@
     controllers: BTreeMap<pool::Id, Controller>,
     completions: mpsc::UnboundedSender<Completion>,
     is_up_to_date: bool,
+    /// Whether orders have been received. Those that the first configuration holds may be old.
+    has_orders: bool,
 }
 
 impl<S: Source> Task<S> {
@@ -102,6 +104,7 @@
             controllers: BTreeMap::new(),
             completions,
             is_up_to_date: true,
+            has_orders: false,
         };
         (task, receiver)
     }
@@ -160,13 +163,20 @@
             return;
         };
         let now = self.clock.now();
+        let has_just_started = !std::mem::replace(&mut self.has_orders, true);
         let mut known = std::mem::take(&mut self.controllers);
         for order in orders {
             let is_same = |known: &Controller| known.order().revision == order.revision;
             let controller = known.remove(&order.pool).filter(is_same);
             let pool = order.pool.clone();
-            let controller =
-                controller.unwrap_or_else(|| Controller::new(order, settings, self.own, now));
+            let controller = controller.unwrap_or_else(|| {
+                let controller = Controller::new(order, settings, self.own, now);
+                if has_just_started {
+                    controller.with_immediate_call()
+                } else {
+                    controller
+                }
+            });
             self.controllers.insert(pool, controller);
         }
         self.publish_knowledge();
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -198,6 +198,27 @@
 
 impl Router {
     fn new() -> Self {
+        let mut router = Self::without_servers();
+        router.add_servers();
+        router.enter(Stage::Canary);
+        router
+    }
+
+    fn add_servers(&mut self) {
+        let mut roster = roster::Roster::default();
+        for entry in servers("v1", 20, 1).into_iter().chain(servers("v2", 20, 2)) {
+            roster.apply(roster::Change::Present(entry), START);
+        }
+        let message = Message::Roster(Arc::new(roster));
+        self.task.handle_message(message);
+    }
+
+    fn enter(&mut self, stage: Stage) {
+        let message = Message::Stage(order().pool, REVISION, stage);
+        self.task.handle_message(message);
+    }
+
+    fn without_servers() -> Self {
         let any: std::net::SocketAddr = ([127, 0, 0, 1], 0).into();
         let settings = Settings {
             host: host("r0"),
@@ -216,14 +237,8 @@
         };
         let metrics = Arc::new(Metrics::default());
         let (mut task, _handle, messages) = Dispatch::new(Clock::start(), metrics, settings);
-        let mut roster = roster::Roster::default();
-        for entry in servers("v1", 20, 1).into_iter().chain(servers("v2", 20, 2)) {
-            roster.apply(roster::Change::Present(entry), START);
-        }
         task.handle_message(Message::Members(members(6)));
         task.handle_message(Message::Orders(vec![order()]));
-        task.handle_message(Message::Roster(Arc::new(roster)));
-        task.handle_message(Message::Stage(order().pool, REVISION, Stage::Canary));
         Self { task, messages }
     }
 
@@ -256,6 +271,17 @@
     }
 }
 
+/// A router that starts learns the stage before it has read the servers. It must not forget
+/// it: the old servers have stopped, and all its requests would fail.
+#[test]
+fn a_stage_that_is_known_before_the_servers_is_applied() {
+    let mut router = Router::without_servers();
+    router.enter(Stage::Completed);
+    router.add_servers();
+    let permit = router.acquire(false);
+    assert!(permit.placement().server.as_str().starts_with("v2"));
+}
+
 /// The canary must not exceed its share, whatever number of requests a router receives.
 #[test]
 fn a_router_sends_its_share_to_the_new_version() {
--- a/crates/gateway/tests/decisions/value.rs
+++ b/crates/gateway/tests/decisions/value.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use gateway::value::Value;
 use proptest::prelude::*;
-use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rand::{SeedableRng as _, rngs::SmallRng};
 
 /// A repetitive text, as configurations are.
 fn repetitive() -> Bytes {
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -161,6 +161,8 @@
     idle_since: Option<Instant>,
     is_calling: bool,
     call_at: Instant,
+    /// Whether the router leaves the first call to the store to routers ranked before it.
+    waits_for_turn: bool,
     report_at: Instant,
     /// When a report may be sent early because of further failures.
     urgent_report_at: Instant,
@@ -190,6 +192,7 @@
             idle_since: None,
             is_calling: false,
             call_at: now,
+            waits_for_turn: true,
             report_at: now,
             urgent_report_at: now,
             reported: (0, 0),
@@ -201,6 +204,15 @@
         }
     }
 
+    /// Lets the router ask the store for the stage without waiting for its turn, because the
+    /// router has just started and the roll-out may be about to end, or may have ended.
+    pub fn with_immediate_call(self) -> Self {
+        Self {
+            waits_for_turn: false,
+            ..self
+        }
+    }
+
     /// The order.
     pub const fn order(&self) -> &Order {
         &self.order
@@ -252,6 +264,7 @@
     /// Applies the result of a call to the store; `None` if it failed.
     pub fn complete_call(&mut self, recorded: Option<Recorded>, now: Instant) {
         self.is_calling = false;
+        self.waits_for_turn = true;
         self.call_at = now + RETRY_DELAY;
         if let Some(recorded) = recorded {
             self.set_began(recorded.elapsed, now);
@@ -455,7 +468,11 @@
                 return None;
             }
         };
-        let rank = u32::try_from(view.rank).unwrap_or(u32::MAX);
+        let rank = if self.waits_for_turn {
+            u32::try_from(view.rank).unwrap_or(u32::MAX)
+        } else {
+            0
+        };
         if self.is_calling || now < self.call_at + TAKEOVER_DELAY.saturating_mul(rank) {
             return None;
         }
--- a/crates/rollout/tests/model/fleet.rs
+++ b/crates/rollout/tests/model/fleet.rs
@@ -516,9 +516,15 @@
             zone: router.zone as u32,
             reporter: router.reporter,
         };
-        let controller = router
-            .controller
-            .get_or_insert_with(|| Controller::new(order.clone(), settings, own, now));
+        let has_restarted = !router.has_started_before_order;
+        let controller = router.controller.get_or_insert_with(|| {
+            let controller = Controller::new(order.clone(), settings, own, now);
+            if has_restarted {
+                controller.with_immediate_call()
+            } else {
+                controller
+            }
+        });
         let own = router.trial.as_ref().map(|trial| trial.counts().clone());
         let actions = controller.tick(own.unwrap_or_default(), &view, now);
         if let Some(stage) = actions.stage {
