--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,13 +3,13 @@
 
 mod aggregation;
 mod aggregators;
+mod audience;
 mod catch_up;
 mod digest;
 mod directory;
 pub mod fetch;
 pub mod introduction;
 mod relays;
-mod rollouts;
 mod store_fallback;
 pub mod sums;
 mod table;
@@ -43,7 +43,7 @@
     follow::Event,
     metrics::Metrics,
     replica::Replicas,
-    rollouts as rollouts_task,
+    rollouts,
     source::{Member, Secret, Source},
 };
 use introduction::Introducer;
@@ -93,7 +93,7 @@
     /// Whether this router is to watch the store, for the tasks that follow it.
     pub is_watching: watch::Sender<bool>,
     /// The task that controls roll-outs.
-    pub rollouts: mpsc::UnboundedSender<rollouts_task::Event>,
+    pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The ages of the replicated views.
     pub ages: Arc<Ages>,
     /// The metrics.
--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/audience.rs
@@ -1,4 +1,4 @@
-//! Messages about roll-outs between routers.
+//! The receivers of messages about roll-outs.
 
 use std::{cmp::Reverse, collections::BTreeSet, sync::Arc};
 
--- /dev/null
+++ b/crates/gateway/src/pool/choice.rs
@@ -0,0 +1,110 @@
+//! The choice of the server that receives a request.
+
+use units::{backend, time::Instant};
+
+use super::{Demand, Denial, Fleet, Pool, Server, cost, versions};
+
+impl Pool {
+    pub(super) fn choose(
+        &self,
+        demand: &Demand,
+        fleet: &Fleet,
+        now: Instant,
+    ) -> Result<backend::Server, Denial> {
+        let tiers = self.tiers(demand.preference);
+        let mut denial = Denial::NoServer;
+        for (position, tier) in tiers.iter().enumerate() {
+            let is_last = position + 1 == tiers.len();
+            match self.choose_in(*tier, is_last, demand, fleet, now) {
+                Ok(server) => return Ok(server),
+                // A tier without servers does not change why the others have no room.
+                Err(Denial::NoServer) => {}
+                Err(other) => denial = other,
+            }
+        }
+        Err(denial)
+    }
+
+    /// Chooses among the servers of one tier. Only in the last one, servers that failed
+    /// recently are considered if there are no others.
+    fn choose_in(
+        &self,
+        tier: versions::Tier,
+        is_last: bool,
+        demand: &Demand,
+        fleet: &Fleet,
+        now: Instant,
+    ) -> Result<backend::Server, Denial> {
+        let untried = || {
+            let servers = self.tier(tier);
+            servers.filter(|server| !demand.tried.contains(server.name()))
+        };
+        let is_panicking = self.ejection.is_in_panic_mode(now);
+        let is_available = |server: &&Server| {
+            server.is_reachable(now)
+                && !self.zone_tracker.is_in_backoff(server.zone(), now)
+                && (is_panicking || !self.ejection.is_failing(server.name(), now))
+        };
+        let mut candidates: Vec<&Server> = untried().filter(is_available).collect();
+        if candidates.is_empty() && is_last {
+            // A server that failed recently is preferable to refusing the request.
+            let reachable = untried().filter(|server| !self.is_cut_off(server, now));
+            candidates = reachable.collect();
+        }
+        if candidates.is_empty() {
+            return Err(self.no_candidate(untried(), now));
+        }
+        let bound = self.bound(now);
+        // Requests to a plain service complete before peers report them. Counting the
+        // reported ones would queue requests although slots are free. A server that is
+        // full rejects the request itself.
+        let counts_peers = self.service.cache_tokens > 0;
+        candidates.retain(|server| {
+            server.has_room(demand.leaves_reserve, counts_peers)
+                && f64::from(server.load() + 1) <= bound
+        });
+        if candidates.is_empty() {
+            return Err(Denial::Full);
+        }
+        let slow_start_ready_at = candidates
+            .iter()
+            .filter(|server| self.is_slow_start_limited(server, fleet, now))
+            .map(|server| server.slow_start_ready_at())
+            .min();
+        candidates.retain(|server| !self.is_slow_start_limited(server, fleet, now));
+        let best = self.cheapest(tier, &candidates, demand, now);
+        best.ok_or(Denial::SlowStart(slow_start_ready_at.unwrap_or(now)))
+    }
+
+    /// Whether a server is in a remote zone that is unreachable.
+    ///
+    /// Trying its servers in turn would cost the request a full connect timeout for
+    /// each. The router's own zone is never treated as unreachable.
+    fn is_cut_off(&self, server: &Server, now: Instant) -> bool {
+        *server.zone() != self.zone && self.zone_tracker.is_in_backoff(server.zone(), now)
+    }
+
+    /// The reason why none of `servers` can be tried.
+    fn no_candidate<'a>(&self, servers: impl Iterator<Item = &'a Server>, now: Instant) -> Denial {
+        let retry_times = servers.map(|server| self.zone_tracker.backoff_until(server.zone()));
+        let first = retry_times.min();
+        first.map_or(Denial::NoServer, |at| Denial::ZonesUnreachable(at.max(now)))
+    }
+
+    /// The candidate with the lowest expected time to first byte.
+    fn cheapest(
+        &self,
+        tier: versions::Tier,
+        candidates: &[&Server],
+        demand: &Demand,
+        now: Instant,
+    ) -> Option<backend::Server> {
+        let ranking = cost::Ranking::new(&demand.parts, self.tier(tier));
+        let cost = |server: &&Server| {
+            let position = ranking.as_ref().map(|ranking| ranking.position(server));
+            cost::time_us(server, &self.zone, &demand.parts, position, now)
+        };
+        let best = candidates.iter().min_by_key(|server| cost(server))?;
+        Some(best.name().clone())
+    }
+}
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -326,7 +326,7 @@
 
 fn status_of(controller: &Controller) -> status::Rollout {
     let order = controller.order();
-    let (reporters, counts) = controller.evidence().total();
+    let (reporters, counts) = controller.reports().total();
     status::Rollout {
         pool: order.pool.clone(),
         to: order.to.clone(),
@@ -340,7 +340,7 @@
 
 fn log_stage(controller: &Controller, view: &View, stage: Stage) {
     let order = controller.order();
-    let (reporters, counts) = controller.evidence().total();
+    let (reporters, counts) = controller.reports().total();
     let total = counts.total();
     let assessment = controller.assessment();
     logging::event!(
--- a/crates/gateway/tests/network/fetch.rs
+++ b/crates/gateway/tests/network/fetch.rs
@@ -129,7 +129,7 @@
     let rows = (0..SERVERS).map(|index| {
         let entry = format!(
             "{{\"service\":\"llm\",\"address\":\"10.{}.{}.{}:8080\",\"zone\":\"lk-west-a\",\
-             \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+             \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_ms\":0,\
              \"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"sequence\":{index},\"born\":1775300355527}}",
             index / 65_536,
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -1,13 +1,15 @@
 //! The stages of one roll-out, as one router sees and advances them.
 
+mod messages;
+mod schedule;
+
 use std::time::Duration;
 
 use units::time::{Instant, Millis};
 
 use crate::{
-    Counts, Evidence, Message, Order, Settings, Stage,
+    Counts, Message, Order, Reports, Settings, Stage,
     stage::State,
-    trial::PROMOTION_TIME,
     verdict::{self, Assessment},
 };
 
@@ -29,31 +31,6 @@
 const COVERAGE_DELAY: Duration = Duration::from_millis(1500);
 /// The smallest part of the routers whose counts permit a decision to promote.
 const MIN_COVERAGE: f64 = 0.2;
-/// The part of the duration that is left for a slow store, as a divisor.
-const RESERVE_DIVISOR: u32 = 4;
-/// The part of the duration for which the canary runs at least, as a divisor.
-const MIN_CANARY_DIVISOR: u32 = 3;
-/// The part of the duration before whose end a roll-out that cannot be completed is rolled
-/// back, as a divisor.
-const FINISH_DIVISOR: u32 = 10;
-/// The same time for short roll-outs.
-const MIN_FINISH_TIME: Duration = Duration::from_millis(1000);
-/// The part of all requests in flight that may still run at old servers when the roll-out
-/// has to finish, as a divisor.
-const MAX_REMAINING_DIVISOR: u32 = 100;
-/// The time before the end at which a promotion with more requests at old servers is rolled
-/// back.
-const LAST_CALL_TIME: Duration = Duration::from_millis(400);
-/// The time before that in which no router completes a promotion with requests at old
-/// servers, since others may already see too many of them.
-const FINISH_MARGIN: Duration = Duration::from_millis(300);
-/// The interval between regular reports, as a part of the time in which a faulty version
-/// must stop receiving requests: a report passes two routers, and each may be lost once.
-const REPORT_INTERVAL_DIVISOR: u32 = 5;
-/// The interval between two reports if the new version has failed further requests.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// The interval at which a router that does not know the stage asks for it.
-const QUERY_INTERVAL: Duration = Duration::from_millis(400);
 /// How long a router may hear no stage before it asks another for it, and the interval at
 /// which it does so.
 ///
@@ -61,10 +38,6 @@
 const MAX_SILENCE: Duration = Duration::from_millis(2500);
 /// The time within which another router answers.
 const RESPONSE_TIME: Duration = Duration::from_millis(200);
-/// The interval at which the stage is repeated to other routers while the roll-out runs.
-const STAGE_INTERVAL: Duration = Duration::from_millis(2000);
-/// The same interval once the roll-out has ended.
-const FINAL_STAGE_INTERVAL: Duration = Duration::from_millis(5000);
 
 /// The state of the service and the fleet on which decisions are based.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -152,7 +125,7 @@
     order: Order,
     settings: Settings,
     own: Identity,
-    evidence: Evidence,
+    reports: Reports,
     began_at: Instant,
     /// The stage; `None` until the store or another router has told it.
     stage: Option<Stage>,
@@ -185,7 +158,7 @@
             order,
             settings,
             own,
-            evidence: Evidence::default(),
+            reports: Reports::default(),
             began_at: now,
             stage: None,
             stage_since: now,
@@ -224,13 +197,13 @@
     }
 
     /// The counts of all routers, as far as reported.
-    pub const fn evidence(&self) -> &Evidence {
-        &self.evidence
+    pub const fn reports(&self) -> &Reports {
+        &self.reports
     }
 
     /// The comparison of the two versions by the reported counts.
     pub fn assessment(&self) -> Assessment {
-        verdict::assess(&self.evidence.total().1)
+        verdict::assess(&self.reports.total().1)
     }
 
     /// Applies a message of another router.
@@ -239,7 +212,7 @@
             Message::Report {
                 reporter, counts, ..
             } => {
-                self.evidence.record_router(reporter, counts);
+                self.reports.record_router(reporter, counts);
             }
             Message::Zone {
                 zone,
@@ -248,7 +221,7 @@
                 ..
             } => {
                 if zone != self.own.zone {
-                    self.evidence.record_zone(zone, reporters, counts);
+                    self.reports.record_zone(zone, reporters, counts);
                 }
             }
             Message::Stage { stage, elapsed, .. } => {
@@ -291,7 +264,7 @@
 
     /// Decides what to do at `now`. `own` are the counts of this router.
     pub fn tick(&mut self, own: Counts, view: &View, now: Instant) -> Actions {
-        self.evidence.set_own(own);
+        self.reports.set_own(own);
         self.decide(view, now);
         let mut actions = Actions {
             call: self.next_call(view, now),
@@ -312,30 +285,6 @@
         actions
     }
 
-    /// Answers routers that ask for the stage, and asks others if this router does not know
-    /// it or has not been told for some time.
-    ///
-    /// A router that has just started sends its requests to the old version, whose servers
-    /// are about to stop if the new one is being promoted.
-    fn answer_queries(&mut self, messages: &mut Vec<(Audience, Message)>, now: Instant) {
-        let queries = std::mem::take(&mut self.queries);
-        if now >= self.query_at && !self.stage.is_some_and(Stage::is_final) {
-            let (audience, interval) = match self.stage {
-                None => (Audience::Many, QUERY_INTERVAL),
-                Some(_) => (Audience::One, MAX_SILENCE),
-            };
-            self.query_at = now + interval;
-            let query = Message::Query {
-                revision: self.order.revision,
-                host: self.own.host,
-            };
-            messages.push((audience, query));
-        }
-        for host in queries {
-            messages.extend(self.stage_message(Audience::Router(host), now));
-        }
-    }
-
     fn decide(&mut self, view: &View, now: Instant) {
         match self.stage {
             Some(Stage::Canary) => self.decide_canary(view, now),
@@ -351,7 +300,7 @@
             self.advance(Stage::Promoting, now);
             return;
         }
-        let (reporters, counts) = self.evidence.total();
+        let (reporters, counts) = self.reports.total();
         let assessment = verdict::assess(&counts);
         let is_too_late = now >= self.finish_at() && !self.is_cut_off(view, now);
         if assessment.is_faulty() || is_too_late {
@@ -404,57 +353,6 @@
         is_announced && (view.is_serving || self.may_stop_old_servers(view))
     }
 
-    /// When a promotion that is not completed is rolled back.
-    fn last_call_at(&self) -> Instant {
-        self.began_at + self.duration().saturating_sub(LAST_CALL_TIME)
-    }
-
-    /// Whether so few requests run at old servers that stopping them harms fewer callers
-    /// than rolling back.
-    fn may_stop_old_servers(&self, view: &View) -> bool {
-        view.baseline_load.saturating_mul(MAX_REMAINING_DIVISOR) <= view.total_load
-    }
-
-    /// Whether the old servers may be stopped.
-    fn is_complete(&self, view: &View, now: Instant) -> bool {
-        if view.is_serving {
-            return true;
-        }
-        let has_spread = now >= self.stage_since + SPREAD_TIME;
-        let is_idle = self
-            .idle_since
-            .is_some_and(|since| now >= since + IDLE_TIME);
-        let finish_until = self.last_call_at() - FINISH_MARGIN;
-        let is_finishing = (self.finish_at()..finish_until).contains(&now);
-        let must_finish = is_finishing && self.may_stop_old_servers(view);
-        has_spread && (is_idle || must_finish)
-    }
-
-    fn duration(&self) -> Duration {
-        self.order.duration.duration()
-    }
-
-    /// When a roll-out that cannot be completed is rolled back.
-    fn finish_at(&self) -> Instant {
-        let reserve = (self.duration() / FINISH_DIVISOR).max(MIN_FINISH_TIME);
-        self.began_at + self.duration().saturating_sub(reserve)
-    }
-
-    /// When the canary has run long enough. The rest of the time is for the requests in
-    /// flight at the old servers and for a slow store.
-    fn promote_at(&self, view: &View) -> Instant {
-        let drain = drain_time(view) + SPREAD_TIME;
-        let reserve = self.duration() / RESERVE_DIVISOR + drain;
-        let canary = self.duration().saturating_sub(reserve);
-        self.began_at + canary.max(self.duration() / MIN_CANARY_DIVISOR)
-    }
-
-    /// When the version is promoted although too few requests have shown that it is sound.
-    /// A later promotion could not be completed in time.
-    fn latest_promotion(&self, view: &View) -> Instant {
-        (self.finish_at() - drain_time(view)).max(self.promote_at(view))
-    }
-
     fn next_call(&mut self, view: &View, now: Instant) -> Option<Call> {
         let state = match self.stage {
             None => State::InProgress,
@@ -483,68 +381,4 @@
             elapsed: Millis(u64::try_from(elapsed).unwrap_or(u64::MAX)),
         })
     }
-
-    fn stage_message(&mut self, audience: Audience, now: Instant) -> Option<(Audience, Message)> {
-        let stage = self.stage?;
-        let interval = if stage.is_final() {
-            FINAL_STAGE_INTERVAL
-        } else {
-            STAGE_INTERVAL
-        };
-        self.stage_message_at = now + interval;
-        let elapsed = now.since(self.began_at).as_millis();
-        let message = Message::Stage {
-            revision: self.order.revision,
-            stage,
-            elapsed: Millis(u64::try_from(elapsed).unwrap_or(u64::MAX)),
-        };
-        Some((audience, message))
-    }
-
-    /// Reports this router's counts to the collectors of its zone. A router that receives
-    /// such reports is a collector, and reports their sum to the judges.
-    fn report(&mut self, messages: &mut Vec<(Audience, Message)>, now: Instant) {
-        let is_open = matches!(self.stage, Some(Stage::Canary | Stage::Promoting));
-        if !is_open || now < self.urgent_report_at {
-            return;
-        }
-        let (reporters, sum) = self.evidence.zone_sum();
-        let own = self.evidence.own();
-        let suspicious = (own.suspicious(), sum.suspicious());
-        let is_urgent = (
-            suspicious.0 > self.reported.0,
-            suspicious.1 > self.reported.1,
-        );
-        let is_regular = now >= self.report_at;
-        let revision = self.order.revision;
-        if !own.is_empty() && (is_regular || is_urgent.0) {
-            let audience = Audience::Collectors { all: is_urgent.0 };
-            let message = Message::Report {
-                revision,
-                reporter: self.own.reporter,
-                counts: own.clone(),
-            };
-            messages.push((audience, message));
-        }
-        if reporters > 1 && (is_regular || is_urgent.1) {
-            let audience = Audience::Judges { all: is_urgent.1 };
-            let message = Message::Zone {
-                revision,
-                zone: self.own.zone,
-                reporters,
-                counts: sum,
-            };
-            messages.push((audience, message));
-        }
-        self.reported = suspicious;
-        self.urgent_report_at = now + MIN_REPORT_INTERVAL;
-        if is_regular {
-            self.report_at = now + self.settings.rollback.duration() / REPORT_INTERVAL_DIVISOR;
-        }
-    }
-}
-
-/// The time from the start of a promotion until the old servers are known to be idle.
-fn drain_time(view: &View) -> Duration {
-    PROMOTION_TIME + view.longest_response.duration() + IDLE_TIME + COMPLETION_NOTICE
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -11,14 +11,14 @@
 //!
 //! - [`Serving`] decides which versions of a service may receive requests.
 //! - [`Trial`] selects the requests of one router for the new version and counts outcomes.
-//! - [`Evidence`] merges the counts of all routers, and [`verdict`] compares the versions.
+//! - [`Reports`] merges the counts of all routers, and [`verdict`] compares the versions.
 //! - [`Controller`] moves one roll-out through its stages.
 
 pub mod controller;
 pub mod counts;
-mod evidence;
 pub mod message;
 pub mod order;
+mod reports;
 mod selector;
 pub mod serving;
 mod settings;
@@ -28,9 +28,9 @@
 
 pub use controller::Controller;
 pub use counts::Counts;
-pub use evidence::Evidence;
 pub use message::Message;
 pub use order::Order;
+pub use reports::Reports;
 pub use selector::Selector;
 pub use serving::{Role, Serving};
 pub use settings::Settings;
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/reports.rs
@@ -10,13 +10,13 @@
 /// may therefore be repeated and reordered, and the counts of a router that has ended
 /// remain.
 #[derive(Clone, Debug, Default)]
-pub struct Evidence {
+pub struct Reports {
     own: Counts,
     routers: BTreeMap<u32, Counts>,
     zones: BTreeMap<u32, (u16, Counts)>,
 }
 
-impl Evidence {
+impl Reports {
     /// Sets this router's own counts, which are empty again once the roll-out has ended.
     pub fn set_own(&mut self, counts: Counts) {
         if counts.records() > self.own.records() {
--- a/crates/rollout/tests/model/counts.rs
+++ b/crates/rollout/tests/model/counts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rollout::{
-    Counts, Evidence, Message, Selector,
+    Counts, Message, Reports, Selector,
     counts::{Arm, MAX_ROUTES, Route},
 };
 
@@ -26,13 +26,13 @@
 #[test]
 fn repeated_and_reordered_reports_are_counted_once() {
     let (early, late) = (counts(1, 3, 1), counts(1, 5, 2));
-    let mut evidence = Evidence::default();
-    assert!(evidence.record_router(7, late.clone()));
-    assert!(!evidence.record_router(7, early));
-    assert!(!evidence.record_router(7, late));
-    assert!(evidence.record_zone(2, 40, counts(1, 30, 10)));
-    assert!(!evidence.record_zone(2, 3, counts(1, 2, 0)));
-    let (reporters, total) = evidence.total();
+    let mut reports = Reports::default();
+    assert!(reports.record_router(7, late.clone()));
+    assert!(!reports.record_router(7, early));
+    assert!(!reports.record_router(7, late));
+    assert!(reports.record_zone(2, 40, counts(1, 30, 10)));
+    assert!(!reports.record_zone(2, 3, counts(1, 2, 0)));
+    let (reporters, total) = reports.total();
     assert_eq!(reporters, 42);
     assert_eq!(total.total().candidate.failed, 12);
     assert_eq!(total.total().candidate.succeeded, 35);
@@ -42,10 +42,10 @@
 /// reports of its next start must not be taken for older ones.
 #[test]
 fn counts_of_a_killed_router_remain() {
-    let mut evidence = Evidence::default();
-    evidence.record_router(1, counts(1, 10, 5));
-    evidence.record_router(2, counts(1, 1, 0));
-    assert_eq!(evidence.total().1.total().candidate.outcomes(), 16);
+    let mut reports = Reports::default();
+    reports.record_router(1, counts(1, 10, 5));
+    reports.record_router(2, counts(1, 1, 0));
+    assert_eq!(reports.total().1.total().candidate.outcomes(), 16);
 }
 
 /// A configuration may have hundreds of routes. Counts of all of them would not fit one
