Leave the version that bears the load its room; send retries to the version being promoted

Cause: idle servers of the other version halve the mean load, and with it the bound. 20 servers of one version beside 20 idle ones were full at 11 requests each: in the canary requests waited, in the promotion they went to old servers, which then never became idle. Retries went to the old version in the promotion too.

Change: while a roll-out is open, the bound leaves room for a quarter above the mean of the version that bears the load, at most the configured bound. Retries follow the promotion. Without an order nothing changes.

Tests, failed before: 600 requests at 20 of 40 servers (the 221st went to an old server, or found none with room), none above twice the mean and three; a retry during a promotion.

--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -102,13 +102,24 @@
         trial.set_stage(stage, now);
     }
 
-    /// The version that a request goes to. Retries go to the version in service.
+    /// The version that a request goes to. Retries go to the version in service, unless its
+    /// servers are about to stop.
     pub fn preference(&self, request: &AcquireRequest, now: Instant) -> Preference {
-        match self.trials.get(&request.pool) {
-            Some(trial) if !request.is_retry && trial.prefers_candidate(request.route, now) => {
-                Preference::Candidate
+        let prefers_candidate = |trial: &Trial| {
+            if request.is_retry {
+                trial.stage().is_promoted()
+            } else {
+                trial.prefers_candidate(request.route, now)
             }
-            _ => Preference::Baseline,
+        };
+        if self
+            .trials
+            .get(&request.pool)
+            .is_some_and(prefers_candidate)
+        {
+            Preference::Candidate
+        } else {
+            Preference::Baseline
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -138,6 +138,9 @@
 /// The fraction of the headroom above the mean load that this router uses. The rest
 /// covers the delay with which peers report their loads.
 const BOUND_HEADROOM_USED: f64 = 0.75;
+/// The load of a server, as a multiple of the mean over its version, up to which the bound
+/// leaves room during a roll-out.
+const MAX_IMBALANCE: f64 = 1.25;
 /// Requests that a server may hold in addition to the configured multiple of the mean
 /// load.
 const BOUND_EXTRA: f64 = 3.0;
@@ -250,6 +253,9 @@
     /// Servers in unreachable zones are left out. Their load is unknown, and counting
     /// it as zero would lower the bound so far that requests in a partitioned zone
     /// queue while slots are free.
+    ///
+    /// During a roll-out the servers of one version are idle, and those of the other bear
+    /// twice the mean. The bound leaves them room for that, within the configured one.
     pub fn bound(&self, now: Instant) -> f64 {
         let has_known_load = |server: &&Server| !self.zone_tracker.is_unknown(server.zone(), now);
         let mean_load = if self.servers.values().any(|server| has_known_load(&server)) {
@@ -258,7 +264,11 @@
             mean(self.servers.values())
         };
         let headroom = (self.bounds.load_multiple - 1.0) * mean_load + BOUND_EXTRA;
-        mean_load + headroom * BOUND_HEADROOM_USED
+        let bound = mean_load + headroom * BOUND_HEADROOM_USED;
+        match self.mean_load_of_bearing_version() {
+            Some(mean) => bound.max(mean * MAX_IMBALANCE).min(mean_load + headroom),
+            None => bound,
+        }
     }
 
     fn slow_start_limit(&self) -> slow_start::RateLimit {
--- a/crates/gateway/src/pool/versions.rs
+++ b/crates/gateway/src/pool/versions.rs
@@ -68,6 +68,17 @@
         &self.serving
     }
 
+    /// The mean load of the servers that bear nearly all requests during a roll-out; `None`
+    /// if there is none.
+    pub(super) fn mean_load_of_bearing_version(&self) -> Option<f64> {
+        let tier = match self.serving.stage()? {
+            Stage::Canary | Stage::RollingBack => Tier::Serving,
+            Stage::Promoting | Stage::Completing => Tier::Candidates,
+            Stage::RolledBack | Stage::Completed => return None,
+        };
+        Some(super::mean(self.tier(tier)))
+    }
+
     /// The load of the versions.
     pub fn version_loads(&self) -> VersionLoads {
         let load_of = |server: &Server| server.load();
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -190,6 +190,28 @@
     assert_eq!(used.len(), 2);
 }
 
+/// The idle servers of one version halve the mean load, and with it the bound. The servers of
+/// the other version must still bear all requests, each within the configured multiple of
+/// the mean: during a promotion the old ones would never become idle otherwise.
+#[parameterized(
+    canary = { Stage::Canary, Preference::Baseline, Role::Serving },
+    promoting = { Stage::Promoting, Preference::Candidate, Role::Candidate },
+)]
+fn one_version_bears_all_requests(stage: Stage, preference: Preference, role: Role) {
+    const REQUESTS: u64 = 20 * 30;
+    let mut pool = pool(Some(stage));
+    for topic in 0..REQUESTS {
+        let placement = admit(&mut pool, topic, preference).expect("a placement");
+        assert_eq!(placement.role, role, "request {topic}");
+    }
+    let mean = REQUESTS as f64 / 40.0;
+    let most = pool.servers().map(|server| server.load()).max();
+    assert!(
+        f64::from(most.unwrap_or_default()) <= 2.0 * mean + 3.0,
+        "{most:?}"
+    );
+}
+
 /// The dispatch task of one router during a canary.
 struct Router {
     task: Dispatch,
@@ -335,3 +357,16 @@
     permit.end(Outcome::Failed);
     assert_eq!(router.progress().counts.total().baseline.failed, 0);
 }
+
+/// A request fails while the version is being promoted. If its retry went to an old server,
+/// a service with a few failures would never leave its old servers.
+#[test]
+fn retries_go_to_the_new_version_during_a_promotion() {
+    let mut router = Router::new();
+    router.enter(Stage::Promoting);
+    for _ in 0..13 {
+        drop(router.acquire(false));
+    }
+    let permit = router.acquire(true);
+    assert_eq!(permit.placement().role, Role::Candidate);
+}
