Count bytes between routers by kind and zone

Cause: what crosses zones at 300 routers could be told from log lines of rows only; no counter told datagrams of one kind, or of other zones, apart.

Change: weir_peer_bytes_total{kind, zone}: datagrams sent by kind of frame, rows received. Test written with the code.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,7 +12,7 @@
     registry::Registry,
 };
 use rollout::Stage;
-use units::time::Instant;
+use units::{availability, time::Instant};
 use verdict::Refusal;
 
 use crate::{ages::Ages, pool::Standing, source::Topic};
@@ -63,6 +63,40 @@
     direction: &'static str,
 }
 
+/// Whether bytes between two routers stay within a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// Both routers are in the same zone.
+    OwnZone,
+    /// They are in different zones, or the zone of one is not known.
+    OtherZone,
+}
+
+impl Distance {
+    /// The distance between two zones.
+    pub fn between(own: Option<&availability::Zone>, other: Option<&availability::Zone>) -> Self {
+        if own.is_some() && own == other {
+            Self::OwnZone
+        } else {
+            Self::OtherZone
+        }
+    }
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::OwnZone => "own",
+            Self::OtherZone => "other",
+        }
+    }
+}
+
+/// The labels of bytes between routers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PeerLabels {
+    kind: &'static str,
+    zone: &'static str,
+}
+
 /// The labels of a store call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
@@ -89,6 +123,7 @@
     rollout_stages: Family<StageLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
     control_bytes: Family<DirectionLabels, Counter>,
+    peer_bytes: Family<PeerLabels, Counter>,
     config: Gauge,
     config_bytes: Gauge,
     servers: Gauge,
@@ -110,6 +145,7 @@
         let rollout_stages = Family::default();
         let ages = Family::default();
         let control_bytes = Family::default();
+        let peer_bytes = Family::default();
         let config = Gauge::default();
         let config_bytes = Gauge::default();
         let servers = Gauge::default();
@@ -165,6 +201,11 @@
             "Time since the store confirmed a view",
             Family::clone(&ages),
         );
+        registry.register(
+            "weir_peer_bytes",
+            "Bytes between routers, by kind and by whether they leave the zone",
+            Family::clone(&peer_bytes),
+        );
         registry.register(
             "weir_control_bytes",
             "Bytes of datagrams between routers, headers of UDP and IP included",
@@ -196,6 +237,7 @@
             rollout_stages,
             ages,
             control_bytes,
+            peer_bytes,
             config,
             config_bytes,
             servers,
@@ -276,8 +318,18 @@
     }
 
     /// Counts a datagram of `length` bytes sent to another router.
-    pub fn datagram_sent(&self, length: usize) {
+    pub fn datagram_sent(&self, kind: &'static str, distance: Distance, length: usize) {
         self.add_control_bytes("sent", length);
+        self.peer_bytes(kind, distance, length as u64);
+    }
+
+    /// Counts bytes between this router and another, without headers.
+    pub fn peer_bytes(&self, kind: &'static str, distance: Distance, bytes: u64) {
+        let labels = PeerLabels {
+            kind,
+            zone: distance.name(),
+        };
+        self.peer_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
     /// Counts a datagram of `length` bytes received from another router.
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -8,6 +8,7 @@
 use super::{Part, Versions, fetch, task::Task};
 use crate::{
     follow::Event,
+    metrics::Distance,
     source::{Source, Topic},
 };
 
@@ -175,6 +176,15 @@
         });
     }
 
+    fn distance_to(&self, address: SocketAddr) -> Distance {
+        let members = self.inputs.members.borrow();
+        let mut members = members.iter();
+        let zone = members
+            .find(|member| member.address == address)
+            .map(|member| &member.zone);
+        Distance::between(Some(&self.inputs.own.zone), zone)
+    }
+
     /// Fetches the rows that are newer than `known` from a peer.
     fn fetch_from_peer(&self, address: SocketAddr, part: Part, known: Versions) {
         logging::event!(
@@ -189,10 +199,13 @@
         let key = self.seals.key.clone();
         let events = self.outputs.events.clone();
         let completions = self.completions_sender.clone();
+        let metrics = Arc::clone(&self.outputs.metrics);
+        let distance = self.distance_to(address);
         tokio::spawn(async move {
             let outcome = match fetch::request(address, &key, part.of(known)).await {
-                Ok(batches) => {
-                    for (topic, batch) in batches {
+                Ok(rows) => {
+                    metrics.peer_bytes("rows_received", distance, rows.bytes);
+                    for (topic, batch) in rows.batches {
                         // The receiver lives as long as the process.
                         drop(events.send(Event::Relayed(topic, batch)).await);
                     }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -176,6 +176,17 @@
 }
 
 impl Frame {
+    /// The name of the kind of frame, for metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Loads { .. } => "loads",
+            Self::ZoneSum { .. } => "zone_sum",
+            Self::FleetTotal(_) => "fleet_total",
+            Self::Rollout(_) => "rollout",
+        }
+    }
+
     /// Encodes the frame, dropping cached prefixes from the end until it fits one datagram.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -13,7 +13,10 @@
 use request::Request;
 pub use server::{MAX_LARGE_RESPONSES, serve};
 
-use crate::{link::Error, source::Topic};
+use crate::{
+    link::Error,
+    source::{Batch, Topic},
+};
 
 /// The timeout of a request and its response; a response that keeps making progress may
 /// take longer.
@@ -61,6 +64,15 @@
     Packed { bytes: u64, length: u64 },
 }
 
+/// The rows that a peer sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rows {
+    /// The rows of each requested topic.
+    pub batches: Vec<(Topic, Batch)>,
+    /// The bytes of their values as they were transferred.
+    pub bytes: u64,
+}
+
 /// Why a transfer failed.
 #[derive(Debug)]
 pub enum Failure {
--- a/crates/gateway/src/peers/fetch/client.rs
+++ b/crates/gateway/src/peers/fetch/client.rs
@@ -8,7 +8,7 @@
 use tokio::time;
 use wire::{hop::Frame, seal::Key};
 
-use super::{Content, Failure, Reply, Request, TIMEOUT, pack, request::PlainRequest};
+use super::{Content, Failure, Reply, Request, Rows, TIMEOUT, pack, request::PlainRequest};
 use crate::{
     link::{Error, Link},
     peers::Versions,
@@ -24,11 +24,7 @@
 /// # Errors
 ///
 /// When the router is busy or does not respond in time.
-pub async fn request(
-    address: SocketAddr,
-    key: &Key,
-    versions: Versions,
-) -> Result<Vec<(Topic, Batch)>, Failure> {
+pub async fn request(address: SocketAddr, key: &Key, versions: Versions) -> Result<Rows, Failure> {
     let packed = Request {
         versions,
         accepts_packed: true,
@@ -46,7 +42,7 @@
     address: SocketAddr,
     key: &Key,
     request: &impl Serialize,
-) -> Result<Vec<(Topic, Batch)>, Failure> {
+) -> Result<Rows, Failure> {
     let now = time::Instant::now();
     let mut response = Response {
         deadline: now + TIMEOUT,
@@ -55,7 +51,10 @@
     let result = response.request(address, key, request).await;
     let progress = response.progress;
     log_result(address, result.as_ref().err(), progress);
-    result
+    Ok(Rows {
+        batches: result?,
+        bytes: progress.bytes(),
+    })
 }
 
 fn log_result(address: SocketAddr, error: Option<&Failure>, progress: Progress) {
--- a/crates/gateway/src/peers/introduction.rs
+++ b/crates/gateway/src/peers/introduction.rs
@@ -152,7 +152,8 @@
         .await
         .map_err(|_| Error::Timeout)??;
     let key = Key::from_bytes(response.key);
-    let batches = fetch::request(response.address, &key, Versions::default()).await?;
+    let rows = fetch::request(response.address, &key, Versions::default()).await?;
+    let batches = rows.batches;
     Ok(Introduced {
         secret: Secret {
             key,
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -21,6 +21,7 @@
     dispatch,
     follow::Event,
     load::{Load, ReportDecoder, ReportEncoder},
+    metrics::Distance,
     prefixes::{CachedPrefix, PrefixUpdates},
     replica::Replica,
     rollouts,
@@ -207,7 +208,10 @@
             None => Audience::Anyone,
         };
         let datagram = self.seals.sealer.seal(&payload, audience);
-        self.outputs.metrics.datagram_sent(datagram.len());
+        let distance = Distance::between(Some(&self.inputs.own.zone), Some(&member.zone));
+        self.outputs
+            .metrics
+            .datagram_sent(frame.kind(), distance, datagram.len());
         // Datagrams are not retried: any may be lost, and the next round follows soon.
         if let Err(error) = self.socket.send_to(&datagram, member.address).await {
             logging::event!(
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -10,6 +10,7 @@
 use gateway::{
     dispatch,
     load::ReportEncoder,
+    metrics::{Distance, Metrics},
     outlier::OutcomeCounts,
     peers::{
         Digest, Directory, Frame, Part, Table, Versions, WATCHERS, Watcher, Watchers,
@@ -17,7 +18,7 @@
     },
 };
 use proptest::prelude::*;
-use units::{host, time::Instant};
+use units::{availability, host, time::Instant};
 use wire::seal::Tag;
 
 use crate::world::{START, host, members, registered, server};
@@ -88,6 +89,29 @@
     assert_eq!(asked_within(Duration::from_millis(500)), 100);
 }
 
+/// Bytes between zones are expensive. Without counts by kind, an operator cannot tell what
+/// they are.
+#[test]
+fn bytes_between_routers_are_counted_by_kind_and_zone() {
+    let zone = |name: &str| name.parse::<availability::Zone>().expect("a zone");
+    let (own, other) = (zone("a"), zone("b"));
+    let metrics = Metrics::default();
+    let near = Distance::between(Some(&own), Some(&own));
+    let far = Distance::between(Some(&own), Some(&other));
+    let unknown = Distance::between(Some(&own), None);
+    metrics.datagram_sent("digest", near, 100);
+    metrics.datagram_sent("digest", far, 20);
+    metrics.peer_bytes("rows_received", unknown, 3);
+    let text = metrics.text();
+    for line in [
+        "weir_peer_bytes_total{kind=\"digest\",zone=\"own\"} 100",
+        "weir_peer_bytes_total{kind=\"digest\",zone=\"other\"} 20",
+        "weir_peer_bytes_total{kind=\"rows_received\",zone=\"other\"} 3",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+}
+
 /// The only router of a zone has nobody to wait for.
 #[test]
 fn a_router_that_is_alone_in_its_zone_asks_other_zones_at_once() {
--- a/crates/gateway/tests/network/fetch.rs
+++ b/crates/gateway/tests/network/fetch.rs
@@ -74,7 +74,7 @@
         .expect("a listening socket");
     link.set_rate(LINK_BYTES_PER_S);
     let result = fetch::request(link.address(), &key(), Versions::default()).await;
-    let batches = result.expect("rows");
+    let batches = result.expect("rows").batches;
     let (_, batch) = &batches[0];
     assert_eq!(Some(&value[..]), batch.rows[0].value.as_deref());
 }
@@ -88,7 +88,7 @@
     link.set_rate(LINK_BYTES_PER_S);
     let known = Part::Rest.of(Versions::default());
     let batches = fetch::request(link.address(), &key(), known).await;
-    let batches = batches.expect("rows");
+    let batches = batches.expect("rows").batches;
     let topics: Vec<_> = batches.iter().map(|(topic, _)| *topic).collect();
     assert_eq!(
         topics,
@@ -166,7 +166,7 @@
 async fn rows_of_servers_are_compressed_together() {
     let link = start_router_of_many_servers().await;
     let batches = fetch::request(link.address(), &key(), Versions::default()).await;
-    let batches = batches.expect("rows");
+    let batches = batches.expect("rows").batches;
     let (topic, batch) = &batches[0];
     assert_eq!((*topic, batch.is_snapshot), (Topic::Servers, true));
     assert_eq!(batch.rows.len() as u64, SERVERS);
