Try servers that failed recently on a router that is cut off without a canary

Cause, found in reading: a router that was not up to date with the store tried the servers of a new version after those in service. Without such servers the last resort, servers that failed recently, was looked for among none.

Change: only in the canary. Test, failed before: no placement.

--- a/crates/gateway/src/pool/versions.rs
+++ b/crates/gateway/src/pool/versions.rs
@@ -136,13 +136,15 @@
 
     /// The tiers that a request may go to, in the order in which they are tried.
     pub(super) fn tiers(&self, preference: Preference) -> SmallVec<[Tier; 3]> {
-        let is_promoting = self.serving.stage().is_some_and(Stage::is_promoted);
+        let stage = self.serving.stage();
+        let is_promoting = stage.is_some_and(Stage::is_promoted);
+        let is_cut_off = stage == Some(Stage::Canary) && !self.is_up_to_date;
         let tiers: &[Tier] = match preference {
             Preference::Candidate if is_promoting => &[Tier::Candidates, Tier::Serving],
             Preference::Candidate => &[Tier::Canary, Tier::Candidates, Tier::Serving],
             Preference::Baseline if is_promoting => &[Tier::Serving, Tier::Candidates],
             // A router that is cut off is not told that the old servers have stopped.
-            Preference::Baseline if !self.is_up_to_date => &[Tier::Serving, Tier::Candidates],
+            Preference::Baseline if is_cut_off => &[Tier::Serving, Tier::Candidates],
             Preference::Baseline => &[Tier::Serving],
         };
         SmallVec::from_slice(tiers)
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -146,6 +146,18 @@
     }
 }
 
+/// The order was withdrawn while a router was cut off. Its only server failed a moment ago and
+/// is still better than none.
+#[test]
+fn a_cut_off_router_without_a_canary_tries_failed_servers() {
+    let mut pool = pool_of(&servers("v1", 1, 1), None);
+    pool.set_up_to_date(false);
+    let first = admit(&mut pool, 1, Preference::Baseline).expect("a placement");
+    pool.ended(&first.server, Outcome::Refused, START);
+    let second = admit(&mut pool, 1, Preference::Baseline).map(|placement| placement.role);
+    assert_eq!(second, Ok(Role::Serving));
+}
+
 /// A prompt is copied from a server that has only just started and lacks it, although the
 /// old servers hold it: the new version would look slow, and callers would wait.
 #[test]
