--- /dev/null
+++ b/crates/gateway/src/advisory.rs
@@ -0,0 +1,34 @@
+//! What a backend server asks of this router in the heads of its responses.
+
+use units::time::Instant;
+
+/// What a server has announced about further requests of this router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Advisory {
+    /// Whether the server is shutting down.
+    pub is_leaving: bool,
+    /// Until when the server asks this router to send nothing; [`Instant::ZERO`] if it
+    /// does not ask.
+    pub throttled_until: Instant,
+}
+
+impl Advisory {
+    /// Whether the server announces nothing.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+
+    /// Whether the server asks this router to send nothing at `now`.
+    pub fn is_throttled(self, now: Instant) -> bool {
+        now < self.throttled_until
+    }
+
+    /// Both advisories together.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        Self {
+            is_leaving: self.is_leaving || other.is_leaving,
+            throttled_until: self.throttled_until.max(other.throttled_until),
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -95,6 +95,10 @@
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
             let classification = protocol.classify(id, head.status, &head.headers);
+            if classification != Classification::Foreign {
+                let advisory = protocol.advisory(head.status, &head.headers, clock.now());
+                permit.advise(id, advisory);
+            }
             end_attempt(classification, head, body, permit)
         }
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,7 +16,8 @@
 use units::{backend, host, pool, request, time::Instant};
 
 pub use message::{
-    AcquireRequest, Load, Message, PeerUpdate, Progress, Refusal, Reply, Ticket, TrialTicket,
+    AcquireRequest, Announcement, Load, Message, PeerUpdate, Progress, Refusal, Reply, Ticket,
+    TrialTicket,
 };
 pub use permit::Permit;
 
@@ -148,6 +149,7 @@
         match message {
             Message::Acquire(request, reply) => self.acquire(request, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
+            Message::Announcement(announcement) => self.announced(&announcement, now),
             Message::Ended(ticket, outcome) => self.ended(&ticket, outcome, now),
             Message::Roster(roster) => self.set_roster(&roster),
             Message::Table(table) => self.set_table(table),
@@ -240,6 +242,9 @@
             let members = self.fleet.members.len();
             self.retry_budget(&request.pool, now).deposit(members);
         }
+        if placement.is_throttled {
+            self.metrics.sent_while_throttled();
+        }
         let trial = self.rollouts.admitted(&request, &placement, now);
         let ticket = Ticket {
             trial,
@@ -317,6 +322,25 @@
         }
     }
 
+    fn announced(&mut self, announcement: &Announcement, now: Instant) {
+        let Some(queue) = self.queues.get_mut(&announcement.pool) else {
+            return;
+        };
+        let (server, advisory) = (&announcement.server, announcement.advisory);
+        let pool = queue.pool_mut();
+        if pool.record_advisory(server, announcement.incarnation, advisory) {
+            logging::event!(
+                info,
+                "server_announced",
+                server = server,
+                pool = announcement.pool,
+                request = announcement.request,
+                leaving = advisory.is_leaving,
+                throttled_ms = advisory.throttled_until.since(now).as_millis()
+            );
+        }
+    }
+
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         self.record_crash(ticket, outcome, now);
         self.rollouts.ended(ticket, outcome, now);
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -14,6 +14,7 @@
 
 use super::Permit;
 use crate::{
+    advisory::Advisory,
     load,
     outlier::OutcomeCounts,
     pool::{Demand, Outcome, Parts, VersionLoads},
@@ -101,6 +102,21 @@
     pub longest_response: Millis,
 }
 
+/// What a server has announced in a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The id of the request that was answered.
+    pub request: String,
+    /// The service.
+    pub pool: pool::Id,
+    /// The server.
+    pub server: backend::Server,
+    /// The incarnation of the server for which the request was meant.
+    pub incarnation: u64,
+    /// What it has announced.
+    pub advisory: Advisory,
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub enum Message {
@@ -108,6 +124,8 @@
     Acquire(AcquireRequest, Reply),
     /// The first byte of a response has arrived.
     FirstByte(Ticket),
+    /// A server has announced something in a response.
+    Announcement(Announcement),
     /// A request at a server has ended.
     Ended(Ticket, Outcome),
     /// The registered servers have changed.
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -3,8 +3,11 @@
 use tokio::sync::mpsc;
 use units::time::Instant;
 
-use super::{Message, Ticket};
-use crate::pool::{Outcome, Placement};
+use super::{Announcement, Message, Ticket};
+use crate::{
+    advisory::Advisory,
+    pool::{Outcome, Placement},
+};
 
 /// A slot at a backend server. If it is dropped without an outcome, the request counts
 /// as cancelled.
@@ -53,6 +56,24 @@
         }
     }
 
+    /// Records what the server has announced in its response to the request `id`.
+    pub fn advise(&self, id: &str, advisory: Advisory) {
+        if advisory.is_empty() {
+            return;
+        }
+        if let Some(ticket) = &self.ticket {
+            let announcement = Announcement {
+                request: String::from(id),
+                pool: ticket.pool.clone(),
+                server: ticket.server.clone(),
+                incarnation: ticket.incarnation,
+                advisory,
+            };
+            // The dispatch task runs as long as the process.
+            drop(self.sender.send(Message::Announcement(announcement)));
+        }
+    }
+
     /// Records that the server has responded that it failed.
     pub fn failed(&mut self) {
         if let Some(ticket) = &mut self.ticket {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! watches the store.
 
 pub mod activity;
+pub mod advisory;
 pub mod ages;
 pub mod attempt;
 pub mod clock;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -119,6 +119,7 @@
     wait_seconds: Histogram,
     gap_seconds: Histogram,
     attempts: Family<AttemptLabels, Counter>,
+    throttled_attempts: Counter,
     standings: Family<StandingLabels, Counter>,
     rollout_stages: Family<StageLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
@@ -141,6 +142,7 @@
         let wait_seconds = Histogram::new(BUCKETS);
         let gap_seconds = Histogram::new(BUCKETS);
         let attempts = Family::default();
+        let throttled_attempts = Counter::default();
         let standings = Family::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
@@ -186,6 +188,11 @@
             "Attempts at servers by outcome",
             Family::clone(&attempts),
         );
+        registry.register(
+            "weir_throttled_attempts",
+            "Attempts at servers that had asked this router to send nothing",
+            throttled_attempts.clone(),
+        );
         registry.register(
             "weir_rollout_stages",
             "Stages of roll-outs that this router has entered",
@@ -233,6 +240,7 @@
             wait_seconds,
             gap_seconds,
             attempts,
+            throttled_attempts,
             standings,
             rollout_stages,
             ages,
@@ -287,6 +295,11 @@
             .inc();
     }
 
+    /// Counts an attempt at a server that had asked this router to send nothing.
+    pub fn sent_while_throttled(&self) {
+        self.throttled_attempts.inc();
+    }
+
     /// Counts a change of a server to `standing`.
     pub fn standing_changed(&self, standing: Standing) {
         let labels = StandingLabels {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -20,7 +20,7 @@
 pub use server::{Outcome, Server};
 pub use versions::{Preference, VersionLoads};
 
-use crate::{roster, route, settings::Bounds, slow_start};
+use crate::{advisory::Advisory, roster, route, settings::Bounds, slow_start};
 
 /// One part of a prompt; requests with a common prefix have parts with the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +78,8 @@
     pub role: Role,
     /// Whether the server was cold.
     pub is_cold: bool,
+    /// Whether the server had asked this router to send nothing.
+    pub is_throttled: bool,
     /// Prompt tokens that are not known to be in the server's cache.
     pub uncached: Cost,
     /// A server from which more of the prompt's cache may be copied.
@@ -236,6 +238,7 @@
             incarnation: server.incarnation(),
             role: server.role(),
             is_cold: server.is_cold(now),
+            is_throttled: server.advisory().is_throttled(now),
             server: choice,
             uncached,
             source,
@@ -318,6 +321,17 @@
         self.servers.get_mut(name)
     }
 
+    /// Records what a server has announced. Returns whether that was news.
+    pub fn record_advisory(
+        &mut self,
+        name: &backend::Server,
+        incarnation: u64,
+        advisory: Advisory,
+    ) -> bool {
+        let server = self.servers.get_mut(name);
+        server.is_some_and(|server| server.advise(incarnation, advisory))
+    }
+
     /// Records how long it took to connect to `server`.
     pub fn record_connect_time(&mut self, name: &backend::Server, time: Duration) {
         if let Some(server) = self.servers.get(name) {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -9,6 +9,7 @@
 
 use super::Part;
 use crate::{
+    advisory::Advisory,
     load::Load,
     outlier::{OutcomeCounts, OutcomeTracker},
     prefixes::{self, CachedPrefix},
@@ -79,6 +80,8 @@
     entry: roster::Entry,
     name_hash: u64,
     is_leaving: bool,
+    /// What the server has announced to this router.
+    advisory: Advisory,
     role: Role,
     /// Whether the server receives the requests of a canary.
     is_in_canary: bool,
@@ -114,6 +117,7 @@
             name_hash: xxh3::xxh3_64(entry.server.as_str().as_bytes()),
             entry,
             is_leaving: false,
+            advisory: Advisory::default(),
             role: Role::default(),
             is_in_canary: false,
             running: 0,
@@ -152,6 +156,23 @@
         self.is_leaving
     }
 
+    /// What the server has announced to this router.
+    pub fn advisory(&self) -> Advisory {
+        self.advisory
+    }
+
+    /// Records what an incarnation of the server has announced. Returns whether that was
+    /// news.
+    pub fn advise(&mut self, incarnation: u64, advisory: Advisory) -> bool {
+        if incarnation != self.entry.incarnation {
+            return false;
+        }
+        let merged = self.advisory.merge(advisory);
+        let is_news = merged != self.advisory;
+        self.advisory = merged;
+        is_news
+    }
+
     /// The version of its software.
     pub fn version(&self) -> &backend::Version {
         &self.entry.version
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -4,10 +4,15 @@
 use std::net::SocketAddr;
 
 use hyper::{HeaderMap, StatusCode, http::request};
-use units::{backend, cost::Cost, time::Millis, workspace};
+use units::{
+    backend,
+    cost::Cost,
+    time::{Instant, Millis},
+    workspace,
+};
 use verdict::Refusal;
 
-use crate::pool::Parts;
+use crate::{advisory::Advisory, pool::Parts};
 
 /// The content of a request head.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,6 +86,9 @@
     /// Classifies the head of a response to the request `id`.
     fn classify(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Classification;
 
+    /// What the server announces in the head of a response that arrived at `now`.
+    fn advisory(&self, status: StatusCode, headers: &HeaderMap, now: Instant) -> Advisory;
+
     /// The status code of a refusal. A code that promises that the request has not run is
     /// used only if it has not.
     fn status(&self, refusal: &Refusal) -> StatusCode;
