Send nothing to a server within the pause that it asks for

Cause: of a rejection the router kept only that the request had not run.

A request that connects while the pause begins is withdrawn. The pause outlasts a restart of the server under its name. If all servers that are left ask for pauses longer than the request may wait, it is refused at once, with the end of the first pause to come back at; the queue wakes at that end.

The tests in decisions/throttling.rs were seen to fail by mutations: the last resort without the filter (5 fail), copies (1), the queue's wake-up (2), the message to connecting requests (1), a pause lost at a restart (1), a refusal that is queued instead (1), the time in the refusal (1), the later of two pauses (1).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,8 @@
     Unsent(String),
     /// The server is full and has not run the request.
     Full,
+    /// Nothing was sent, because the server has announced meanwhile that it wants nothing.
+    Withdrawn,
     /// Another server now listens on the address; it has not run the request.
     Moved,
     /// The connection broke before a response, and the server may have run the request.
@@ -79,6 +81,10 @@
             "the deadline passed before the request was sent",
         ));
     }
+    if permit.is_withdrawn(now) {
+        permit.end(Outcome::Withdrawn);
+        return End::Withdrawn;
+    }
     let sent = time::timeout_at(clock.at(deadline), connection.send(request)).await;
     match sent {
         Err(_) => End::TimedOut,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 use units::{backend, host, pool, request, time::Instant};
 
 pub use message::{
@@ -22,11 +25,12 @@
 pub use permit::Permit;
 
 use crate::{
+    advisory::Advisory,
     clock::Clock,
     crashes, load,
     metrics::Metrics,
     pause,
-    pool::{Fleet, Outcome, Part, Placement, Pool},
+    pool::{Fleet, Outcome, Part, Placement, Pool, Server, Standing},
     prefixes::{self, PrefixUpdates},
     queue::{self, Admission, Queue},
     retry_budget,
@@ -168,6 +172,10 @@
             Message::Orders(orders) => self.set_orders(orders),
             Message::Stage(pool, revision, stage) => self.set_stage(&pool, revision, stage, now),
             Message::UpToDate(is_up_to_date) => self.set_up_to_date(is_up_to_date),
+            Message::ThrottledUntil(pool, reply) => {
+                // The receiver may have been dropped.
+                let _ = reply.send(self.throttled_until(&pool, now));
+            }
             // The receiver may have been dropped.
             Message::Progress(reply) => drop(reply.send(self.progress())),
             Message::Strikes(strikes) => self.crashes.merge(&strikes, now),
@@ -261,7 +269,18 @@
             connect_deadline: placement.connect_deadline,
             has_first_byte: false,
         };
-        Permit::new(ticket, placement, self.sender.clone())
+        let announcements = self.announcements(&ticket);
+        Permit::new(ticket, placement, announcements, self.sender.clone())
+    }
+
+    /// Receives what the server of a request announces.
+    fn announcements(&self, ticket: &Ticket) -> watch::Receiver<Advisory> {
+        let queue = self.queues.get(&ticket.pool);
+        let server = queue.and_then(|queue| queue.pool().server(&ticket.server));
+        server.map_or_else(
+            || watch::Sender::default().subscribe(),
+            Server::announcements,
+        )
     }
 
     fn dequeue_all(&mut self) {
@@ -322,13 +341,21 @@
         }
     }
 
+    fn throttled_until(&self, pool: &pool::Id, now: Instant) -> Option<Instant> {
+        let queue = self.queues.get(pool)?;
+        queue.pool().throttled_until(now)
+    }
+
     fn announced(&mut self, announcement: &Announcement, now: Instant) {
         let Some(queue) = self.queues.get_mut(&announcement.pool) else {
             return;
         };
         let (server, advisory) = (&announcement.server, announcement.advisory);
         let pool = queue.pool_mut();
-        if pool.record_advisory(server, announcement.incarnation, advisory) {
+        if pool.record_advisory(server, advisory) {
+            if advisory.is_throttled(now) {
+                self.metrics.standing_changed(Standing::Throttled);
+            }
             logging::event!(
                 info,
                 "server_announced",
@@ -392,7 +419,11 @@
                 self.record_death(&ticket.server, ticket.incarnation, now);
             }
             Outcome::Completed => self.crashes.record_completed(ticket.fingerprint),
-            Outcome::Failed | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
+            Outcome::Failed
+            | Outcome::Moved
+            | Outcome::Full
+            | Outcome::Withdrawn
+            | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -111,8 +111,6 @@
     pub pool: pool::Id,
     /// The server.
     pub server: backend::Server,
-    /// The incarnation of the server for which the request was meant.
-    pub incarnation: u64,
     /// What it has announced.
     pub advisory: Advisory,
 }
@@ -148,6 +146,9 @@
     Stage(pool::Id, u64, Stage),
     /// Whether this router is up to date with the store.
     UpToDate(bool),
+    /// Asks when the first server of a service may receive requests again, if all have asked
+    /// for a pause.
+    ThrottledUntil(pool::Id, oneshot::Sender<Option<Instant>>),
     /// Asks for the state of the services for which there is an order.
     Progress(oneshot::Sender<Vec<Progress>>),
     /// Strikes reported by another router.
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -1,6 +1,6 @@
 //! A permit to send one request to one backend server.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use units::time::Instant;
 
 use super::{Announcement, Message, Ticket};
@@ -15,6 +15,7 @@
 pub struct Permit {
     ticket: Option<Ticket>,
     placement: Placement,
+    announcements: watch::Receiver<Advisory>,
     sender: mpsc::UnboundedSender<Message>,
 }
 
@@ -23,15 +24,22 @@
     pub fn new(
         ticket: Ticket,
         placement: Placement,
+        announcements: watch::Receiver<Advisory>,
         sender: mpsc::UnboundedSender<Message>,
     ) -> Self {
         Self {
             ticket: Some(ticket),
             placement,
+            announcements,
             sender,
         }
     }
 
+    /// Whether the server has asked for a pause since the request was placed.
+    pub fn is_withdrawn(&self, now: Instant) -> bool {
+        self.announcements.borrow().is_throttled(now)
+    }
+
     /// The chosen server and the state the choice was based on.
     pub fn placement(&self) -> &Placement {
         &self.placement
@@ -66,7 +74,6 @@
                 request: String::from(id),
                 pool: ticket.pool.clone(),
                 server: ticket.server.clone(),
-                incarnation: ticket.incarnation,
                 advisory,
             };
             // The dispatch task runs as long as the process.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -103,6 +103,8 @@
     Away,
     /// Outlier detection ejected the server for a time.
     Ejected,
+    /// The server asked this router to send nothing for a time.
+    Throttled,
 }
 
 impl Standing {
@@ -112,6 +114,7 @@
             Self::Sound => "sound",
             Self::Away => "away",
             Self::Ejected => "ejected",
+            Self::Throttled => "throttled",
         }
     }
 }
@@ -130,6 +133,9 @@
     /// All servers are in unreachable zones; the first of these zones is probed at this
     /// instant.
     ZonesUnreachable(Instant),
+    /// All servers that could be tried have asked for a pause; the first pause ends at this
+    /// instant.
+    Throttled(Instant),
     /// All servers are at their load bound or have no free slot.
     Full,
     /// The servers with free slots are cold and this router's slow-start share is used
@@ -238,7 +244,7 @@
             incarnation: server.incarnation(),
             role: server.role(),
             is_cold: server.is_cold(now),
-            is_throttled: server.advisory().is_throttled(now),
+            is_throttled: server.is_throttled(now),
             server: choice,
             uncached,
             source,
@@ -316,20 +322,20 @@
         }
     }
 
+    /// The server with this name.
+    pub fn server(&self, name: &backend::Server) -> Option<&Server> {
+        self.servers.get(name)
+    }
+
     /// The server with this name, for recording events of this router's requests.
     pub fn server_mut(&mut self, name: &backend::Server) -> Option<&mut Server> {
         self.servers.get_mut(name)
     }
 
     /// Records what a server has announced. Returns whether that was news.
-    pub fn record_advisory(
-        &mut self,
-        name: &backend::Server,
-        incarnation: u64,
-        advisory: Advisory,
-    ) -> bool {
+    pub fn record_advisory(&mut self, name: &backend::Server, advisory: Advisory) -> bool {
         let server = self.servers.get_mut(name);
-        server.is_some_and(|server| server.advise(incarnation, advisory))
+        server.is_some_and(|server| server.advise(advisory))
     }
 
     /// Records how long it took to connect to `server`.
@@ -377,6 +383,7 @@
             | Outcome::Unreachable
             | Outcome::Moved
             | Outcome::Full
+            | Outcome::Withdrawn
             | Outcome::Cancelled => {}
         }
         if let Some(server) = self.servers.get_mut(name) {
@@ -393,6 +400,7 @@
             return Standing::Ejected;
         }
         match self.servers.get(name) {
+            Some(server) if server.is_throttled(now) => Standing::Throttled,
             Some(server) if !server.is_reachable(now) => Standing::Away,
             _ => Standing::Sound,
         }
--- a/crates/gateway/src/pool/copies.rs
+++ b/crates/gateway/src/pool/copies.rs
@@ -21,7 +21,8 @@
     /// prompt's ranking, even if it is leaving. That server is also preferred to one
     /// that is known to hold only a part of the prompt.
     ///
-    /// Servers that receive no requests or only those of a canary hold few prompts.
+    /// Servers that receive no requests or only those of a canary hold few prompts. A server
+    /// that has asked for a pause would work for the copy.
     /// Servers in unreachable zones are skipped, since the chosen server would wait for
     /// them.
     pub(super) fn source(
@@ -42,6 +43,7 @@
             servers
                 .filter(|server| server.role() == Role::Serving)
                 .filter(|server| server.name() != choice && server.is_reachable(now))
+                .filter(|server| !server.is_throttled(now))
                 .filter(|server| !self.zone_tracker.is_unknown(server.zone(), now))
         };
         let ranking = cost::Ranking::new(parts, sources())?;
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -4,6 +4,7 @@
 
 use placement::CacheIndex;
 use rollout::Role;
+use tokio::sync::watch;
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
@@ -34,6 +35,8 @@
     Moved,
     /// The server rejected the request because it is full; it did not run it.
     Full,
+    /// The request was not sent, because of what the server announced meanwhile.
+    Withdrawn,
     /// The caller disconnected or the deadline passed.
     Cancelled,
 }
@@ -48,6 +51,7 @@
             Self::Unreachable => "unreachable",
             Self::Moved => "moved",
             Self::Full => "full",
+            Self::Withdrawn => "withdrawn",
             Self::Cancelled => "cancelled",
         })
     }
@@ -82,6 +86,8 @@
     is_leaving: bool,
     /// What the server has announced to this router.
     advisory: Advisory,
+    /// Passes `advisory` on to requests that are connecting to the server.
+    announcements: watch::Sender<Advisory>,
     role: Role,
     /// Whether the server receives the requests of a canary.
     is_in_canary: bool,
@@ -118,6 +124,7 @@
             entry,
             is_leaving: false,
             advisory: Advisory::default(),
+            announcements: watch::Sender::default(),
             role: Role::default(),
             is_in_canary: false,
             running: 0,
@@ -143,6 +150,8 @@
             *self = Self {
                 running: self.running,
                 pacer: self.pacer,
+                advisory: self.advisory,
+                announcements: self.announcements.clone(),
                 ..Self::new(entry.clone())
             };
         }
@@ -161,16 +170,25 @@
         self.advisory
     }
 
-    /// Records what an incarnation of the server has announced. Returns whether that was
-    /// news.
-    pub fn advise(&mut self, incarnation: u64, advisory: Advisory) -> bool {
-        if incarnation != self.entry.incarnation {
+    /// Receives what the server announces from now on.
+    pub fn announcements(&self) -> watch::Receiver<Advisory> {
+        self.announcements.subscribe()
+    }
+
+    /// Records what the server has announced. Returns whether that was news.
+    pub fn advise(&mut self, advisory: Advisory) -> bool {
+        let merged = self.advisory.merge(advisory);
+        if merged == self.advisory {
             return false;
         }
-        let merged = self.advisory.merge(advisory);
-        let is_news = merged != self.advisory;
         self.advisory = merged;
-        is_news
+        self.announcements.send_replace(merged);
+        true
+    }
+
+    /// Whether the server has asked this router to send nothing at `now`.
+    pub fn is_throttled(&self, now: Instant) -> bool {
+        self.advisory.is_throttled(now)
     }
 
     /// The version of its software.
@@ -388,13 +406,17 @@
         match outcome {
             Outcome::Completed => self.outcomes.record(false, now),
             Outcome::Failed | Outcome::Broken | Outcome::Refused => self.outcomes.record(true, now),
-            Outcome::Unreachable | Outcome::Moved | Outcome::Full | Outcome::Cancelled => {}
+            Outcome::Unreachable
+            | Outcome::Moved
+            | Outcome::Full
+            | Outcome::Withdrawn
+            | Outcome::Cancelled => {}
         }
         match outcome {
             Outcome::Refused | Outcome::Unreachable => self.connect_failed(now),
             Outcome::Moved => self.backoff_until = now + MAX_BACKOFF,
             Outcome::Completed | Outcome::Failed | Outcome::Full => self.connect_failures = 0,
-            Outcome::Broken | Outcome::Cancelled => {}
+            Outcome::Broken | Outcome::Withdrawn | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -57,6 +57,7 @@
             | Outcome::Unreachable
             | Outcome::Broken
             | Outcome::Moved
+            | Outcome::Withdrawn
             | Outcome::Cancelled => {}
         }
     }
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -80,7 +80,8 @@
     settings: admission::Settings,
     waiting: HashMap<request::Attempt, Request>,
     rate: PlacementRate,
-    slow_start_at: Option<Instant>,
+    /// When a server may take a request although no other request ends.
+    capacity_at: Option<Instant>,
     /// Results of requests that were displaced from a full queue and not yet returned.
     displaced: Vec<Dequeued>,
 }
@@ -95,7 +96,7 @@
             settings: admission::Settings::default(),
             waiting: HashMap::new(),
             rate: PlacementRate::default(),
-            slow_start_at: None,
+            capacity_at: None,
             displaced: Vec::new(),
         }
     }
@@ -128,7 +129,7 @@
             .offered(&request.workspace, 1, &self.settings, now);
         let denial = match self.try_place(&request, fleet, now) {
             Ok(placement) => return Admission::Placed(placement),
-            Err(denial @ (Denial::NoServer | Denial::ZonesUnreachable(_))) => {
+            Err(denial) if is_hopeless(denial, &request) => {
                 return Admission::Refused(self.refusal(denial, &request, now));
             }
             Err(denial) => denial,
@@ -136,7 +137,7 @@
         if self.would_miss_deadline(&request, now) || !self.make_room(&request, now) {
             return Admission::Refused(self.refusal(denial, &request, now));
         }
-        self.note_slow_start(denial);
+        self.note_wake(denial, now);
         self.push(request, now);
         Admission::Queued
     }
@@ -229,7 +230,7 @@
     /// reached their latest start.
     pub fn dequeue(&mut self, fleet: &Fleet, now: Instant) -> Vec<Dequeued> {
         let mut dequeued = std::mem::take(&mut self.displaced);
-        self.slow_start_at = None;
+        self.capacity_at = None;
         while let Some(expired) = self.queue.pop_expired(now) {
             dequeued.extend(self.refuse(expired.ticket.attempt, Denial::Full, now));
         }
@@ -250,11 +251,11 @@
                     self.waiting.remove(&attempt);
                     return Some((attempt, Ok(placement)));
                 }
-                Err(denial @ (Denial::NoServer | Denial::ZonesUnreachable(_))) => {
+                Err(denial) if is_hopeless(denial, &request) => {
                     self.queue.remove(attempt);
                     return self.refuse(attempt, denial, now);
                 }
-                Err(denial) => self.note_slow_start(denial),
+                Err(denial) => self.note_wake(denial, now),
             }
         }
         None
@@ -297,26 +298,38 @@
             return None;
         }
         let expiry = self.queue.next_expiry();
-        expiry.into_iter().chain(self.slow_start_at).min()
+        expiry.into_iter().chain(self.capacity_at).min()
     }
 
-    fn note_slow_start(&mut self, denial: Denial) {
-        if let Denial::SlowStart(at) = denial {
-            self.slow_start_at = Some(self.slow_start_at.map_or(at, |known| known.min(at)));
-        }
+    /// Records when a request that was denied a server may get one although no other request
+    /// ends.
+    fn note_wake(&mut self, denial: Denial, now: Instant) {
+        let slow_start_at = match denial {
+            Denial::SlowStart(at) => Some(at),
+            _ => None,
+        };
+        let throttle_end = self.pool.next_throttle_end(now);
+        let known = self.capacity_at.into_iter();
+        self.capacity_at = known.chain(slow_start_at).chain(throttle_end).min();
     }
 
-    /// A refusal with the time by which the queue will have been served, or by which an
-    /// unreachable zone is probed again.
+    /// A refusal with the time by which the queue will have been served, an unreachable zone
+    /// is probed again, or a server's pause ends.
     ///
     /// Up to half of that time is added, depending on the attempt, so that callers
     /// refused together do not retry together.
     fn refusal(&self, denial: Denial, request: &Request, now: Instant) -> Refusal {
+        let queueing = self.rate.time_to_place(self.queue.cost(), now);
         let wait = match denial {
-            Denial::ZonesUnreachable(at) => at.since(now),
-            _ => self.rate.time_to_place(self.queue.cost(), now),
+            Denial::ZonesUnreachable(at) => at.since(now).min(MAX_RETRY_DELAY),
+            Denial::Throttled(at) => at.since(now),
+            Denial::NoServer => match self.pool.throttled_until(now) {
+                Some(at) => at.since(now),
+                None => queueing.min(MAX_RETRY_DELAY),
+            },
+            Denial::Full | Denial::SlowStart(_) => queueing.min(MAX_RETRY_DELAY),
         };
-        let wait = wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        let wait = wait.max(MIN_RETRY_DELAY);
         let spread = f64::from(request.attempt.0 as u8) / f64::from(u8::MAX);
         Refusal {
             denial,
@@ -325,6 +338,15 @@
     }
 }
 
+/// Whether waiting in the queue cannot get the request a server in time.
+fn is_hopeless(denial: Denial, request: &Request) -> bool {
+    match denial {
+        Denial::NoServer | Denial::ZonesUnreachable(_) => true,
+        Denial::Throttled(until) => until > request.latest_start,
+        Denial::Full | Denial::SlowStart(_) => false,
+    }
+}
+
 /// Maps ranks to the three priorities of the queue: the most urgent rank, the next, and
 /// all others.
 fn priority(rank: u8) -> request::Priority {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -196,7 +196,7 @@
             let end = self.attempt(permit, last_event_id).await;
             self.log_attempt(&placement, &end);
             self.plan.demand.tried.push(placement.server);
-            match self.next_step(end) {
+            match self.next_step(end).await {
                 Step::Done(response) => return Ok(response),
                 Step::Retry => {}
                 Step::Refuse(refusal) => return self.failure.take().ok_or(refusal),
@@ -318,6 +318,7 @@
                     Denial::NoServer => (Code::NoServer, "No server takes the request."),
                     Denial::ZonesUnreachable(_) => (Code::NoServer, "No server can be reached."),
                     Denial::Full => (Code::Busy, "All servers are at their limit."),
+                    Denial::Throttled(_) => (Code::Busy, "All servers have asked for a pause."),
                     Denial::SlowStart(_) => (Code::Cold, "All servers with room are starting."),
                 };
                 self.refusal(code, message).retry_at(refusal.retry_at)
@@ -333,17 +334,18 @@
         }
     }
 
-    fn next_step(&mut self, end: End) -> Step {
+    async fn next_step(&mut self, end: End) -> Step {
         match end {
             End::Unsent(_) => self.after_connect_failure(),
+            End::Withdrawn => Step::Retry,
             End::Responded(response) => self.after_response(response),
             End::Full => {
                 self.sent_attempts += 1;
-                self.after_rejection("The server is full.")
+                self.after_rejection("The server is full.").await
             }
             End::Moved => {
                 self.sent_attempts += 1;
-                self.after_rejection("The server has left.")
+                self.after_rejection("The server has left.").await
             }
             End::Broken(_) => {
                 self.sent_attempts += 1;
@@ -381,13 +383,24 @@
         Step::Done(response)
     }
 
-    fn after_rejection(&mut self, message: &str) -> Step {
+    async fn after_rejection(&mut self, message: &str) -> Step {
         if self.sent_attempts < self.plan.route.max_attempts {
             return Step::Retry;
         }
         let now = self.context.clock.now();
+        let throttled_until = self.throttled_until().await.unwrap_or(Instant::ZERO);
         let refusal = self.refusal(Code::Busy, message);
-        Step::Refuse(refusal.retry_at(now + RETRY_AFTER_FULL))
+        Step::Refuse(refusal.retry_at(throttled_until.max(now + RETRY_AFTER_FULL)))
+    }
+
+    /// When the first server of the service may receive requests again, if all have asked
+    /// for a pause.
+    async fn throttled_until(&self) -> Option<Instant> {
+        let (reply, response) = oneshot::channel();
+        let message = Message::ThrottledUntil(self.plan.pool.clone(), reply);
+        // The dispatch task runs as long as the process.
+        drop(self.context.dispatch.send(message));
+        response.await.ok().flatten()
     }
 
     fn after_failure(&mut self, code: Code, message: &str) -> Step {
@@ -409,6 +422,7 @@
             }
             End::Unsent(reason) => ("unsent", reason.as_str()),
             End::Full => ("full", ""),
+            End::Withdrawn => ("withdrawn", ""),
             End::Moved => ("moved", ""),
             End::Broken(reason) => ("broken", reason.as_str()),
             End::TimedOut => ("late", ""),
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod roster;
 mod route;
 mod slow_start;
+mod throttling;
 mod value;
 mod versions;
 mod world;
--- a/crates/gateway/tests/decisions/prefixes.rs
+++ b/crates/gateway/tests/decisions/prefixes.rs
@@ -224,7 +224,7 @@
 }
 
 /// The dispatch task of one router that knows the engines, and its message channel.
-fn task() -> (Dispatch, mpsc::UnboundedReceiver<Message>) {
+pub fn task() -> (Dispatch, mpsc::UnboundedReceiver<Message>) {
     let metrics = Arc::new(Metrics::default());
     let (mut task, _handle, messages) = Dispatch::new(Clock::start(), metrics, settings());
     let mut roster = roster::Roster::default();
@@ -236,7 +236,8 @@
     (task, messages)
 }
 
-fn acquire(task: &mut Dispatch) -> Permit {
+/// Places a request of one prompt.
+pub fn acquire(task: &mut Dispatch) -> Permit {
     let request = AcquireRequest {
         pool: "llm".parse().expect("a valid name"),
         route: rollout::counts::Route::default(),
