Keep what a server asked for while its entry is gone

Looked for as the same cause elsewhere: what a server says of itself was tied to its entry in the store. An entry that lapses (three heartbeats without the store, or one that another server's address hides) and returns made a new server of it, and the pause was forgotten while the server ran on. Nobody has reported it; a router that loses entries in an outage of the store would have broken the pause.

Test: throttling::a_pause_outlasts_an_entry_that_lapses, before the change

left: Server("s0") (placed within the pause) right: Server("s1")

and, for a pause asked for while the entry is gone, "assertion failed: pool.record_advisory(..)". At most 1,024 servers without an entry are kept.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -153,6 +153,9 @@
 /// load.
 const BOUND_EXTRA: f64 = 3.0;
 
+/// The maximum number of servers without an entry whose advisories are kept.
+const MAX_UNLISTED: usize = 1024;
+
 /// The servers of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -160,6 +163,9 @@
     bounds: Bounds,
     service: route::Service,
     servers: BTreeMap<backend::Server, Server>,
+    /// What servers without an entry have announced: an entry can lapse and return while
+    /// its server runs on.
+    unlisted: BTreeMap<backend::Server, Advisory>,
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
@@ -184,6 +190,7 @@
                 cache_tokens: 0,
             },
             servers: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
@@ -209,9 +216,15 @@
             let mut server = old
                 .remove(&entry.server)
                 .unwrap_or_else(|| Server::new(entry.clone()));
+            if let Some(advisory) = self.unlisted.remove(&entry.server) {
+                server.advise(advisory);
+            }
             server.update(entry, is_leaving);
             self.servers.insert(entry.server.clone(), server);
         }
+        for (name, server) in old {
+            self.keep_unlisted(name, server.advisory());
+        }
         let zones = self.servers.values().filter(|server| !server.is_leaving());
         let zones = zones.map(|server| (server.name().clone(), server.zone().clone()));
         self.ejection.set_servers(zones);
@@ -334,8 +347,24 @@
 
     /// Records what a server has announced. Returns whether that was news.
     pub fn record_advisory(&mut self, name: &backend::Server, advisory: Advisory) -> bool {
-        let server = self.servers.get_mut(name);
-        server.is_some_and(|server| server.advise(advisory))
+        if let Some(server) = self.servers.get_mut(name) {
+            return server.advise(advisory);
+        }
+        self.keep_unlisted(name.clone(), advisory)
+    }
+
+    /// Keeps what a server without an entry has announced. Returns whether that was news.
+    fn keep_unlisted(&mut self, name: backend::Server, advisory: Advisory) -> bool {
+        let known = self.unlisted.get(&name).copied().unwrap_or_default();
+        let merged = known.merge(advisory);
+        if merged == known {
+            return false;
+        }
+        self.unlisted.insert(name, merged);
+        while self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.pop_first();
+        }
+        true
     }
 
     /// Records how long it took to connect to `server`.
--- a/crates/gateway/tests/decisions/throttling.rs
+++ b/crates/gateway/tests/decisions/throttling.rs
@@ -160,6 +160,30 @@
     assert_eq!(queue.next_wake(), Some(START + PAUSE));
 }
 
+/// Guards against a pause that is forgotten while the entry of the server is gone for a
+/// moment, whether it was asked for before or meanwhile.
+#[parameterized(
+    before = { true },
+    meanwhile = { false },
+)]
+fn a_pause_outlasts_an_entry_that_lapses(is_asked_before: bool) {
+    let entries = [entry("s0", "a"), entry("s1", "a")];
+    let mut pool = pool(&entries);
+    if is_asked_before {
+        throttle(&mut pool, &server("s0"), START + PAUSE);
+    }
+    pool.set_servers([(&entries[1], false)].into_iter());
+    if !is_asked_before {
+        throttle(&mut pool, &server("s0"), START + PAUSE);
+    }
+    pool.set_servers(entries.iter().map(|entry| (entry, false)));
+    for own in 0..20 {
+        let placement = admit(&mut pool, own, own, START).expect("a server");
+        assert_eq!(placement.server, server("s1"));
+        pool.ended(&placement.server, Outcome::Completed, START);
+    }
+}
+
 /// Guards against a queue that sleeps on when a pause ends.
 #[test]
 fn a_queued_request_is_placed_when_a_pause_ends() {
