Send nothing new to a server that announces its shutdown

Until its entry in the store said draining, or while the store was away, a server that was shutting down received its share of all requests.

A request that is connecting is withdrawn. The announcement holds for the process that made it: it outlasts changes and lapses of the entry, and ends with a restart under the same name. Prompts are still copied from the server while it runs, as from one that is draining by its entry: nothing is sent to it by this router for that.

--- a/crates/gateway/src/advisory.rs
+++ b/crates/gateway/src/advisory.rs
@@ -23,6 +23,17 @@
         now < self.throttled_until
     }
 
+    /// What remains of the advisory once the server has restarted.
+    ///
+    /// The new process does not shut down. A pause remains: the host may be as busy as before.
+    #[must_use]
+    pub fn after_restart(self) -> Self {
+        Self {
+            is_leaving: false,
+            ..self
+        }
+    }
+
     /// Both advisories together.
     #[must_use]
     pub fn merge(self, other: Self) -> Self {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -352,7 +352,7 @@
         };
         let (server, advisory) = (&announcement.server, announcement.advisory);
         let pool = queue.pool_mut();
-        if pool.record_advisory(server, advisory) {
+        if pool.record_advisory(server, announcement.incarnation, advisory) {
             if advisory.is_throttled(now) {
                 self.metrics.standing_changed(Standing::Throttled);
             }
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -111,6 +111,8 @@
     pub pool: pool::Id,
     /// The server.
     pub server: backend::Server,
+    /// The incarnation of the server for which the request was meant.
+    pub incarnation: u64,
     /// What it has announced.
     pub advisory: Advisory,
 }
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -35,9 +35,11 @@
         }
     }
 
-    /// Whether the server has asked for a pause since the request was placed.
+    /// Whether the server has asked for a pause or announced its shutdown since the request
+    /// was placed.
     pub fn is_withdrawn(&self, now: Instant) -> bool {
-        self.announcements.borrow().is_throttled(now)
+        let advisory = *self.announcements.borrow();
+        advisory.is_leaving || advisory.is_throttled(now)
     }
 
     /// The chosen server and the state the choice was based on.
@@ -74,6 +76,7 @@
                 request: String::from(id),
                 pool: ticket.pool.clone(),
                 server: ticket.server.clone(),
+                incarnation: ticket.incarnation,
                 advisory,
             };
             // The dispatch task runs as long as the process.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -156,6 +156,13 @@
 /// The maximum number of servers without an entry whose advisories are kept.
 const MAX_UNLISTED: usize = 1024;
 
+/// What an incarnation of a server without an entry has announced.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unlisted {
+    incarnation: u64,
+    advisory: Advisory,
+}
+
 /// The servers of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -165,7 +172,7 @@
     servers: BTreeMap<backend::Server, Server>,
     /// What servers without an entry have announced: an entry can lapse and return while
     /// its server runs on.
-    unlisted: BTreeMap<backend::Server, Advisory>,
+    unlisted: BTreeMap<backend::Server, Unlisted>,
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
@@ -216,15 +223,20 @@
             let mut server = old
                 .remove(&entry.server)
                 .unwrap_or_else(|| Server::new(entry.clone()));
-            if let Some(advisory) = self.unlisted.remove(&entry.server) {
-                server.advise(advisory);
-            }
             server.update(entry, is_leaving);
+            if let Some(known) = self.unlisted.remove(&entry.server) {
+                server.advise(known.incarnation, known.advisory);
+            }
             self.servers.insert(entry.server.clone(), server);
         }
         for (name, server) in old {
-            self.keep_unlisted(name, server.advisory());
+            self.keep_unlisted(name, server.incarnation(), server.advisory());
         }
+        self.update_usable();
+    }
+
+    /// Tells the parts of the pool that choose among the usable servers which ones these are.
+    fn update_usable(&mut self) {
         let zones = self.servers.values().filter(|server| !server.is_leaving());
         let zones = zones.map(|server| (server.name().clone(), server.zone().clone()));
         self.ejection.set_servers(zones);
@@ -345,22 +357,46 @@
         self.servers.get_mut(name)
     }
 
-    /// Records what a server has announced. Returns whether that was news.
-    pub fn record_advisory(&mut self, name: &backend::Server, advisory: Advisory) -> bool {
-        if let Some(server) = self.servers.get_mut(name) {
-            return server.advise(advisory);
+    /// Records what an incarnation of a server has announced. Returns whether that was news.
+    pub fn record_advisory(
+        &mut self,
+        name: &backend::Server,
+        incarnation: u64,
+        advisory: Advisory,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(name) else {
+            return self.keep_unlisted(name.clone(), incarnation, advisory);
+        };
+        let was_leaving = server.is_leaving();
+        let is_news = server.advise(incarnation, advisory);
+        if server.is_leaving() != was_leaving {
+            self.update_usable();
         }
-        self.keep_unlisted(name.clone(), advisory)
+        is_news
     }
 
     /// Keeps what a server without an entry has announced. Returns whether that was news.
-    fn keep_unlisted(&mut self, name: backend::Server, advisory: Advisory) -> bool {
+    fn keep_unlisted(
+        &mut self,
+        name: backend::Server,
+        incarnation: u64,
+        advisory: Advisory,
+    ) -> bool {
         let known = self.unlisted.get(&name).copied().unwrap_or_default();
-        let merged = known.merge(advisory);
-        if merged == known {
+        let before = if known.incarnation == incarnation {
+            known.advisory
+        } else {
+            known.advisory.after_restart()
+        };
+        let merged = before.merge(advisory);
+        if merged == known.advisory {
             return false;
         }
-        self.unlisted.insert(name, merged);
+        let unlisted = Unlisted {
+            incarnation,
+            advisory: merged,
+        };
+        self.unlisted.insert(name, unlisted);
         while self.unlisted.len() > MAX_UNLISTED {
             self.unlisted.pop_first();
         }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -147,6 +147,7 @@
     pub fn update(&mut self, entry: &roster::Entry, is_leaving: bool) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             // A restarted server has lost its cache and all other state.
+            let is_restarted = entry.incarnation != self.entry.incarnation;
             *self = Self {
                 running: self.running,
                 pacer: self.pacer,
@@ -154,15 +155,18 @@
                 announcements: self.announcements.clone(),
                 ..Self::new(entry.clone())
             };
+            if is_restarted {
+                self.set_advisory(self.advisory.after_restart());
+            }
         }
         self.entry = entry.clone();
         self.is_leaving = is_leaving;
     }
 
-    /// Whether the server must get no new requests because it is draining or its zone
-    /// is out of service.
+    /// Whether the server must get no new requests because it is draining or shutting down,
+    /// or its zone is out of service.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.is_leaving || self.advisory.is_leaving
     }
 
     /// What the server has announced to this router.
@@ -175,15 +179,25 @@
         self.announcements.subscribe()
     }
 
-    /// Records what the server has announced. Returns whether that was news.
-    pub fn advise(&mut self, advisory: Advisory) -> bool {
+    /// Records what an incarnation of the server has announced. Returns whether that was
+    /// news.
+    pub fn advise(&mut self, incarnation: u64, advisory: Advisory) -> bool {
+        let advisory = if incarnation == self.entry.incarnation {
+            advisory
+        } else {
+            advisory.after_restart()
+        };
         let merged = self.advisory.merge(advisory);
-        if merged == self.advisory {
-            return false;
+        let is_news = merged != self.advisory;
+        if is_news {
+            self.set_advisory(merged);
         }
-        self.advisory = merged;
-        self.announcements.send_replace(merged);
-        true
+        is_news
+    }
+
+    fn set_advisory(&mut self, advisory: Advisory) {
+        self.advisory = advisory;
+        self.announcements.send_replace(advisory);
     }
 
     /// Whether the server has asked this router to send nothing at `now`.
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod events;
 mod explore;
+mod leaving;
 mod outlier;
 mod peers;
 mod placing;
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -382,3 +382,27 @@
     let permit = router.acquire(true);
     assert_eq!(permit.placement().role, Role::Candidate);
 }
+
+/// Guards against a canary that goes on at a server that shuts down, or stays without the
+/// server that takes its place.
+#[test]
+fn a_canary_server_that_shuts_down_is_replaced() {
+    let mut pool = pool(Some(Stage::Canary));
+    let canary = |pool: &mut Pool| -> BTreeSet<_> {
+        let requests = 0..50;
+        requests
+            .map(|topic| run(pool, topic, Preference::Candidate).server)
+            .collect()
+    };
+    let before = canary(&mut pool);
+    let leaving = before.first().expect("a server").clone();
+    let advisory = gateway::advisory::Advisory {
+        is_leaving: true,
+        ..Default::default()
+    };
+    assert!(pool.record_advisory(&leaving, 2, advisory));
+    let after = canary(&mut pool);
+    assert!(!after.contains(&leaving));
+    assert_eq!(after.len(), before.len());
+    assert!(after.iter().all(|server| server.as_str().starts_with("v2")));
+}
