Prefer other servers to one that has just rejected a request

Looked for as the same cause elsewhere: a rejection without Retry-After left no trace on its server either, and a server that rejects everything is idle and drew the requests of its prompts.

Change: a rejection starts a backoff of 0.4 s, doubled up to 3.2 s by each further one without a success between, as after a failed connection (one type for both now, before it was written out in the server). It is a preference only: the server is used if no other has room, so that nothing is refused or queued because of it.

Tests: rejections::a_server_that_rejects_everything_gets_few_requests fails without the preference (200 of 200 requests; at most a twentieth is right).

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Placement: chooses the backend server of a service that receives a request.
 
+mod backoff;
 mod choice;
 pub mod connect;
 mod copies;
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -67,6 +67,10 @@
         if candidates.is_empty() {
             return Err(Denial::Full);
         }
+        // A server that rejects requests at once is idle, and so looks like the best choice.
+        if candidates.iter().any(|server| !server.is_rejecting(now)) {
+            candidates.retain(|server| !server.is_rejecting(now));
+        }
         let slow_start_ready_at = candidates
             .iter()
             .filter(|server| self.is_slow_start_limited(server, fleet, now))
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -8,7 +8,7 @@
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::Part;
+use super::{Part, backoff::Backoff};
 use crate::{
     advisory::Advisory,
     load::Load,
@@ -60,10 +60,6 @@
 /// One slot in this many is reserved for workspaces that use less than their share, as
 /// in `admission`.
 const RESERVE_DIVISOR: u32 = 4;
-/// The backoff after a connection failure; doubled with each further failure.
-const BASE_BACKOFF: Duration = Duration::from_millis(400);
-/// Upper limit of the backoff.
-const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 /// How long a server is treated as cold once the backoff after a connection failure
 /// ends.
 ///
@@ -98,8 +94,9 @@
     /// Prompt parts cached for peers' requests, by the hashes of their keys.
     peer_prefixes: CacheIndex,
     pacer: Pacer,
-    connect_failures: u32,
-    backoff_until: Instant,
+    connect_backoff: Backoff,
+    /// After rejections of requests, although the server is known to have free slots.
+    rejection_backoff: Backoff,
     assumed_cold_until: Instant,
     /// When the server is assumed to have cached the prompts for which it ranks first.
     settled_at: Instant,
@@ -133,8 +130,8 @@
             own_prefixes: CacheIndex::new(settings.clone()),
             peer_prefixes: CacheIndex::new(settings),
             pacer: Pacer::default(),
-            connect_failures: 0,
-            backoff_until: Instant::ZERO,
+            connect_backoff: Backoff::default(),
+            rejection_backoff: Backoff::default(),
             assumed_cold_until: Instant::ZERO,
             lag_us: 0,
             lag_at: Instant::ZERO,
@@ -329,7 +326,12 @@
 
     /// Whether the server is not in backoff after a connection failure.
     pub fn is_reachable(&self, now: Instant) -> bool {
-        self.backoff_until <= now
+        !self.connect_backoff.is_active(now)
+    }
+
+    /// Whether the server has rejected requests recently.
+    pub fn is_rejecting(&self, now: Instant) -> bool {
+        self.rejection_backoff.is_active(now)
     }
 
     /// Whether this router's slow-start share permits a request now.
@@ -428,22 +430,23 @@
         }
         match outcome {
             Outcome::Refused | Outcome::Unreachable => self.connect_failed(now),
-            Outcome::Moved => self.backoff_until = now + MAX_BACKOFF,
-            Outcome::Completed | Outcome::Failed | Outcome::Full => self.connect_failures = 0,
+            Outcome::Moved => self.connect_backoff.extend(now),
+            Outcome::Completed | Outcome::Failed => {
+                self.connect_backoff.record_success();
+                self.rejection_backoff.record_success();
+            }
+            Outcome::Full => {
+                self.connect_backoff.record_success();
+                self.rejection_backoff.record_failure(now);
+            }
             Outcome::Broken | Outcome::Withdrawn | Outcome::Cancelled => {}
         }
     }
 
     fn connect_failed(&mut self, now: Instant) {
-        // Concurrent requests fail together; they count as one failure.
-        if now < self.backoff_until {
-            return;
+        if self.connect_backoff.record_failure(now) {
+            self.assumed_cold_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
         }
-        let factor = 1_u32.checked_shl(self.connect_failures).unwrap_or(u32::MAX);
-        let backoff = BASE_BACKOFF.saturating_mul(factor).min(MAX_BACKOFF);
-        self.connect_failures = self.connect_failures.saturating_add(1);
-        self.backoff_until = now + backoff;
-        self.assumed_cold_until = self.backoff_until + COLD_AFTER_OUTAGE;
     }
 }
 
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod prefixes;
 mod propagation;
 mod queue;
+mod rejections;
 mod replica;
 mod replicas;
 mod retry_budget;
