Count server errors as failures of their servers in weir-router

A server that answers every request with 503 looked healthy and fast: it kept its chats, its limit grew, and prompts that it had never read counted as cached there.

Change: a response with a server error counts as a failure for the limit and for outlier detection. It is still forwarded as it is, and its connection is still reused.

--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -71,6 +71,7 @@
             ..watchdog
         },
         tail: Tail::new(events),
+        is_failure: head.status.is_server_error(),
         healthy_checks: 0,
     };
     tokio::spawn(forwarder.run());
@@ -179,6 +180,8 @@
     chunks: mpsc::Sender<Chunk>,
     watchdog: Watchdog,
     tail: Tail,
+    /// Whether the server responds that it does not process the request.
+    is_failure: bool,
     /// Number of checks since the last progress that found the server healthy.
     healthy_checks: u32,
 }
@@ -200,7 +203,14 @@
             End::Complete => {
                 let connection = self.connection.is_usable().then_some(self.connection);
                 self.permit.set_usage(self.tail.usage());
-                self.permit.finish(owner::Outcome::Completed, connection);
+                // A server that rejects requests responds completely and at once. If that
+                // counted as completed work, it would keep its chats and its limit would grow.
+                let outcome = if self.is_failure {
+                    owner::Outcome::Failed
+                } else {
+                    owner::Outcome::Completed
+                };
+                self.permit.finish(outcome, connection);
             }
             End::Cancelled => self.permit.finish(owner::Outcome::Cancelled, None),
             End::Failed(refusal, outcome) => {
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -2,7 +2,7 @@
 
 use std::mem;
 
-use hyper::header;
+use hyper::{StatusCode, header};
 use once::Outcome;
 use units::{backend, pool};
 use verdict::{Code, Refusal};
@@ -28,6 +28,8 @@
     server: backend::Server,
     crash_id: u64,
     ended: bool,
+    /// Whether the server responds that it does not process the request.
+    is_failure: bool,
     record: Option<Record>,
 }
 
@@ -63,15 +65,16 @@
 }
 
 impl Reporter {
-    /// Creates a reporter for an attempt on `target`. If the server crashes, the
-    /// crash is reported under `crash_id`.
-    pub fn new(guard: tracker::Guard, target: &Target, crash_id: u64) -> Self {
+    /// Creates a reporter for an attempt on `target`, which responded with `status`. If
+    /// the server crashes, the crash is reported under `crash_id`.
+    pub fn new(guard: tracker::Guard, target: &Target, crash_id: u64, status: StatusCode) -> Self {
         Self {
             guard,
             pool: target.pool.clone(),
             server: target.server.clone(),
             crash_id,
             ended: false,
+            is_failure: status.is_server_error(),
             record: None,
         }
     }
@@ -105,7 +108,11 @@
         if mem::replace(&mut self.ended, true) {
             return;
         }
-        self.report(Ending::Completed);
+        self.report(if self.is_failure {
+            Ending::Failed
+        } else {
+            Ending::Completed
+        });
         if let Some(record) = self.record.take() {
             record.finish();
         }
--- a/crates/router/src/entry/serve.rs
+++ b/crates/router/src/entry/serve.rs
@@ -89,7 +89,12 @@
                 .await;
             let failed = match attempted {
                 Ok(attempted) => {
-                    let reporter = Reporter::new(begun.guard, target, attempted.crash_id);
+                    let reporter = Reporter::new(
+                        begun.guard,
+                        target,
+                        attempted.crash_id,
+                        attempted.upstream.status,
+                    );
                     return Ok(Served {
                         upstream: attempted.upstream,
                         reporter,
--- a/crates/router/src/owner/message.rs
+++ b/crates/router/src/owner/message.rs
@@ -16,7 +16,7 @@
 pub enum Outcome {
     /// The complete response arrived.
     Completed,
-    /// The server broke the connection or sent an invalid response.
+    /// The server broke the connection, or sent an invalid response or a server error.
     Failed,
     /// The server does not accept connections.
     Unreachable,
--- a/crates/router/tests/fleet/failures.rs
+++ b/crates/router/tests/fleet/failures.rs
@@ -66,6 +66,31 @@
     assert_eq!(next.text(), payload::text("hello", 3));
 }
 
+/// Guards against an engine that answers every request with 503 and keeps its chats, since the
+/// answers are complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_rejects_everything_loses_its_chats() {
+    let topology = Topology {
+        engines: 2,
+        ..Topology::one_zone()
+    };
+    let cluster = Cluster::start(topology).await;
+    let rejecting = engine::Fault::Refuse { count: 1_000 };
+    cluster.engines[0].handle.set_fault(rejecting);
+    let mut rejected = 0;
+    for index in 0..60 {
+        let call = Call::chat(&format!("c{}", index % 6), "hello", 3);
+        let response = call.send(cluster.routers[0].address).await;
+        rejected += usize::from(response.is_some_and(|response| response.status == 503));
+        // Ejections are published a few times a second.
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    assert!(
+        rejected <= 60 / 4,
+        "{rejected} of 60 requests were rejected"
+    );
+}
+
 // An engine ends a stream early but closes the connection properly. Unless the
 // router checks for the final event of the stream, the caller takes the
 // truncated response for a complete one.
