--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,7 +103,7 @@
             let classification = protocol.classify(id, head.status, &head.headers);
             if classification != Classification::Foreign {
                 let advisory = protocol.advisory(head.status, &head.headers, clock.now());
-                permit.advise(id, advisory);
+                permit.record_advisory(id, advisory);
             }
             end_attempt(classification, head, body, permit)
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,8 @@
 //! The dispatch task: holds the state of all backend servers and places requests on
 //! them.
 
+mod advisories;
+mod deaths;
 mod message;
 mod peers;
 mod permit;
@@ -12,11 +14,8 @@
     time::Duration,
 };
 
-use tokio::{
-    sync::{mpsc, watch},
-    time,
-};
-use units::{backend, host, pool, request, time::Instant};
+use tokio::{sync::mpsc, time};
+use units::{host, pool, request, time::Instant};
 
 pub use message::{
     AcquireRequest, Announcement, Load, Message, PeerUpdate, Progress, Refusal, Reply, Ticket,
@@ -25,12 +24,11 @@
 pub use permit::Permit;
 
 use crate::{
-    advisory::Advisory,
     clock::Clock,
     crashes, load,
     metrics::Metrics,
     pause,
-    pool::{Fleet, Outcome, Part, Placement, Pool, Server, Standing},
+    pool::{Fleet, Outcome, Part, Placement, Pool},
     prefixes::{self, PrefixUpdates},
     queue::{self, Admission, Queue},
     retry_budget,
@@ -273,16 +271,6 @@
         Permit::new(ticket, placement, announcements, self.sender.clone())
     }
 
-    /// Receives what the server of a request announces.
-    fn announcements(&self, ticket: &Ticket) -> watch::Receiver<Advisory> {
-        let queue = self.queues.get(&ticket.pool);
-        let server = queue.and_then(|queue| queue.pool().server(&ticket.server));
-        server.map_or_else(
-            || watch::Sender::default().subscribe(),
-            Server::announcements,
-        )
-    }
-
     fn dequeue_all(&mut self) {
         let names: Vec<pool::Id> = self.queues.keys().cloned().collect();
         for name in names {
@@ -341,33 +329,6 @@
         }
     }
 
-    fn throttled_until(&self, pool: &pool::Id, now: Instant) -> Option<Instant> {
-        let queue = self.queues.get(pool)?;
-        queue.pool().throttled_until(now)
-    }
-
-    fn announced(&mut self, announcement: &Announcement, now: Instant) {
-        let Some(queue) = self.queues.get_mut(&announcement.pool) else {
-            return;
-        };
-        let (server, advisory) = (&announcement.server, announcement.advisory);
-        let pool = queue.pool_mut();
-        if pool.record_advisory(server, announcement.incarnation, advisory) {
-            if advisory.is_throttled(now) {
-                self.metrics.standing_changed(Standing::Throttled);
-            }
-            logging::event!(
-                info,
-                "server_announced",
-                server = server,
-                pool = announcement.pool,
-                request = announcement.request,
-                leaving = advisory.is_leaving,
-                throttled_ms = advisory.throttled_until.since(now).as_millis()
-            );
-        }
-    }
-
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         self.record_crash(ticket, outcome, now);
         self.rollouts.ended(ticket, outcome, now);
@@ -403,54 +364,6 @@
         self.dequeue(&ticket.pool);
     }
 
-    fn record_crash(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
-        match outcome {
-            Outcome::Broken => {
-                let (server, incarnation) = (&ticket.server, ticket.incarnation);
-                self.crashes.record_broken(
-                    ticket.fingerprint,
-                    server,
-                    incarnation,
-                    ticket.sent_at,
-                    now,
-                );
-            }
-            Outcome::Refused | Outcome::Unreachable => {
-                self.record_death(&ticket.server, ticket.incarnation, now);
-            }
-            Outcome::Completed => self.crashes.record_completed(ticket.fingerprint),
-            Outcome::Failed
-            | Outcome::Moved
-            | Outcome::Full
-            | Outcome::Withdrawn
-            | Outcome::Cancelled => {}
-        }
-    }
-
-    fn record_death(&mut self, server: &backend::Server, incarnation: u64, now: Instant) {
-        let count = self.crashes.record_death(server, incarnation, now);
-        if count > 0 {
-            logging::event!(info, "server_died", server = server, requests = count);
-        }
-    }
-
-    /// Records the end of incarnations that the roster no longer lists.
-    fn record_ended_incarnations(&mut self, roster: &Roster) {
-        let now = self.clock.now();
-        let incarnations = roster.incarnations();
-        let servers = self
-            .queues
-            .values()
-            .flat_map(|queue| queue.pool().servers());
-        let ended: Vec<_> = servers
-            .filter(|server| incarnations.get(server.name()) != Some(&server.incarnation()))
-            .map(|server| (server.name().clone(), server.incarnation()))
-            .collect();
-        for (server, incarnation) in ended {
-            self.record_death(&server, incarnation, now);
-        }
-    }
-
     fn set_roster(&mut self, roster: &Roster) {
         self.record_ended_incarnations(roster);
         let mut names: Vec<pool::Id> = self.queues.keys().cloned().collect();
--- /dev/null
+++ b/crates/gateway/src/dispatch/deaths.rs
@@ -0,0 +1,57 @@
+//! Deaths of servers, for the detection of requests that crash them.
+
+use units::{backend, time::Instant};
+
+use super::{Dispatch, Ticket};
+use crate::{pool::Outcome, roster::Roster};
+
+impl Dispatch {
+    /// Records how a request ended for the detection of requests that crash servers.
+    pub(super) fn record_crash(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Broken => {
+                let (server, incarnation) = (&ticket.server, ticket.incarnation);
+                self.crashes.record_broken(
+                    ticket.fingerprint,
+                    server,
+                    incarnation,
+                    ticket.sent_at,
+                    now,
+                );
+            }
+            Outcome::Refused | Outcome::Unreachable => {
+                self.record_death(&ticket.server, ticket.incarnation, now);
+            }
+            Outcome::Completed => self.crashes.record_completed(ticket.fingerprint),
+            Outcome::Failed
+            | Outcome::Moved
+            | Outcome::Full
+            | Outcome::Withdrawn
+            | Outcome::Cancelled => {}
+        }
+    }
+
+    fn record_death(&mut self, server: &backend::Server, incarnation: u64, now: Instant) {
+        let count = self.crashes.record_death(server, incarnation, now);
+        if count > 0 {
+            logging::event!(info, "server_died", server = server, requests = count);
+        }
+    }
+
+    /// Records the end of incarnations that the roster no longer lists.
+    pub(super) fn record_ended_incarnations(&mut self, roster: &Roster) {
+        let now = self.clock.now();
+        let incarnations = roster.incarnations();
+        let servers = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.pool().servers());
+        let ended: Vec<_> = servers
+            .filter(|server| incarnations.get(server.name()) != Some(&server.incarnation()))
+            .map(|server| (server.name().clone(), server.incarnation()))
+            .collect();
+        for (server, incarnation) in ended {
+            self.record_death(&server, incarnation, now);
+        }
+    }
+}
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -67,7 +67,7 @@
     }
 
     /// Records what the server has announced in its response to the request `id`.
-    pub fn advise(&self, id: &str, advisory: Advisory) {
+    pub fn record_advisory(&self, id: &str, advisory: Advisory) {
         if advisory.is_empty() {
             return;
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,10 +1,12 @@
 //! Placement: chooses the backend server of a service that receives a request.
 
+mod advisories;
 mod backoff;
 mod choice;
 pub mod connect;
 mod copies;
 mod cost;
+mod outcome;
 mod peers;
 
 mod server;
@@ -18,10 +20,11 @@
 use smallvec::SmallVec;
 use units::{availability, backend, chat, cost::Cost, host, time::Instant};
 
-pub use server::{Outcome, Server};
+pub use outcome::Outcome;
+pub use server::Server;
 pub use versions::{Preference, VersionLoads};
 
-use crate::{advisory::Advisory, roster, route, settings::Bounds, slow_start};
+use crate::{roster, route, settings::Bounds, slow_start};
 
 /// One part of a prompt; requests with a common prefix have parts with the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,16 +157,6 @@
 /// load.
 const BOUND_EXTRA: f64 = 3.0;
 
-/// The maximum number of servers without an entry whose advisories are kept.
-const MAX_UNLISTED: usize = 1024;
-
-/// What an incarnation of a server without an entry has announced.
-#[derive(Clone, Copy, Debug, Default)]
-struct Unlisted {
-    incarnation: u64,
-    advisory: Advisory,
-}
-
 /// The servers of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -173,7 +166,7 @@
     servers: BTreeMap<backend::Server, Server>,
     /// What servers without an entry have announced: an entry can lapse and return while
     /// its server runs on.
-    unlisted: BTreeMap<backend::Server, Unlisted>,
+    unlisted: BTreeMap<backend::Server, advisories::Unlisted>,
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
@@ -225,8 +218,8 @@
                 .remove(&entry.server)
                 .unwrap_or_else(|| Server::new(entry.clone()));
             server.update(entry, is_leaving);
-            if let Some(known) = self.unlisted.remove(&entry.server) {
-                server.advise(known.incarnation, known.advisory);
+            if let Some(unlisted) = self.unlisted.remove(&entry.server) {
+                server.record_advisory(unlisted.incarnation, unlisted.advisory);
             }
             self.servers.insert(entry.server.clone(), server);
         }
@@ -358,52 +351,6 @@
         self.servers.get_mut(name)
     }
 
-    /// Records what an incarnation of a server has announced. Returns whether that was news.
-    pub fn record_advisory(
-        &mut self,
-        name: &backend::Server,
-        incarnation: u64,
-        advisory: Advisory,
-    ) -> bool {
-        let Some(server) = self.servers.get_mut(name) else {
-            return self.keep_unlisted(name.clone(), incarnation, advisory);
-        };
-        let was_leaving = server.is_leaving();
-        let is_news = server.advise(incarnation, advisory);
-        if server.is_leaving() != was_leaving {
-            self.update_usable();
-        }
-        is_news
-    }
-
-    /// Keeps what a server without an entry has announced. Returns whether that was news.
-    fn keep_unlisted(
-        &mut self,
-        name: backend::Server,
-        incarnation: u64,
-        advisory: Advisory,
-    ) -> bool {
-        let known = self.unlisted.get(&name).copied().unwrap_or_default();
-        let before = if known.incarnation == incarnation {
-            known.advisory
-        } else {
-            known.advisory.after_restart()
-        };
-        let merged = before.merge(advisory);
-        if merged == known.advisory {
-            return false;
-        }
-        let unlisted = Unlisted {
-            incarnation,
-            advisory: merged,
-        };
-        self.unlisted.insert(name, unlisted);
-        while self.unlisted.len() > MAX_UNLISTED {
-            self.unlisted.pop_first();
-        }
-        true
-    }
-
     /// Records how long it took to connect to `server`.
     pub fn record_connect_time(&mut self, name: &backend::Server, time: Duration) {
         if let Some(server) = self.servers.get(name) {
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use units::{backend, time::Instant};
 
-use super::{Demand, Denial, Fleet, Pool, Server, cost, versions};
+use super::{Demand, Denial, Fleet, Pool, Server, advisories, cost, versions};
 
 impl Pool {
     pub(super) fn choose(
@@ -39,17 +39,17 @@
             let servers = self.tier(tier);
             servers.filter(|server| !demand.tried.contains(server.name()))
         };
-        let open = || untried().filter(|server| !server.is_throttled(now));
+        let unthrottled = || untried().filter(|server| !server.is_throttled(now));
         let is_panicking = self.ejection.is_in_panic_mode(now);
         let is_available = |server: &&Server| {
             server.is_reachable(now)
                 && !self.zone_tracker.is_in_backoff(server.zone(), now)
                 && (is_panicking || !self.ejection.is_failing(server.name(), now))
         };
-        let mut candidates: Vec<&Server> = open().filter(is_available).collect();
+        let mut candidates: Vec<&Server> = unthrottled().filter(is_available).collect();
         if candidates.is_empty() && is_last {
             // A server that failed recently is preferable to refusing the request.
-            let reachable = open().filter(|server| !self.is_cut_off(server, now));
+            let reachable = unthrottled().filter(|server| !self.is_cut_off(server, now));
             candidates = reachable.collect();
         }
         if candidates.is_empty() {
@@ -93,7 +93,7 @@
     fn no_candidate<'a>(&self, servers: impl Iterator<Item = &'a Server>, now: Instant) -> Denial {
         let (throttled, unreachable): (Vec<_>, Vec<_>) =
             servers.partition(|server| server.is_throttled(now));
-        if let Some(at) = first_throttle_end(throttled.into_iter()) {
+        if let Some(at) = advisories::first_throttle_end(throttled.into_iter()) {
             return Denial::Throttled(at);
         }
         let retry_times = unreachable
@@ -103,22 +103,6 @@
         first.map_or(Denial::NoServer, |at| Denial::ZonesUnreachable(at.max(now)))
     }
 
-    /// When the first server that has asked for a pause may receive requests again; `None`
-    /// if no server has.
-    pub fn next_throttle_end(&self, now: Instant) -> Option<Instant> {
-        let servers = self.servers.values();
-        first_throttle_end(servers.filter(|server| server.is_throttled(now)))
-    }
-
-    /// When the first server may receive requests again, if all have asked for a pause.
-    pub fn throttled_until(&self, now: Instant) -> Option<Instant> {
-        let mut servers = self.servers.values().filter(|server| !server.is_leaving());
-        if !servers.all(|server| server.is_throttled(now)) {
-            return None;
-        }
-        self.next_throttle_end(now)
-    }
-
     /// The candidate with the lowest expected time to first byte.
     fn cheapest(
         &self,
@@ -136,10 +120,3 @@
         Some(best.name().clone())
     }
 }
-
-/// The end of the first pause among those that `servers` have asked for.
-fn first_throttle_end<'a>(servers: impl Iterator<Item = &'a Server>) -> Option<Instant> {
-    servers
-        .map(|server| server.advisory().throttled_until)
-        .min()
-}
--- /dev/null
+++ b/crates/gateway/src/pool/outcome.rs
@@ -0,0 +1,42 @@
+//! Outcomes of requests at servers.
+
+use std::fmt;
+
+/// The outcome of a request at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The response was complete.
+    Completed,
+    /// The server responded with a failure.
+    Failed,
+    /// The connection broke while the server was processing the request.
+    Broken,
+    /// The host refused the connection: nothing was sent, and no server runs there.
+    Refused,
+    /// No connection was established, so nothing was sent.
+    Unreachable,
+    /// The address belongs to another server now.
+    Moved,
+    /// The server rejected the request because it is full; it did not run it.
+    Full,
+    /// The request was not sent, because of what the server announced meanwhile.
+    Withdrawn,
+    /// The caller disconnected or the deadline passed.
+    Cancelled,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Moved => "moved",
+            Self::Full => "full",
+            Self::Withdrawn => "withdrawn",
+            Self::Cancelled => "cancelled",
+        })
+    }
+}
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -1,6 +1,6 @@
 //! The state of one backend server as this router sees it.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use placement::CacheIndex;
 use rollout::Role;
@@ -8,7 +8,7 @@
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::{Part, backoff::Backoff};
+use super::{Outcome, Part, backoff::Backoff};
 use crate::{
     advisory::Advisory,
     load::Load,
@@ -18,45 +18,6 @@
     slow_start::{Pacer, Share},
 };
 
-/// The outcome of a request at a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The response was complete.
-    Completed,
-    /// The server responded with a failure.
-    Failed,
-    /// The connection broke while the server was processing the request.
-    Broken,
-    /// The host refused the connection: nothing was sent, and no server runs there.
-    Refused,
-    /// No connection was established, so nothing was sent.
-    Unreachable,
-    /// The address belongs to another server now.
-    Moved,
-    /// The server rejected the request because it is full; it did not run it.
-    Full,
-    /// The request was not sent, because of what the server announced meanwhile.
-    Withdrawn,
-    /// The caller disconnected or the deadline passed.
-    Cancelled,
-}
-
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Completed => "completed",
-            Self::Failed => "failed",
-            Self::Broken => "broken",
-            Self::Refused => "refused",
-            Self::Unreachable => "unreachable",
-            Self::Moved => "moved",
-            Self::Full => "full",
-            Self::Withdrawn => "withdrawn",
-            Self::Cancelled => "cancelled",
-        })
-    }
-}
-
 /// One slot in this many is reserved for workspaces that use less than their share, as
 /// in `admission`.
 const RESERVE_DIVISOR: u32 = 4;
@@ -178,7 +139,7 @@
 
     /// Records what an incarnation of the server has announced. Returns whether that was
     /// news.
-    pub fn advise(&mut self, incarnation: u64, advisory: Advisory) -> bool {
+    pub fn record_advisory(&mut self, incarnation: u64, advisory: Advisory) -> bool {
         let advisory = if incarnation == self.entry.incarnation {
             advisory
         } else {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -1,5 +1,7 @@
 //! A validated request and its attempts at backend servers.
 
+mod log;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -19,7 +21,7 @@
 use crate::{
     attempt::{self, End, Response},
     dispatch::{self, AcquireRequest, Message, Permit},
-    pool::{Demand, Denial, Outcome, Placement},
+    pool::{Demand, Denial, Outcome},
     protocol::{Attempt, Head, Protocol},
     route::{KeyOwner, Route},
 };
@@ -145,24 +147,6 @@
             None => self.context.anonymous.clone(),
         }
     }
-
-    /// Logs that the caller disconnected before a response began.
-    fn log_abandoned(&self) {
-        let now = self.context.clock.now();
-        let waited = now.since(self.plan.arrived);
-        logging::event!(
-            info,
-            "request_abandoned",
-            request = self.plan.head.id,
-            route = self.plan.route.name,
-            pool = self.plan.pool,
-            workspace = self.workspace(),
-            sends = self.sent_attempts,
-            unreachable = self.failed_connects,
-            waited_ms = waited.as_millis(),
-            config = self.plan.version
-        );
-    }
 }
 
 impl<P: Protocol> Exchange<P> {
@@ -410,66 +394,6 @@
         }
         Step::Refuse(self.refusal(code, message))
     }
-
-    fn log_attempt(&self, placement: &Placement, end: &End) {
-        let (outcome, reason) = match end {
-            End::Responded(response) if response.is_failure => {
-                ("failed", response.head.status.as_str())
-            }
-            End::Responded(_) => {
-                self.context.metrics.attempt_ended("answered");
-                return;
-            }
-            End::Unsent(reason) => ("unsent", reason.as_str()),
-            End::Full => ("full", ""),
-            End::Withdrawn => ("withdrawn", ""),
-            End::Moved => ("moved", ""),
-            End::Broken(reason) => ("broken", reason.as_str()),
-            End::TimedOut => ("late", ""),
-        };
-        self.context.metrics.attempt_ended(outcome);
-        let now = self.context.clock.now();
-        let waited = now.since(self.plan.arrived);
-        logging::event!(
-            info,
-            "attempt_failed",
-            request = self.plan.head.id,
-            route = self.plan.route.name,
-            pool = self.plan.pool,
-            workspace = self.workspace(),
-            server = placement.server,
-            zone = placement.zone,
-            load = placement.load,
-            bound = format!("{:.1}", placement.bound),
-            outcome = outcome,
-            reason = reason,
-            waited_ms = waited.as_millis(),
-            servers_age_ms = self.context.ages.servers(now).as_millis(),
-            config = self.plan.version
-        );
-    }
-
-    /// Logs the final refusal of the request.
-    pub fn log_refusal(&self, refusal: &Refusal) {
-        let now = self.context.clock.now();
-        let waited = now.since(self.plan.arrived);
-        logging::event!(
-            info,
-            "request_refused",
-            request = self.plan.head.id,
-            route = self.plan.route.name,
-            pool = self.plan.pool,
-            workspace = self.workspace(),
-            code = refusal.code,
-            verdict = refusal.verdict,
-            sends = self.sent_attempts,
-            unreachable = self.failed_connects,
-            waited_ms = waited.as_millis(),
-            servers_age_ms = self.context.ages.servers(now).as_millis(),
-            config = self.plan.version,
-            config_age_ms = self.context.ages.configuration(now).as_millis()
-        );
-    }
 }
 
 impl<P> Drop for Exchange<P> {
--- a/crates/gateway/tests/decisions/leaving.rs
+++ b/crates/gateway/tests/decisions/leaving.rs
@@ -122,7 +122,7 @@
     let answered = prefixes::acquire(&mut task);
     let connecting = prefixes::acquire(&mut task);
     assert_eq!(answered.placement().server, connecting.placement().server);
-    answered.advise("a1", LEAVING);
+    answered.record_advisory("a1", LEAVING);
     while let Ok(message) = messages.try_recv() {
         task.handle_message(message);
     }
--- a/crates/gateway/tests/decisions/throttling.rs
+++ b/crates/gateway/tests/decisions/throttling.rs
@@ -216,7 +216,7 @@
     let connecting = prefixes::acquire(&mut task);
     assert_eq!(rejected.placement().server, connecting.placement().server);
     assert!(!connecting.is_withdrawn(START));
-    rejected.advise("a1", pause(Instant::NEVER));
+    rejected.record_advisory("a1", pause(Instant::NEVER));
     while let Ok(message) = messages.try_recv() {
         task.handle_message(message);
     }
