Tell refused callers what ends first, a pause or the wait for a zone

Found while reading: with some servers in pauses and the others in zones that could not be reached, the refusal named the first pause's end, even one of a minute while the zone was tried again within a second.

Test: throttling::a_refusal_names_what_ends_first::long_pause failed before with "Throttled(61000000us)"; ::short_pause passed before and after.

--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -89,18 +89,20 @@
         *server.zone() != self.zone && self.zone_tracker.is_in_backoff(server.zone(), now)
     }
 
-    /// The reason why none of `servers` can be tried.
+    /// The reason why none of `servers` can be tried: the one that ends first.
     fn no_candidate<'a>(&self, servers: impl Iterator<Item = &'a Server>, now: Instant) -> Denial {
         let (throttled, unreachable): (Vec<_>, Vec<_>) =
             servers.partition(|server| server.is_throttled(now));
-        if let Some(at) = advisories::first_throttle_end(throttled.into_iter()) {
-            return Denial::Throttled(at);
-        }
-        let retry_times = unreachable
+        let throttle_end = advisories::first_throttle_end(throttled.into_iter());
+        let probe_times = unreachable
             .iter()
             .map(|server| self.zone_tracker.backoff_until(server.zone()));
-        let first = retry_times.min();
-        first.map_or(Denial::NoServer, |at| Denial::ZonesUnreachable(at.max(now)))
+        match (throttle_end, probe_times.min()) {
+            (None, None) => Denial::NoServer,
+            (Some(end), None) => Denial::Throttled(end),
+            (Some(end), Some(probe)) if end <= probe => Denial::Throttled(end),
+            (_, Some(probe)) => Denial::ZonesUnreachable(probe.max(now)),
+        }
     }
 
     /// The candidate with the lowest expected time to first byte.
--- a/crates/gateway/tests/decisions/throttling.rs
+++ b/crates/gateway/tests/decisions/throttling.rs
@@ -131,6 +131,33 @@
     assert!(refusal.retry_at >= START + PAUSE);
 }
 
+/// Guards against a refusal that names the end of a long pause although an unreachable zone is
+/// tried again sooner, or the other way round.
+#[parameterized(
+    long_pause = { Duration::from_secs(60), false },
+    short_pause = { Duration::from_millis(1), true },
+)]
+fn a_refusal_names_what_ends_first(length: Duration, is_pause: bool) {
+    let mut pool = pool(&[
+        entry("s0", "a"),
+        entry("s1", "b"),
+        entry("s2", "b"),
+        entry("s3", "b"),
+    ]);
+    throttle(&mut pool, &server("s0"), START + length);
+    for _ in 0..3 {
+        let placement = admit(&mut pool, 7, 0, START).expect("a server");
+        pool.ended(&placement.server, Outcome::Unreachable, START);
+    }
+    let denial = admit(&mut pool, 7, 0, START).expect_err("no server can be tried");
+    let is_expected = match denial {
+        Denial::Throttled(end) => is_pause && end == START + length,
+        Denial::ZonesUnreachable(probe) => !is_pause && probe < START + length,
+        _ => false,
+    };
+    assert!(is_expected, "{denial:?}");
+}
+
 /// Guards against a refusal that asks the caller back within a pause of the only server,
 /// which has just rejected the request.
 #[test]
