Do not promote a version that fails most requests

The new version had failed 7 of 7. Neither was worse than the other by the test, so at the latest moment the open verdict was read as "no fault found" and promoted.

Change: a version that fails more than half of its requests, the worst group of servers left out, is not promoted, however often the old one fails; an order that ends so is rolled back, which harms nobody. A third failing on both is promoted as before.

Test: verdict::a_version_that_fails_most_requests_is_not_promoted, all_fail and most_fail failed before. Without an order nothing is decided by this.

--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -95,6 +95,8 @@
     /// Whether enough requests have shown that the new version does not fail more often
     /// than the old one.
     pub is_sound: bool,
+    /// Whether the new version fails most requests, however often the old one fails.
+    pub fails_mostly: bool,
 }
 
 impl Assessment {
@@ -105,8 +107,11 @@
 
     /// Whether the new version may receive all requests, after a canary that has found
     /// no fault so far.
+    ///
+    /// If both versions fail most requests, it is unknown whether the new one would serve
+    /// them once the old one's trouble is over.
     pub fn permits_promotion(&self) -> bool {
-        self.score < MAX_PROMOTED_SCORE && self.outcomes >= MIN_OUTCOMES
+        self.score < MAX_PROMOTED_SCORE && self.outcomes >= MIN_OUTCOMES && !self.fails_mostly
     }
 }
 
@@ -116,6 +121,7 @@
     let mut worst = compare(None, &total, Kind::Failure);
     worst.outcomes = total.candidate.outcomes();
     worst.is_sound = worst.score <= (MISS / (1.0 - FALSE_ALARM)).ln();
+    worst.fails_mostly = worst.events.candidate * 2 > worst.events.candidate_total;
     for (route, counts) in counts.routes() {
         for kind in [Kind::Failure, Kind::SlowResponse] {
             let assessment = compare(Some(route), counts, kind);
@@ -123,6 +129,7 @@
                 worst = Assessment {
                     outcomes: worst.outcomes,
                     is_sound: worst.is_sound,
+                    fails_mostly: worst.fails_mostly,
                     ..assessment
                 };
             }
@@ -144,6 +151,7 @@
         events,
         outcomes: 0,
         is_sound: false,
+        fails_mostly: false,
     }
 }
 
--- a/crates/rollout/tests/model/verdict.rs
+++ b/crates/rollout/tests/model/verdict.rs
@@ -49,7 +49,7 @@
     }
 }
 
-fn is_faulty(baseline: &[Outcomes], candidate: &[Outcomes]) -> bool {
+fn counts_of(baseline: &[Outcomes], candidate: &[Outcomes]) -> Counts {
     let mut counts = Counts::default();
     for outcomes in baseline {
         outcomes.record(&mut counts, Arm::Baseline);
@@ -57,7 +57,28 @@
     for outcomes in candidate {
         outcomes.record(&mut counts, Arm::Candidate);
     }
-    verdict::assess(&counts).is_faulty()
+    counts
+}
+
+/// Guards against a version that fails nearly every request and is promoted, because the few
+/// servers that are left of the old one fail as often.
+#[parameterized(
+    all_fail = { Outcomes::new(3, 16), Outcomes::new(0, 7), false },
+    most_fail = { Outcomes::new(3, 16), Outcomes::new(3, 7), false },
+    a_third_fails_on_both = { Outcomes::new(40, 20), Outcomes::new(8, 4), true },
+    only_the_old_one_fails = { Outcomes::new(3, 16), Outcomes::new(12, 0), true },
+)]
+fn a_version_that_fails_most_requests_is_not_promoted(
+    baseline: Outcomes,
+    candidate: Outcomes,
+    expected: bool,
+) {
+    let assessment = verdict::assess(&counts_of(&[baseline], &[candidate]));
+    assert_eq!(assessment.permits_promotion(), expected, "{assessment:?}");
+}
+
+fn is_faulty(baseline: &[Outcomes], candidate: &[Outcomes]) -> bool {
+    verdict::assess(&counts_of(baseline, candidate)).is_faulty()
 }
 
 /// Guards against faulty versions that are not recognized, and against sound ones that are
