Let a protocol open the connections to backend servers

Tests of lost paths need routers of one process that reach servers in different ways. Protocol::connect connects by TCP unless a protocol replaces it; attempts and probes use it. No change of behaviour. Connection loses the constructors that nothing called.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,10 @@
 //! One attempt to send a request to one backend server.
 
-use std::{io, pin, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, pin, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::response};
-use storage::traffic::Traffic;
 use tokio::time;
 use units::time::Instant;
 
@@ -70,8 +69,7 @@
 ) -> End {
     let placement = permit.placement();
     let timeout = clock.remaining(deadline.min(placement.connect_deadline));
-    let connected =
-        Connection::with_timeout(placement.address, Arc::<Traffic>::default(), timeout).await;
+    let connected = connect(protocol, placement.address, timeout).await;
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
@@ -122,6 +120,15 @@
     }
 }
 
+async fn connect<P: Protocol>(
+    protocol: &P,
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<Connection> {
+    let stream = time::timeout(timeout, protocol.connect(address)).await??;
+    Connection::over_tcp(stream).await
+}
+
 /// The outcome that a failed connection attempt counts as.
 fn connect_failure(error: &io::Error) -> Outcome {
     match error.kind() {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,16 +1,16 @@
 //! HTTP/1.1 connections to backend servers.
 
-use std::{io, net, sync::Arc, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use storage::traffic::{Metered, Traffic};
-use tokio::{net::TcpStream, time};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
 
-/// The default timeout of a connection attempt.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long sent bytes may remain unacknowledged.
 ///
 /// A network path that has lost the state of a connection drops packets silently. The
@@ -24,38 +24,26 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Speaks HTTP over an open TCP connection.
     ///
     /// # Errors
     ///
-    /// When the server does not accept it in time. Nothing was sent.
-    pub async fn open(address: net::SocketAddr) -> io::Result<Self> {
-        Self::metered(address, Arc::default()).await
-    }
-
-    /// Opens a connection whose transferred bytes are counted in `traffic`.
-    ///
-    /// # Errors
-    ///
-    /// As [`Connection::open`].
-    pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
-        Self::with_timeout(address, traffic, CONNECT_TIMEOUT).await
+    /// When the connection has broken already. Nothing was sent.
+    pub async fn over_tcp(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))?;
+        Self::over(stream).await
     }
 
-    /// Like [`Connection::metered`], with another timeout than [`CONNECT_TIMEOUT`].
+    /// Speaks HTTP over an open byte stream.
     ///
     /// # Errors
     ///
-    /// As [`Connection::open`].
-    pub async fn with_timeout(
-        address: net::SocketAddr,
-        traffic: Arc<Traffic>,
-        timeout: Duration,
-    ) -> io::Result<Self> {
-        let stream = time::timeout(timeout, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))?;
-        let stream = Metered::new(stream, traffic);
+    /// As [`Connection::over_tcp`].
+    pub async fn over<S>(stream: S) -> io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -70,11 +58,6 @@
         Ok(Self { sender })
     }
 
-    /// Whether the connection can send another request.
-    pub fn is_usable(&self) -> bool {
-        self.sender.is_ready()
-    }
-
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -35,6 +35,7 @@
     pool::{Fleet, Outcome, Part, Placement, Pool},
     prefixes::{self, PrefixUpdates},
     probe::{self, Probe},
+    protocol::Protocol,
     queue::{self, Admission, Queue},
     retry_budget,
     roster::Roster,
@@ -134,11 +135,15 @@
     }
 
     /// Runs until all senders of messages are dropped.
-    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+    pub async fn run<P: Protocol>(
+        mut self,
+        protocol: P,
+        mut messages: mpsc::UnboundedReceiver<Message>,
+    ) {
         let mut pause_checks = time::interval(pause::CHECK_INTERVAL);
         pause_checks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         if let Some(probes) = self.probe_receiver.take() {
-            tokio::spawn(probe::run(probes, self.sender.clone()));
+            tokio::spawn(probe::run(protocol, probes, self.sender.clone()));
         }
         loop {
             let wake = self.next_wake();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -2,10 +2,10 @@
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
-use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio::{sync::mpsc, time};
 use units::backend;
 
-use crate::dispatch::Message;
+use crate::{dispatch::Message, protocol::Protocol};
 
 /// The timeout for connecting to a server: the first packet may be lost, and is sent again
 /// after a second.
@@ -44,14 +44,16 @@
 }
 
 /// Runs probes until the sender of `probes` is dropped, and sends their results.
-pub async fn run(
+pub async fn run<P: Protocol>(
+    protocol: P,
     mut probes: mpsc::UnboundedReceiver<Probe>,
     results: mpsc::UnboundedSender<Message>,
 ) {
     while let Some(probe) = probes.recv().await {
+        let protocol = protocol.clone();
         let results = results.clone();
         tokio::spawn(async move {
-            let liveness = connect(probe.address).await;
+            let liveness = connect(&protocol, probe.address).await;
             // The receiver lives as long as the process.
             drop(results.send(Message::Probed(probe, liveness)));
         });
@@ -59,8 +61,8 @@
 }
 
 /// Connects to a server. The connection is closed at once: a request would wait for a slot.
-async fn connect(address: SocketAddr) -> Liveness {
-    match time::timeout(TIMEOUT, TcpStream::connect(address)).await {
+async fn connect<P: Protocol>(protocol: &P, address: SocketAddr) -> Liveness {
+    match time::timeout(TIMEOUT, protocol.connect(address)).await {
         Ok(Ok(_)) => Liveness::Accepts,
         Ok(Err(error)) => match error.kind() {
             io::ErrorKind::ConnectionRefused
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,9 +1,10 @@
 //! The protocol of callers and backend servers, as far as the heads of requests and
 //! responses express it.
 
-use std::net::SocketAddr;
+use std::{future::Future, io, net::SocketAddr};
 
 use hyper::{HeaderMap, StatusCode, http::request};
+use tokio::net::TcpStream;
 use units::{
     backend,
     cost::Cost,
@@ -71,6 +72,11 @@
 
 /// A protocol that callers and backend servers speak.
 pub trait Protocol: Clone + Send + Sync + 'static {
+    /// Opens a TCP connection to a backend server.
+    fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> + Send {
+        TcpStream::connect(address)
+    }
+
     /// Parses the head of a caller's request.
     ///
     /// # Errors
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -123,7 +123,7 @@
         let (dispatch, handle, messages) =
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         let crash_news = dispatch.crash_news();
-        tokio::spawn(dispatch.run(messages));
+        tokio::spawn(dispatch.run(protocol.clone(), messages));
         let ages = Arc::new(Ages::default());
         let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
