Log when a router no longer connects to any server of a service

The lines of the incident could not tell a lost path from servers that end: attempt_failed names one server, and nothing says whether the router reaches any, or whether others do. paths_lost and paths_restored do, with the time since the last connection and the requests that other routers have at these servers at that moment; weir_path_changes counts them. Two servers whose connections fail one after the other, with none established between, start it; a probe of one server a zone ends it. Nothing is decided by it yet, but for the probes, whose rate is bounded over the fleet (at most 150 rounds a second at 2 to 1000 routers, tested).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod advisories;
 mod crashes;
 mod message;
+mod paths;
 mod peers;
 mod permit;
 mod rollouts;
@@ -37,7 +38,7 @@
     probe::{self, Probe},
     protocol::Protocol,
     queue::{self, Admission, Queue},
-    retry_budget,
+    reach, retry_budget,
     roster::Roster,
     route::Table,
     settings::{Bounds, Settings},
@@ -84,6 +85,8 @@
     prefixes: PrefixUpdates,
     pauses: pause::Detector,
     rollouts: rollouts::Rollouts,
+    /// Whether this router reaches the servers of each service.
+    reach: BTreeMap<pool::Id, reach::Tracker>,
 }
 
 impl Dispatch {
@@ -125,6 +128,7 @@
             prefixes: PrefixUpdates::default(),
             pauses: pause::Detector::default(),
             rollouts: rollouts::Rollouts::default(),
+            reach: BTreeMap::new(),
         };
         (dispatch, sender, messages)
     }
@@ -154,7 +158,11 @@
                     None => return,
                 },
                 () = time::sleep_until(at), if wake.is_some() => self.dequeue_all(),
-                _ = pause_checks.tick() => self.detect_pause(self.clock.now()),
+                _ = pause_checks.tick() => {
+                    let now = self.clock.now();
+                    self.detect_pause(now);
+                    self.probe_paths(now);
+                }
             }
         }
     }
@@ -342,6 +350,9 @@
 
     fn first_byte(&mut self, ticket: &Ticket, now: Instant) {
         self.rollouts.first_byte(ticket, now);
+        if let Some(at) = ticket.connected_at {
+            self.record_reached(&ticket.pool, at);
+        }
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
@@ -368,6 +379,7 @@
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         self.record_crash(ticket, outcome, now);
         self.rollouts.ended(ticket, outcome, now);
+        self.record_path(ticket, outcome, now);
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -8,7 +8,7 @@
 use crate::{
     crashes::Sign,
     pool::{Outcome, Server},
-    probe::{Liveness, Probe},
+    probe::{Liveness, Probe, Purpose},
     roster::Roster,
 };
 
@@ -64,6 +64,7 @@
         if self.probed.insert(key) {
             // The receiver lives as long as this task runs.
             drop(self.probes.send(Probe {
+                purpose: Purpose::Crash,
                 server: ticket.server.clone(),
                 incarnation: ticket.incarnation,
                 address,
@@ -73,6 +74,12 @@
 
     /// Records the result of a probe.
     pub(super) fn probed(&mut self, probe: &Probe, liveness: Liveness, now: Instant) {
+        if let Purpose::Path(pool) = &probe.purpose {
+            if liveness == Liveness::Accepts {
+                self.record_reached(pool, now);
+            }
+            return;
+        }
         self.probed
             .remove(&(probe.server.clone(), probe.incarnation));
         logging::event!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod probe;
 pub mod protocol;
 pub mod queue;
+pub mod reach;
 pub mod readiness;
 pub mod refusal;
 pub mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -110,6 +110,12 @@
     counted: &'static str,
 }
 
+/// The labels of a change of the paths to the servers of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PathLabels {
+    state: &'static str,
+}
+
 /// The size of the UDP and IP headers of a datagram, in bytes.
 const DATAGRAM_HEADERS: u64 = 28;
 
@@ -127,6 +133,7 @@
     attempts: Family<AttemptLabels, Counter>,
     throttled_attempts: Counter,
     crashes: Family<CrashLabels, Counter>,
+    path_changes: Family<PathLabels, Counter>,
     standings: Family<StandingLabels, Counter>,
     rollout_stages: Family<StageLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
@@ -151,6 +158,7 @@
         let attempts = Family::default();
         let throttled_attempts = Counter::default();
         let crashes = Family::default();
+        let path_changes = Family::default();
         let standings = Family::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
@@ -206,6 +214,11 @@
             "Requests of this router in flight at a server that crashed",
             Family::clone(&crashes),
         );
+        registry.register(
+            "weir_path_changes",
+            "Services whose servers this router stopped or started to reach",
+            Family::clone(&path_changes),
+        );
         registry.register(
             "weir_rollout_stages",
             "Stages of roll-outs that this router has entered",
@@ -255,6 +268,7 @@
             attempts,
             throttled_attempts,
             crashes,
+            path_changes,
             standings,
             rollout_stages,
             ages,
@@ -321,6 +335,13 @@
         self.crashes.get_or_create(&CrashLabels { counted }).inc();
     }
 
+    /// Counts that this router has lost its paths to the servers of a service, or has reached
+    /// them again.
+    pub fn path_changed(&self, is_restored: bool) {
+        let state = if is_restored { "restored" } else { "lost" };
+        self.path_changes.get_or_create(&PathLabels { state }).inc();
+    }
+
     /// Counts a change of a server to `standing`.
     pub fn standing_changed(&self, standing: Standing) {
         let labels = StandingLabels {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -426,6 +426,18 @@
         servers.map(Server::slots).sum()
     }
 
+    /// One server of each zone, another one with each `round`.
+    pub fn one_per_zone(&self, round: usize) -> Vec<&Server> {
+        let mut zones: BTreeMap<&availability::Zone, Vec<&Server>> = BTreeMap::new();
+        for server in self.servers.values() {
+            zones.entry(server.zone()).or_default().push(server);
+        }
+        let zones = zones.into_values();
+        zones
+            .map(|servers| servers[round % servers.len()])
+            .collect()
+    }
+
     /// All servers, ordered by name.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -228,6 +228,11 @@
         self.running + self.peer_load
     }
 
+    /// Requests of peers in flight, which may be stale.
+    pub fn peer_load(&self) -> u32 {
+        self.peer_load
+    }
+
     /// Sets the number of requests that peers have in flight.
     pub fn set_peer_load(&mut self, load: u32) {
         self.peer_load = load;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use tokio::{sync::mpsc, time};
-use units::backend;
+use units::{backend, pool};
 
 use crate::{dispatch::Message, protocol::Protocol};
 
@@ -11,9 +11,20 @@
 /// after a second.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Why a server is probed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request at it has broken off or stalled; it may have crashed.
+    Crash,
+    /// This router has lost its paths to the servers of the service.
+    Path(pool::Id),
+}
+
 /// A server to probe.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Probe {
+    /// Why it is probed.
+    pub purpose: Purpose,
     /// The server.
     pub server: backend::Server,
     /// The incarnation in question.
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,94 @@
+//! Detects that this router has lost its paths to the backend servers of a service.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use units::{backend, time::Instant};
+
+/// The number of servers whose connections have to fail one after the other before the paths
+/// to all servers count as lost. A service with fewer servers needs all of them.
+///
+/// Two crashed servers look the same. Probes then correct the mistake within a round trip.
+const MIN_FAILED_SERVERS: usize = 2;
+/// The interval between two rounds of probes while the paths are lost, for a single router.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The fleet size by which the interval grows by [`PROBE_INTERVAL`], since all routers probe a
+/// service whose servers have all ended.
+const ROUTERS_PER_INTERVAL: usize = 32;
+
+/// Whether connections of this router to the servers of one service are established.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    /// Servers whose connections have failed since one was last established.
+    failed: SmallVec<[backend::Server; MIN_FAILED_SERVERS]>,
+    reached_at: Instant,
+    lost: Option<Lost>,
+}
+
+/// The state while the paths to all servers are lost.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    at: Instant,
+    probe_at: Instant,
+    rounds: usize,
+}
+
+impl Tracker {
+    /// Whether the paths to all servers count as lost.
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
+    /// When a connection of this router to a server was last established.
+    pub fn reached_at(&self) -> Instant {
+        self.reached_at
+    }
+
+    /// Records that a connection was established at `now`. Returns when the paths were lost, if
+    /// they were until now.
+    pub fn record_reached(&mut self, now: Instant) -> Option<Instant> {
+        self.reached_at = self.reached_at.max(now);
+        self.failed.clear();
+        self.lost.take().map(|lost| lost.at)
+    }
+
+    /// Records that a connection to `server`, one of `servers`, has failed, which was attempted
+    /// at `begun_at`. Returns whether the paths to all servers count as lost from now on.
+    pub fn record_failure(
+        &mut self,
+        server: &backend::Server,
+        servers: usize,
+        begun_at: Instant,
+        now: Instant,
+    ) -> bool {
+        if self.is_lost() || begun_at < self.reached_at {
+            return false;
+        }
+        if !self.failed.contains(server) {
+            self.failed.push(server.clone());
+        }
+        if self.failed.len() < MIN_FAILED_SERVERS.min(servers) {
+            return false;
+        }
+        self.failed.clear();
+        self.lost = Some(Lost {
+            at: now,
+            probe_at: now,
+            rounds: 0,
+        });
+        true
+    }
+
+    /// Starts a round of probes if one is due. Returns the number of rounds before it.
+    pub fn start_probes(&mut self, routers: usize, now: Instant) -> Option<usize> {
+        let lost = self.lost.as_mut()?;
+        if now < lost.probe_at {
+            return None;
+        }
+        let intervals = 1 + routers / ROUTERS_PER_INTERVAL;
+        let intervals = u32::try_from(intervals).unwrap_or(u32::MAX);
+        lost.probe_at = now + PROBE_INTERVAL.saturating_mul(intervals);
+        lost.rounds += 1;
+        Some(lost.rounds - 1)
+    }
+}
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -17,6 +17,7 @@
 mod prefixes;
 mod propagation;
 mod queue;
+mod reach;
 mod rejections;
 mod replica;
 mod replicas;
