--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -262,6 +262,7 @@
         host: "unnamed".parse().expect("a name"),
         zone: "unnamed".parse().expect("a name"),
         address,
+        tunnels: None,
     };
     let sockets = peers::Sockets {
         digests,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,16 +1,17 @@
 //! One attempt to send a request to one backend server.
 
-use std::{io, net::SocketAddr, pin, time::Duration};
+use std::{pin, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::response};
 use tokio::time;
-use units::time::Instant;
+use units::time::{Instant, Millis};
 
 use crate::{
     clock::Clock,
-    connection::{Connection, Failure},
+    connection::Failure,
+    connector::Connector,
     dispatch::Permit,
     pool::Outcome,
     protocol::{Classification, Protocol},
@@ -41,6 +42,8 @@
     Responded(Box<Response>),
     /// No byte of the request was sent.
     Unsent(String),
+    /// The same, because there was no path to the server.
+    NoPath(String),
     /// The server is full and has not run the request.
     Full,
     /// Nothing was sent, because the server has announced meanwhile that it wants nothing, or
@@ -60,7 +63,7 @@
 /// response to the previous request could arrive after the next request was sent, and it
 /// would be unknown whether that request has run.
 pub async fn run<P: Protocol>(
-    protocol: &P,
+    connector: &Connector<P>,
     mut permit: Permit,
     request: Request<Full<Bytes>>,
     id: &str,
@@ -69,12 +72,17 @@
 ) -> End {
     let placement = permit.placement();
     let timeout = clock.remaining(deadline.min(placement.connect_deadline));
-    let connected = connect(protocol, placement.address, timeout).await;
-    let mut connection = match connected {
+    let remaining = Millis::from(clock.remaining(deadline));
+    let mut connection = match connector.connect(placement, remaining, timeout).await {
         Ok(connection) => connection,
         Err(error) => {
-            permit.end(connect_failure(&error));
-            return End::Unsent(error.to_string());
+            let reason = error.to_string();
+            let outcome = error.outcome();
+            permit.end(outcome);
+            return match outcome {
+                Outcome::NoPath => End::NoPath(reason),
+                _ => End::Unsent(reason),
+            };
         }
     };
     let now = clock.now();
@@ -110,9 +118,11 @@
         }
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
-            let classification = protocol.classify(id, head.status, &head.headers);
+            let classification = connector.protocol.classify(id, head.status, &head.headers);
             if classification != Classification::Foreign {
-                let advisory = protocol.advisory(head.status, &head.headers, clock.now());
+                let advisory = connector
+                    .protocol
+                    .advisory(head.status, &head.headers, clock.now());
                 permit.record_advisory(id, advisory);
             }
             end_attempt(classification, head, body, permit)
@@ -120,23 +130,6 @@
     }
 }
 
-async fn connect<P: Protocol>(
-    protocol: &P,
-    address: SocketAddr,
-    timeout: Duration,
-) -> io::Result<Connection> {
-    let stream = time::timeout(timeout, protocol.connect(address)).await??;
-    Connection::over_tcp(stream).await
-}
-
-/// The outcome that a failed connection attempt counts as.
-fn connect_failure(error: &io::Error) -> Outcome {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => Outcome::Refused,
-        _ => Outcome::Unreachable,
-    }
-}
-
 fn end_attempt(
     classification: Classification,
     head: response::Parts,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -30,8 +30,7 @@
     ///
     /// When the connection has broken already. Nothing was sent.
     pub async fn over_tcp(stream: TcpStream) -> io::Result<Self> {
-        stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))?;
+        configure(&stream)?;
         Self::over(stream).await
     }
 
@@ -80,6 +79,25 @@
     }
 }
 
+/// Sets the options of a connection to a backend server.
+///
+/// # Errors
+///
+/// When the connection has broken already.
+pub fn configure(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_timeout(stream)
+}
+
+/// Lets the kernel close a connection whose bytes remain unacknowledged.
+///
+/// # Errors
+///
+/// When the connection has broken already.
+pub fn set_timeout(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))
+}
+
 /// Why there is no response.
 #[derive(Debug)]
 pub enum Failure {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -154,6 +154,19 @@
         });
     }
 
+    /// Records that a server accepts connections, but none of this router. Requests at it broke
+    /// off because of the path between them.
+    pub fn record_reachable(&mut self, server: &backend::Server, incarnation: u64) {
+        self.candidates
+            .retain(|request| request.server != *server || request.incarnation != incarnation);
+    }
+
+    /// Whether requests at this incarnation of a server may have crashed it.
+    pub fn is_suspecting(&self, server: &backend::Server, incarnation: u64) -> bool {
+        let mut candidates = self.candidates.iter();
+        candidates.any(|request| request.server == *server && request.incarnation == incarnation)
+    }
+
     /// Records that a request completed, which clears it of suspicion on all routers.
     pub fn record_completed(&mut self, fingerprint: Fingerprint, now: Instant) {
         if let Some(completion) = self.suspects.record_completion(fingerprint, now) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -22,14 +22,16 @@
 use units::{backend, host, pool, request, time::Instant};
 
 pub use message::{
-    AcquireRequest, Announcement, Load, Message, PeerUpdate, Progress, Refusal, Reply, Ticket,
-    TrialTicket,
+    AcquireRequest, Announcement, Dial, Load, Location, Message, PeerUpdate, Progress, Refusal,
+    Reply, Ticket, TrialTicket,
 };
 pub use permit::{Permit, Withdrawals};
 
 use crate::{
     clock::Clock,
+    connector::Connector,
     crashes::{Sign, Tracker},
+    egress::Egresses,
     load,
     metrics::Metrics,
     pause,
@@ -87,6 +89,8 @@
     rollouts: rollouts::Rollouts,
     /// Whether this router reaches the servers of each service.
     reach: BTreeMap<pool::Id, reach::Tracker>,
+    /// The routers that may connect to servers for this one.
+    egresses: Egresses,
 }
 
 impl Dispatch {
@@ -129,6 +133,7 @@
             pauses: pause::Detector::default(),
             rollouts: rollouts::Rollouts::default(),
             reach: BTreeMap::new(),
+            egresses: Egresses::default(),
         };
         (dispatch, sender, messages)
     }
@@ -141,13 +146,13 @@
     /// Runs until all senders of messages are dropped.
     pub async fn run<P: Protocol>(
         mut self,
-        protocol: P,
+        connector: Connector<P>,
         mut messages: mpsc::UnboundedReceiver<Message>,
     ) {
         let mut pause_checks = time::interval(pause::CHECK_INTERVAL);
         pause_checks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         if let Some(probes) = self.probe_receiver.take() {
-            tokio::spawn(probe::run(protocol, probes, self.sender.clone()));
+            tokio::spawn(probe::run(connector, probes, self.sender.clone()));
         }
         loop {
             let wake = self.next_wake();
@@ -197,14 +202,23 @@
             Message::Probed(probe, liveness) => self.probed(&probe, liveness, now),
             Message::Roster(roster) => self.set_roster(&roster),
             Message::Table(table) => self.set_table(table),
-            Message::Members(members) => self.fleet.members = members,
-            Message::Peer(host, loads) => self.set_peer_loads(host, loads, now),
+            Message::Members(members) => self.set_members(&members),
+            Message::Locate(server, incarnation, reply) => {
+                // The receiver may have been dropped.
+                drop(reply.send(self.locate(&server, incarnation, now)));
+            }
+            Message::Dialed(dial) => self.record_dial(&dial, now),
+            Message::Peer(host, loads) => {
+                self.egresses.set_silent(&host, false);
+                self.set_peer_loads(host, loads, now);
+            }
             Message::Aggregate(loads) => {
                 self.aggregate = loads;
                 self.aggregate_until = now + AGGREGATE_TTL;
                 self.sum_peers();
             }
             Message::PeerLost(host) => {
+                self.egresses.set_silent(&host, true);
                 self.peer_loads.remove(&host);
                 self.sum_peers();
             }
@@ -243,6 +257,11 @@
             send_reply(reply, Err(Refusal::RetryBudget));
             return;
         }
+        if let Some(retry_at) = self.no_path_until(&request.pool, now) {
+            send_reply(reply, Err(Refusal::NoPath(retry_at)));
+            return;
+        }
+        self.exclude_unreached(&mut request);
         request.demand.preference = self.rollouts.preference(&request, now);
         let Some(queue) = self.queues.get_mut(&request.pool) else {
             send_reply(reply, Err(Refusal::Unknown));
@@ -286,7 +305,13 @@
             .or_insert_with(retry_budget)
     }
 
-    fn permit(&mut self, request: AcquireRequest, placement: Placement, now: Instant) -> Permit {
+    fn permit(
+        &mut self,
+        request: AcquireRequest,
+        mut placement: Placement,
+        now: Instant,
+    ) -> Permit {
+        self.choose_path(&request.pool, &mut placement, now);
         if !request.is_retry {
             let members = self.fleet.members.len();
             self.retry_budget(&request.pool, now).deposit(members);
@@ -308,6 +333,7 @@
             sent_at: now,
             connected_at: None,
             connect_deadline: placement.connect_deadline,
+            egress: placement.path.egress().map(|egress| egress.host.clone()),
             has_first_byte: false,
             last_byte_at: None,
         };
@@ -351,13 +377,14 @@
     fn first_byte(&mut self, ticket: &Ticket, now: Instant) {
         self.rollouts.first_byte(ticket, now);
         if let Some(at) = ticket.connected_at {
-            self.record_reached(&ticket.pool, at);
+            self.record_connected(ticket, at);
         }
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
         queue.pool_mut().record_response(&ticket.server);
-        if let Some(at) = ticket.connected_at {
+        let is_direct = ticket.egress.is_none();
+        if let Some(at) = ticket.connected_at.filter(|_| is_direct) {
             let time = at.since(ticket.sent_at);
             queue.pool_mut().record_connect_time(&ticket.server, time);
         }
@@ -377,9 +404,10 @@
     }
 
     fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
+        self.record_path(ticket, outcome, now);
+        let outcome = self.attribute(ticket, outcome);
         self.record_crash(ticket, outcome, now);
         self.rollouts.ended(ticket, outcome, now);
-        self.record_path(ticket, outcome, now);
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
@@ -392,7 +420,10 @@
                 server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
             }
         }
-        if outcome == Outcome::Unreachable && now >= ticket.connect_deadline {
+        if outcome == Outcome::Unreachable
+            && ticket.egress.is_none()
+            && now >= ticket.connect_deadline
+        {
             queue
                 .pool_mut()
                 .record_connect_timeout(&ticket.server, ticket.sent_at, now);
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -23,15 +23,23 @@
     pub(super) fn record_crash(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         match outcome {
             Outcome::Broken => self.record_sign(Sign::Broken, ticket, now),
-            // After `Moved`, another process has the address.
-            Outcome::Refused | Outcome::Moved => {
-                self.record_death(&ticket.server, ticket.incarnation, now);
+            // Another process has the address.
+            Outcome::Moved => self.record_death(&ticket.server, ticket.incarnation, now),
+            // The network between this router and the server may refuse connections, too.
+            Outcome::Refused => {
+                if self
+                    .crashes
+                    .is_suspecting(&ticket.server, ticket.incarnation)
+                {
+                    self.probe(ticket, now);
+                }
             }
             Outcome::Completed => {
                 self.crashes.record_completed(ticket.fingerprint, now);
             }
             // A server with too many connections resets new ones, and packets may be lost.
             Outcome::Unreachable
+            | Outcome::NoPath
             | Outcome::Failed
             | Outcome::Full
             | Outcome::Withdrawn
@@ -49,12 +57,12 @@
             alive_at(ticket),
             now,
         );
-        self.probe(ticket);
+        self.probe(ticket, now);
     }
 
     /// Probes the server of a request that broke off, to find out at once whether it has
     /// crashed: its entry lapses only after seconds, in which the request may be repeated.
-    fn probe(&mut self, ticket: &Ticket) {
+    fn probe(&mut self, ticket: &Ticket, now: Instant) {
         let key = (ticket.server.clone(), ticket.incarnation);
         let queue = self.queues.get(&ticket.pool);
         let server = queue.and_then(|queue| queue.pool().server(&ticket.server));
@@ -62,12 +70,14 @@
             return;
         };
         if self.probed.insert(key) {
+            let egress = self.egresses.choose(now);
             // The receiver lives as long as this task runs.
             drop(self.probes.send(Probe {
                 purpose: Purpose::Crash,
                 server: ticket.server.clone(),
                 incarnation: ticket.incarnation,
                 address,
+                egress,
             }));
         }
     }
@@ -91,8 +101,15 @@
         );
         match liveness {
             Liveness::Ended => self.record_death(&probe.server, probe.incarnation, now),
+            Liveness::Unconfirmed if self.is_reaching(&probe.server, now) => {
+                self.record_death(&probe.server, probe.incarnation, now);
+            }
             Liveness::Accepts => self.crashes.record_alive(&probe.server, probe.incarnation),
-            Liveness::Unknown => {}
+            Liveness::AcceptsOthers => {
+                self.crashes
+                    .record_reachable(&probe.server, probe.incarnation);
+            }
+            Liveness::Unconfirmed | Liveness::Unknown => {}
         }
     }
 
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -1,8 +1,9 @@
 //! Messages to and from the dispatch task.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use rollout::{Counts, Order, Stage, counts};
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use units::{
     backend,
@@ -24,7 +25,8 @@
     roster::Roster,
     route::Table,
     settings::Bounds,
-    status,
+    source::Member,
+    status, tunnel,
 };
 
 /// A request for a slot at a server of a service.
@@ -44,6 +46,8 @@
     pub latest_start: Instant,
     /// The properties of the request that placement depends on.
     pub demand: Demand,
+    /// Servers to which this router could not connect for the request itself.
+    pub unreached: SmallVec<[backend::Server; 2]>,
     /// Whether an earlier attempt of the request was sent to a server.
     pub is_retry: bool,
     /// The fingerprint that the request shares with its retries by the caller.
@@ -61,6 +65,9 @@
     RetryBudget,
     /// The request is suspected of having crashed servers.
     Suspect,
+    /// This router has lost its paths, and no other router provides one; the next request may
+    /// try at this instant.
+    NoPath(Instant),
 }
 
 /// The channel for the result of a request.
@@ -119,6 +126,33 @@
     pub advisory: Advisory,
 }
 
+/// Where another router finds a server through this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Location {
+    /// The service.
+    pub pool: pool::Id,
+    /// The address of the server.
+    pub address: SocketAddr,
+    /// The deadline for establishing the connection.
+    pub connect_deadline: Instant,
+    /// Whether this router has connected to a server of the service a moment ago, so that a
+    /// failure is due to the server.
+    pub is_reaching: bool,
+}
+
+/// A connection to a server that was attempted for another router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dial {
+    /// The service.
+    pub pool: pool::Id,
+    /// The server.
+    pub server: backend::Server,
+    /// When the attempt began.
+    pub begun_at: Instant,
+    /// Whether the connection was established.
+    pub is_established: bool,
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub enum Message {
@@ -139,7 +173,15 @@
     /// The configuration has changed.
     Table(Arc<Table>),
     /// The set of routers that share limits, including this one, has changed.
-    Members(Vec<host::Id>),
+    Members(Arc<Vec<Member>>),
+    /// Asks where a server is, for another router.
+    Locate(
+        backend::Server,
+        u64,
+        oneshot::Sender<Result<Location, tunnel::Refusal>>,
+    ),
+    /// A connection to a server was attempted for another router.
+    Dialed(Dial),
     /// The loads reported by another router.
     Peer(host::Id, Vec<load::Load>),
     /// The loads of all other routers, as summed up by aggregators.
@@ -192,6 +234,8 @@
     pub connected_at: Option<Instant>,
     /// The deadline for establishing the connection.
     pub connect_deadline: Instant,
+    /// The router through which it is sent, unless it is sent directly.
+    pub egress: Option<host::Id>,
     /// Whether the first byte of the response has arrived.
     pub has_first_byte: bool,
     /// When the last byte of the response arrived.
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -1,20 +1,99 @@
 //! The paths of this router to backend servers.
 
-use units::{pool, time::Instant};
+use std::time::Duration;
 
-use super::{Dispatch, Ticket};
+use units::{backend, pool, time::Instant};
+
+use super::{AcquireRequest, Dial, Dispatch, Location, Ticket};
 use crate::{
-    pool::{Outcome, Server},
+    connector::Path,
+    pool::{Outcome, Placement, Server},
     probe::{Probe, Purpose},
+    reach,
+    source::Member,
+    tunnel,
 };
 
+/// How long after its last connection to a service a router can tell a server that ended from a
+/// lost path.
+const REACHING_FOR: Duration = Duration::from_secs(1);
+
 impl Dispatch {
+    pub(super) fn set_members(&mut self, members: &[Member]) {
+        let hosts = members.iter().map(|member| member.host.clone());
+        self.fleet.members = hosts.collect();
+        self.egresses
+            .set_members(members, &self.settings.host, &self.settings.zone);
+    }
+
+    fn is_lost(&self, pool: &pool::Id) -> bool {
+        let reach = self.reach.get(pool);
+        reach.is_some_and(reach::Tracker::is_lost)
+    }
+
+    /// Chooses the way to the server of `placement`.
+    pub(super) fn choose_path(&mut self, pool: &pool::Id, placement: &mut Placement, now: Instant) {
+        if !self.is_lost(pool) {
+            return;
+        }
+        let Some(egress) = self.egresses.choose(now) else {
+            return;
+        };
+        self.metrics.tunnelled();
+        placement.path = Path::Tunnel(egress);
+        placement.connect_deadline = now + tunnel::TIMEOUT;
+    }
+
+    /// Until when requests for the service are refused because there is no path to its servers.
+    /// One request at a time is let through, to find out whether there is one again.
+    pub(super) fn no_path_until(&mut self, pool: &pool::Id, now: Instant) -> Option<Instant> {
+        if self.egresses.is_any_usable(now) {
+            return None;
+        }
+        self.reach.get_mut(pool)?.take_trial(now).err()
+    }
+
+    /// Leaves out the servers that this router could not connect to, unless another router
+    /// connects from now on.
+    pub(super) fn exclude_unreached(&self, request: &mut AcquireRequest) {
+        if !self.is_lost(&request.pool) {
+            let unreached = request.unreached.drain(..);
+            request.demand.tried.extend(unreached);
+        }
+    }
+
     /// Records whether the connection of an attempt was established.
     pub(super) fn record_path(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         if let Some(at) = ticket.connected_at {
+            self.record_connected(ticket, at);
+            return;
+        }
+        match (&ticket.egress, outcome) {
+            (None, Outcome::Refused | Outcome::Unreachable) => {
+                self.record_connect_failure(&ticket.pool, &ticket.server, ticket.sent_at, now);
+            }
+            (Some(egress), Outcome::NoPath) => self.egresses.record_failure(egress, now),
+            _ => {}
+        }
+    }
+
+    /// Records that the connection of an attempt was established at `at`.
+    pub(super) fn record_connected(&mut self, ticket: &Ticket, at: Instant) {
+        if ticket.egress.is_none() {
             self.record_reached(&ticket.pool, at);
-        } else if matches!(outcome, Outcome::Refused | Outcome::Unreachable) {
-            self.record_connect_failure(ticket, now);
+        }
+    }
+
+    /// The outcome for the server: a connection that failed because this router has lost its
+    /// paths is not held against it.
+    pub(super) fn attribute(&self, ticket: &Ticket, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::Refused | Outcome::Unreachable
+                if ticket.egress.is_none() && self.is_lost(&ticket.pool) =>
+            {
+                Outcome::NoPath
+            }
+            other => other,
         }
     }
 
@@ -33,26 +112,33 @@
         );
     }
 
-    fn record_connect_failure(&mut self, ticket: &Ticket, now: Instant) {
+    fn record_connect_failure(
+        &mut self,
+        pool: &pool::Id,
+        server: &backend::Server,
+        begun_at: Instant,
+        now: Instant,
+    ) {
         if self.fleet.members.len() < 2 {
             return;
         }
-        let Some(queue) = self.queues.get(&ticket.pool) else {
+        let Some(queue) = self.queues.get_mut(pool) else {
             return;
         };
         let servers = queue.pool().servers().count();
         let peer_load: u32 = queue.pool().servers().map(Server::peer_load).sum();
-        let reach = self.reach.entry(ticket.pool.clone()).or_default();
-        if !reach.record_failure(&ticket.server, servers, ticket.sent_at, now) {
+        let reach = self.reach.entry(pool.clone()).or_default();
+        if !reach.record_failure(server, servers, begun_at, now) {
             return;
         }
+        queue.pool_mut().forget_connect_failures();
         let reached_ms = now.since(reach.reached_at()).as_millis();
         self.metrics.path_changed(false);
         logging::event!(
             info,
             "paths_lost",
-            pool = ticket.pool,
-            last = ticket.server,
+            pool = pool,
+            last = server,
             servers = servers,
             reached_ms = reached_ms,
             peer_load = peer_load
@@ -77,8 +163,58 @@
                     server: server.name().clone(),
                     incarnation: server.incarnation(),
                     address: server.address(),
+                    egress: None,
                 }));
             }
         }
     }
+
+    /// Whether this router has connected a moment ago to the service of `server`, so that a
+    /// failure to connect to it is due to the server.
+    pub(super) fn is_reaching(&self, server: &backend::Server, now: Instant) -> bool {
+        let mut queues = self.queues.iter();
+        let found = queues.find(|(_, queue)| queue.pool().server(server).is_some());
+        found.is_some_and(|(pool, _)| self.has_reached(pool, now))
+    }
+
+    fn has_reached(&self, pool: &pool::Id, now: Instant) -> bool {
+        let reach = self.reach.get(pool);
+        reach.is_some_and(|reach| !reach.is_lost() && now < reach.reached_at() + REACHING_FOR)
+    }
+
+    /// Tells another router where a server is.
+    pub(super) fn locate(
+        &self,
+        name: &backend::Server,
+        incarnation: u64,
+        now: Instant,
+    ) -> Result<Location, tunnel::Refusal> {
+        let mut queues = self.queues.iter();
+        let found =
+            queues.find_map(|(pool, queue)| Some((pool, queue, queue.pool().server(name)?)));
+        let Some((pool, queue, server)) = found else {
+            return Err(tunnel::Refusal::Unknown);
+        };
+        if server.incarnation() != incarnation {
+            return Err(tunnel::Refusal::Unknown);
+        }
+        if self.is_lost(pool) {
+            return Err(tunnel::Refusal::Isolated);
+        }
+        Ok(Location {
+            pool: pool.clone(),
+            address: server.address(),
+            connect_deadline: now + queue.pool().connect_timeout(server),
+            is_reaching: self.has_reached(pool, now),
+        })
+    }
+
+    /// Records a connection that was attempted for another router.
+    pub(super) fn record_dial(&mut self, dial: &Dial, now: Instant) {
+        if dial.is_established {
+            self.record_reached(&dial.pool, now);
+        } else {
+            self.record_connect_failure(&dial.pool, &dial.server, dial.begun_at, now);
+        }
+    }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -109,6 +109,26 @@
             .map_err(|_| Error::Timeout)?
     }
 
+    /// The socket, for its options.
+    pub fn socket(&self) -> &TcpStream {
+        self.reader.half.as_ref()
+    }
+
+    /// Takes the link apart: the socket, the seals, and the bytes received beyond the last
+    /// frame.
+    ///
+    /// # Errors
+    ///
+    /// When the halves belong to different connections.
+    pub fn into_parts(self) -> io::Result<(TcpStream, seal::Session, BytesMut)> {
+        let socket = self.reader.half.reunite(self.writer.half);
+        let seals = seal::Session {
+            reader: self.reader.seal,
+            writer: self.writer.seal,
+        };
+        Ok((socket.map_err(io::Error::other)?, seals, self.reader.buffer))
+    }
+
     async fn handshake(
         mut stream: TcpStream,
         key: &seal::Key,
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -138,7 +138,7 @@
         reason = refused.message
     );
     context.metrics.refused(&refused);
-    let response = refusal::response(&context.protocol, &refused, context.clock.now());
+    let response = refusal::response(&context.connector.protocol, &refused, context.clock.now());
     let bytes = refusal::closing_response(response);
     let sent = async {
         stream.write_all(&bytes).await?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -116,6 +116,12 @@
     state: &'static str,
 }
 
+/// The labels of a connection that another router asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CarriedLabels {
+    result: &'static str,
+}
+
 /// The size of the UDP and IP headers of a datagram, in bytes.
 const DATAGRAM_HEADERS: u64 = 28;
 
@@ -134,6 +140,8 @@
     throttled_attempts: Counter,
     crashes: Family<CrashLabels, Counter>,
     path_changes: Family<PathLabels, Counter>,
+    tunnelled_attempts: Counter,
+    carried_tunnels: Family<CarriedLabels, Counter>,
     standings: Family<StandingLabels, Counter>,
     rollout_stages: Family<StageLabels, Counter>,
     ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
@@ -159,6 +167,8 @@
         let throttled_attempts = Counter::default();
         let crashes = Family::default();
         let path_changes = Family::default();
+        let tunnelled_attempts = Counter::default();
+        let carried_tunnels = Family::default();
         let standings = Family::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
@@ -219,6 +229,16 @@
             "Services whose servers this router stopped or started to reach",
             Family::clone(&path_changes),
         );
+        registry.register(
+            "weir_tunnelled_attempts",
+            "Attempts that were sent through another router",
+            tunnelled_attempts.clone(),
+        );
+        registry.register(
+            "weir_carried_tunnels",
+            "Connections to servers that other routers asked for",
+            Family::clone(&carried_tunnels),
+        );
         registry.register(
             "weir_rollout_stages",
             "Stages of roll-outs that this router has entered",
@@ -269,6 +289,8 @@
             throttled_attempts,
             crashes,
             path_changes,
+            tunnelled_attempts,
+            carried_tunnels,
             standings,
             rollout_stages,
             ages,
@@ -342,6 +364,17 @@
         self.path_changes.get_or_create(&PathLabels { state }).inc();
     }
 
+    /// Counts an attempt that is sent through another router.
+    pub fn tunnelled(&self) {
+        self.tunnelled_attempts.inc();
+    }
+
+    /// Counts a connection to a server that another router asked for.
+    pub fn tunnel_carried(&self, result: &'static str) {
+        let labels = CarriedLabels { result };
+        self.carried_tunnels.get_or_create(&labels).inc();
+    }
+
     /// Counts a change of a server to `standing`.
     pub fn standing_changed(&self, standing: Standing) {
         let labels = StandingLabels {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,7 +24,7 @@
 pub use server::Server;
 pub use versions::{Preference, VersionLoads};
 
-use crate::{roster, route, settings::Bounds, slow_start};
+use crate::{connector::Path, roster, route, settings::Bounds, slow_start};
 
 /// One part of a prompt; requests with a common prefix have parts with the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +95,8 @@
     pub bound: f64,
     /// The deadline for establishing the connection to the server.
     pub connect_deadline: Instant,
+    /// The way to the server.
+    pub path: Path,
 }
 
 /// The state of a server as this router sees it.
@@ -269,6 +271,7 @@
             source,
             load: server.load(),
             bound,
+            path: Path::Direct,
         })
     }
 
@@ -371,6 +374,20 @@
         }
     }
 
+    /// The timeout for connecting to `server`.
+    pub fn connect_timeout(&self, server: &Server) -> Duration {
+        self.zone_tracker.connect_timeout(server.zone())
+    }
+
+    /// Forgets which servers and zones could not be connected to. The reason was that this
+    /// router had lost its paths.
+    pub fn forget_connect_failures(&mut self) {
+        self.zone_tracker.forget_failures();
+        for server in self.servers.values_mut() {
+            server.forget_connect_failures();
+        }
+    }
+
     /// Records that a response from `server` has begun.
     pub fn record_response(&mut self, name: &backend::Server) {
         if let Some(server) = self.servers.get(name) {
@@ -394,6 +411,7 @@
             // would eject whole zones during a network partition.
             Outcome::Refused
             | Outcome::Unreachable
+            | Outcome::NoPath
             | Outcome::Moved
             | Outcome::Full
             | Outcome::Withdrawn
--- a/crates/gateway/src/pool/outcome.rs
+++ b/crates/gateway/src/pool/outcome.rs
@@ -15,6 +15,9 @@
     Refused,
     /// No connection was established, so nothing was sent.
     Unreachable,
+    /// This router had lost its own paths, or the egress router did not provide one. Nothing was
+    /// sent, and the server is not the reason.
+    NoPath,
     /// The address belongs to another server now.
     Moved,
     /// The server rejected the request because it is full; it did not run it.
@@ -34,6 +37,7 @@
             Self::Broken => "broken",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::NoPath => "no_path",
             Self::Moved => "moved",
             Self::Full => "full",
             Self::Withdrawn => "withdrawn",
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -59,6 +59,8 @@
     /// After rejections of requests, although the server is known to have free slots.
     rejection_backoff: Backoff,
     assumed_cold_until: Instant,
+    /// Until when the server is treated as cold because connections to it failed.
+    outage_until: Instant,
     /// When the server is assumed to have cached the prompts for which it ranks first.
     settled_at: Instant,
     lag_us: u64,
@@ -94,6 +96,7 @@
             connect_backoff: Backoff::default(),
             rejection_backoff: Backoff::default(),
             assumed_cold_until: Instant::ZERO,
+            outage_until: Instant::ZERO,
             lag_us: 0,
             lag_at: Instant::ZERO,
             outcomes: OutcomeTracker::default(),
@@ -276,7 +279,8 @@
 
     /// Whether the server is cold or may have restarted unnoticed.
     pub fn is_cold(&self, now: Instant) -> bool {
-        now < self.entry.cold_until.max(self.assumed_cold_until)
+        let assumed_until = self.assumed_cold_until.max(self.outage_until);
+        now < self.entry.cold_until.max(assumed_until)
     }
 
     /// Whether the server has run long enough to have cached the prompts for which it
@@ -389,6 +393,7 @@
             Outcome::Completed => self.outcomes.record(false, now),
             Outcome::Failed | Outcome::Broken | Outcome::Refused => self.outcomes.record(true, now),
             Outcome::Unreachable
+            | Outcome::NoPath
             | Outcome::Moved
             | Outcome::Full
             | Outcome::Withdrawn
@@ -405,15 +410,21 @@
                 self.connect_backoff.record_success();
                 self.rejection_backoff.record_failure(now);
             }
-            Outcome::Broken | Outcome::Withdrawn | Outcome::Cancelled => {}
+            Outcome::NoPath | Outcome::Broken | Outcome::Withdrawn | Outcome::Cancelled => {}
         }
     }
 
     fn connect_failed(&mut self, now: Instant) {
         if self.connect_backoff.record_failure(now) {
-            self.assumed_cold_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
+            self.outage_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
         }
     }
+
+    /// Forgets connection failures that did not show anything about the server.
+    pub fn forget_connect_failures(&mut self) {
+        self.connect_backoff = Backoff::default();
+        self.outage_until = Instant::ZERO;
+    }
 }
 
 /// When a server settles that is cold until `cold_until`; zero if it was not cold.
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -55,6 +55,7 @@
             // network path.
             Outcome::Refused
             | Outcome::Unreachable
+            | Outcome::NoPath
             | Outcome::Broken
             | Outcome::Moved
             | Outcome::Withdrawn
@@ -62,6 +63,11 @@
         }
     }
 
+    /// Treats all zones as reachable.
+    pub fn forget_failures(&mut self) {
+        self.records.clear();
+    }
+
     /// Records how long it took to connect to a server of the zone.
     pub fn record_connect_time(&mut self, zone: &availability::Zone, time: Duration) {
         self.connect_times
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,16 +1,25 @@
 //! Finds out whether a server that broke a connection has crashed.
 
-use std::{fmt, io, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr, pin, time::Duration};
 
 use tokio::{sync::mpsc, time};
-use units::{backend, pool};
+use units::{backend, pool, time::Millis};
 
-use crate::{dispatch::Message, protocol::Protocol};
+use crate::{
+    connector::Connector,
+    dispatch::Message,
+    egress::Egress,
+    protocol::Protocol,
+    tunnel::{self, Open},
+};
 
 /// The timeout for connecting to a server: the first packet may be lost, and is sent again
 /// after a second.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// The time without a connection after which another router is asked.
+const CONFIRM_AFTER: Duration = Duration::from_millis(100);
+
 /// Why a server is probed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -31,6 +40,8 @@
     pub incarnation: u64,
     /// Its address.
     pub address: SocketAddr,
+    /// The router that is asked if this one cannot connect.
+    pub egress: Option<Egress>,
 }
 
 /// The result of a probe.
@@ -38,8 +49,12 @@
 pub enum Liveness {
     /// Some server accepts connections at the address.
     Accepts,
+    /// The server accepts connections of another router, and none of this one.
+    AcceptsOthers,
     /// No server listens there, or the host does not answer.
     Ended,
+    /// The same as far as this router can tell; no other one could confirm it.
+    Unconfirmed,
     /// The probe failed for a reason on this host.
     Unknown,
 }
@@ -48,7 +63,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Accepts => "accepts",
+            Self::AcceptsOthers => "accepts_others",
             Self::Ended => "ended",
+            Self::Unconfirmed => "unconfirmed",
             Self::Unknown => "unknown",
         })
     }
@@ -56,23 +73,50 @@
 
 /// Runs probes until the sender of `probes` is dropped, and sends their results.
 pub async fn run<P: Protocol>(
-    protocol: P,
+    connector: Connector<P>,
     mut probes: mpsc::UnboundedReceiver<Probe>,
     results: mpsc::UnboundedSender<Message>,
 ) {
     while let Some(probe) = probes.recv().await {
-        let protocol = protocol.clone();
+        let connector = connector.clone();
         let results = results.clone();
         tokio::spawn(async move {
-            let liveness = connect(&protocol, probe.address).await;
+            let liveness = connect(&connector, &probe).await;
             // The receiver lives as long as the process.
             drop(results.send(Message::Probed(probe, liveness)));
         });
     }
 }
 
-/// Connects to a server. The connection is closed at once: a request would wait for a slot.
-async fn connect<P: Protocol>(protocol: &P, address: SocketAddr) -> Liveness {
+/// Connects to a server, and asks the egress router to do so if that fails or takes long. The
+/// connections are closed at once: a request would wait for a slot.
+async fn connect<P: Protocol>(connector: &Connector<P>, probe: &Probe) -> Liveness {
+    let mut direct = pin::pin!(connect_directly(&connector.protocol, probe.address));
+    let early = time::timeout(CONFIRM_AFTER, &mut direct).await;
+    if early == Ok(Liveness::Accepts) {
+        return Liveness::Accepts;
+    }
+    let Some(egress) = &probe.egress else {
+        return match early {
+            Ok(liveness) => liveness,
+            Err(_) => direct.await,
+        };
+    };
+    let confirmed = connect_through(connector, egress, probe).await;
+    if confirmed == Liveness::Accepts {
+        return Liveness::AcceptsOthers;
+    }
+    let liveness = match early {
+        Ok(liveness) => liveness,
+        Err(_) => direct.await,
+    };
+    match (liveness, confirmed) {
+        (Liveness::Ended, Liveness::Unknown) => Liveness::Unconfirmed,
+        (liveness, _) => liveness,
+    }
+}
+
+async fn connect_directly<P: Protocol>(protocol: &P, address: SocketAddr) -> Liveness {
     match time::timeout(TIMEOUT, protocol.connect(address)).await {
         Ok(Ok(_)) => Liveness::Accepts,
         Ok(Err(error)) => match error.kind() {
@@ -85,3 +129,20 @@
         Err(_) => Liveness::Ended,
     }
 }
+
+async fn connect_through<P: Protocol>(
+    connector: &Connector<P>,
+    egress: &Egress,
+    probe: &Probe,
+) -> Liveness {
+    let open = Open {
+        server: probe.server.clone(),
+        incarnation: probe.incarnation,
+        remaining: Millis(0),
+    };
+    match connector.tunnels.open(egress.address, &open).await {
+        Ok(_) => Liveness::Accepts,
+        Err(tunnel::Error::Refused(refusal)) if refusal.is_by_server() => Liveness::Ended,
+        Err(_) => Liveness::Unknown,
+    }
+}
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -12,6 +12,8 @@
 const MIN_FAILED_SERVERS: usize = 2;
 /// The interval between two rounds of probes while the paths are lost, for a single router.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The interval between two requests that try to connect while no other router provides a path.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(100);
 /// The fleet size by which the interval grows by [`PROBE_INTERVAL`], since all routers probe a
 /// service whose servers have all ended.
 const ROUTERS_PER_INTERVAL: usize = 32;
@@ -30,6 +32,8 @@
 struct Lost {
     at: Instant,
     probe_at: Instant,
+    /// When the next request may try to connect.
+    trial_at: Instant,
     rounds: usize,
 }
 
@@ -74,11 +78,28 @@
         self.lost = Some(Lost {
             at: now,
             probe_at: now,
+            trial_at: now,
             rounds: 0,
         });
         true
     }
 
+    /// Lets one request try to connect although the paths are lost.
+    ///
+    /// # Errors
+    ///
+    /// When another request has tried a moment ago: the instant of the next try.
+    pub fn take_trial(&mut self, now: Instant) -> Result<(), Instant> {
+        let Some(lost) = &mut self.lost else {
+            return Ok(());
+        };
+        if now < lost.trial_at {
+            return Err(lost.trial_at);
+        }
+        lost.trial_at = now + TRIAL_INTERVAL;
+        Ok(())
+    }
+
     /// Starts a round of probes if one is due. Returns the number of rounds before it.
     pub fn start_probes(&mut self, routers: usize, now: Instant) -> Option<usize> {
         let lost = self.lost.as_mut()?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,8 +17,8 @@
 pub use events::Splitter;
 
 use crate::{
-    activity::Guard, attempt::Response, dispatch::Permit, pool::Outcome, protocol::Protocol,
-    route::Kind, serve::Exchange,
+    activity::Guard, attempt::Response, connector::Path, dispatch::Permit, pool::Outcome,
+    protocol::Protocol, route::Kind, serve::Exchange,
 };
 
 /// The time without a byte after which a resumable stream is continued at another server,
@@ -191,7 +191,7 @@
         let Some(splitter) = &mut self.splitter else {
             return Some(bytes);
         };
-        let protocol = &self.exchange.context().protocol;
+        let protocol = &self.exchange.context().connector.protocol;
         let complete = splitter.push(&bytes, |line| protocol.event_id(line).map(String::from));
         (!complete.is_empty()).then_some(complete)
     }
@@ -266,6 +266,7 @@
             workspace = self.exchange.workspace(),
             server = placement.map_or("none", |placement| placement.server.as_str()),
             zone = placement.map_or("none", |placement| placement.zone.as_str()),
+            path = placement.map_or(&Path::Direct, |placement| &placement.path),
             load = placement.map_or(0, |placement| placement.load),
             bound = format!("{:.1}", placement.map_or(0.0, |placement| placement.bound)),
             unread = placement.map_or(Cost(0), |placement| placement.uncached),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -24,15 +24,15 @@
 pub use intake::BODY_UNIT;
 
 use crate::{
-    activity, ages::Ages, clock::Clock, dispatch, metrics::Metrics, protocol::Protocol,
-    readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
+    activity, ages::Ages, clock::Clock, connector::Connector, dispatch, metrics::Metrics,
+    protocol::Protocol, readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
 };
 
 /// The state that all requests share.
 #[derive(Debug)]
 pub struct Context<P> {
-    /// The protocol of callers and backend servers.
-    pub protocol: P,
+    /// The protocol of callers and backend servers, and the connections to servers.
+    pub connector: Connector<P>,
     /// The clock of the process.
     pub clock: Clock,
     /// The configuration in force; `None` until one is received.
@@ -78,7 +78,7 @@
         Err(refused) => {
             context.metrics.refused(&refused);
             let now = context.clock.now();
-            let response = refusal::response(&context.protocol, &refused, now);
+            let response = refusal::response(&context.connector.protocol, &refused, now);
             response.map(|body| Either::Left(Full::new(body)))
         }
     };
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -8,9 +8,10 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 use rollout::counts;
+use smallvec::SmallVec;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use units::{
-    pool,
+    backend, pool,
     request::Fingerprint,
     time::{Instant, Millis},
     workspace,
@@ -20,6 +21,7 @@
 use super::Context;
 use crate::{
     attempt::{self, End, Response},
+    connector::Path,
     dispatch::{self, AcquireRequest, Message, Permit},
     pool::{Demand, Denial, Outcome},
     protocol::{Attempt, Head, Protocol},
@@ -38,6 +40,9 @@
 /// The retry delay given to a caller when no server is available: about the time in which
 /// the entry of a server returns.
 const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(400);
+/// The retry delay given to a caller when neither this router nor another one that it knows
+/// reaches a server: the caller's next attempt may get to a router that does.
+const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(100);
 /// The minimum time before the deadline for an attempt to be worthwhile.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// The attempt timeout of an idempotent request, as a multiple of the route's target.
@@ -90,6 +95,8 @@
     verdict: Verdict,
     sent_attempts: u32,
     failed_connects: u32,
+    /// Servers to which this router could not connect itself.
+    unreached: SmallVec<[backend::Server; 2]>,
     /// A failure response, forwarded to the caller if no other server responds.
     failure: Option<Box<Response>>,
     stage: Stage,
@@ -120,6 +127,7 @@
             verdict: Verdict::NotRun,
             sent_attempts: 0,
             failed_connects: 0,
+            unreached: SmallVec::new(),
             failure: None,
             stage: Stage::Pending,
         }
@@ -179,7 +187,11 @@
             let placement = permit.placement().clone();
             let end = self.attempt(permit, last_event_id).await;
             self.log_attempt(&placement, &end);
-            self.plan.demand.tried.push(placement.server);
+            match (&end, &placement.path) {
+                (End::NoPath(_), _) => {}
+                (End::Unsent(_), Path::Direct) => self.unreached.push(placement.server),
+                _ => self.plan.demand.tried.push(placement.server),
+            }
             match self.next_step(end).await {
                 Step::Done(response) => return Ok(response),
                 Step::Retry => {}
@@ -194,7 +206,7 @@
         let remaining = self.plan.deadline.since(now);
         let attempt = Attempt {
             server: &placement.server,
-            remaining: Millis(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
+            remaining: Millis::from(remaining),
             workspace: self
                 .plan
                 .key_owner
@@ -206,13 +218,16 @@
             is_engine: self.plan.is_engine,
         };
         let mut headers = self.plan.headers.clone();
-        self.context.protocol.compose(&mut headers, &attempt);
+        self.context
+            .connector
+            .protocol
+            .compose(&mut headers, &attempt);
         let mut request = Request::new(Full::new(self.plan.body.clone()));
         *request.method_mut() = self.plan.method.clone();
         *request.uri_mut() = self.plan.uri.clone();
         *request.headers_mut() = headers;
         attempt::run(
-            &self.context.protocol,
+            &self.context.connector,
             permit,
             request,
             &self.plan.head.id,
@@ -260,6 +275,7 @@
             rank: self.rank(),
             latest_start: self.latest_start(now),
             demand: self.plan.demand.clone(),
+            unreached: self.unreached.clone(),
             is_retry: self.sent_attempts > 0,
             fingerprint: self.plan.fingerprint,
         };
@@ -294,6 +310,9 @@
             dispatch::Refusal::Suspect => {
                 self.refusal(Code::Suspect, "Servers died while they ran this request.")
             }
+            dispatch::Refusal::NoPath(retry_at) => self
+                .refusal(Code::NoServer, "This router reaches no server.")
+                .retry_at(retry_at.max(now + RETRY_AFTER_NO_PATH)),
             dispatch::Refusal::Unknown => self
                 .refusal(Code::NoServer, "No server of the service is known.")
                 .retry_at(now + RETRY_AFTER_NO_SERVER),
@@ -320,7 +339,7 @@
 
     async fn next_step(&mut self, end: End) -> Step {
         match end {
-            End::Unsent(_) => self.after_connect_failure(),
+            End::Unsent(_) | End::NoPath(_) => self.after_connect_failure(),
             End::Withdrawn => Step::Retry,
             End::Responded(response) => self.after_response(response),
             End::Full => {
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -37,6 +37,7 @@
                 return;
             }
             End::Unsent(reason) => ("unsent", reason.as_str()),
+            End::NoPath(reason) => ("no_path", reason.as_str()),
             End::Full => ("full", ""),
             End::Withdrawn => ("withdrawn", ""),
             End::Moved => ("moved", ""),
@@ -56,6 +57,7 @@
             fingerprint = self.plan.fingerprint,
             server = placement.server,
             zone = placement.zone,
+            path = placement.path,
             load = placement.load,
             bound = format!("{:.1}", placement.bound),
             outcome = outcome,
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -35,7 +35,7 @@
 ) -> Result<Exchange<P>, Refusal> {
     let arrived = context.clock.now();
     let (mut parts, body) = request.into_parts();
-    let head = context.protocol.read(&parts);
+    let head = context.connector.protocol.read(&parts);
     let head = head.inspect_err(log_malformed)?;
     context.wait_until_ready().await;
     let table = context.table.borrow().clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub readiness: SocketAddr,
     /// The address on which other routers connect, by UDP and TCP.
     pub peers: SocketAddr,
+    /// The address on which other routers open tunnels to backend servers.
+    pub tunnels: SocketAddr,
     /// The address on which routers without any state request the fleet key.
     pub introductions: SocketAddr,
     /// The addresses from which this router requests the fleet key while the store is
@@ -33,6 +35,9 @@
     /// The maximum number of callers' connections. Each may require a second connection, to
     /// a server.
     pub connections: usize,
+    /// The maximum number of tunnels that this router carries for others. Each requires two
+    /// connections.
+    pub max_tunnels: usize,
     /// The memory for request bodies, in bytes.
     pub body_memory: usize,
     /// The grace period between the termination signal and the kill signal.
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -117,6 +117,9 @@
     pub zone: availability::Zone,
     /// The address on which other routers reach it.
     pub address: SocketAddr,
+    /// The address on which it connects to servers for other routers; `None` for a router of an
+    /// earlier version.
+    pub tunnels: Option<SocketAddr>,
 }
 
 /// The credentials with which routers authenticate to each other.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -10,10 +10,12 @@
     task::JoinHandle,
     time,
 };
+use wire::seal::Key;
 
 use crate::{
     ages::Ages,
     clock::Clock,
+    connector::Connector,
     dispatch::{self, Dispatch},
     follow::{self, Follow},
     listener,
@@ -31,6 +33,7 @@
     shutdown::Phase,
     source::{self, Batch, Member, Secret, Source, Topic},
     state::{self, State},
+    tunnel,
 };
 
 /// How long new connections are still accepted after a termination signal.
@@ -89,6 +92,8 @@
     settings: Settings,
     phase: watch::Sender<Phase>,
     callers: JoinHandle<()>,
+    /// Carries connections to servers for other routers.
+    tunnels: JoinHandle<()>,
     members: watch::Receiver<Arc<Vec<Member>>>,
     dispatch: mpsc::UnboundedSender<dispatch::Message>,
 }
@@ -123,7 +128,12 @@
         let (dispatch, handle, messages) =
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         let crash_news = dispatch.crash_news();
-        tokio::spawn(dispatch.run(protocol.clone(), messages));
+        let (key_sender, key) = watch::channel(None);
+        let connector = Connector {
+            protocol: protocol.clone(),
+            tunnels: tunnel::Client::new(key.clone()),
+        };
+        tokio::spawn(dispatch.run(connector.clone(), messages));
         let ages = Arc::new(Ages::default());
         let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
@@ -159,6 +169,7 @@
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             address: settings.peers,
+            tunnels: Some(settings.tunnels),
         };
         let channels = rollouts::Channels {
             members: members.clone(),
@@ -195,9 +206,19 @@
             source.clone(),
             settings.introducers.clone(),
             sockets.peers,
+            key_sender,
             inputs,
             outputs,
         ));
+        let server = tunnel::Server {
+            protocol,
+            key,
+            dispatch: handle.clone(),
+            clock,
+            metrics: Arc::clone(&metrics),
+            phase: phase_receiver.clone(),
+        };
+        let tunnels = tunnel::serve(sockets.tunnels, server, settings.max_tunnels);
         let sources = observer::Sources {
             readiness: readiness_receiver.clone(),
             phase: phase_receiver.clone(),
@@ -213,7 +234,7 @@
         tokio::spawn(observer::serve(sockets.metrics, sources));
         let context = Arc::new(Context {
             anonymous: settings.anonymous.clone(),
-            protocol,
+            connector,
             clock,
             table,
             dispatch: handle.clone(),
@@ -237,6 +258,7 @@
             settings,
             phase,
             callers: tokio::spawn(callers),
+            tunnels: tokio::spawn(tunnels),
             members,
             dispatch: handle,
         })
@@ -305,9 +327,12 @@
         logging::event!(info, "closing");
         let deadline = started + self.settings.grace.duration().saturating_sub(KILL_MARGIN);
         let unregistered = self.source.unregister(&self.settings.host, deadline);
-        let (drained, unregistered) =
-            tokio::join!(time::timeout_at(deadline, self.callers), unregistered);
-        if drained.is_err() {
+        let (drained, carried, unregistered) = tokio::join!(
+            time::timeout_at(deadline, self.callers),
+            time::timeout_at(deadline, self.tunnels),
+            unregistered
+        );
+        if drained.is_err() || carried.is_err() {
             logging::event!(warn, "drain_timed_out");
         }
         if let Err(error) = unregistered {
@@ -322,6 +347,7 @@
     callers: TcpListener,
     readiness: TcpListener,
     metrics: TcpListener,
+    tunnels: TcpListener,
     peers: peers::Sockets,
 }
 
@@ -332,6 +358,7 @@
         let callers = listen(&mut settings.callers, Error::Callers).await?;
         let readiness = listen(&mut settings.readiness, Error::Readiness).await?;
         let metrics = listen(&mut settings.metrics, Error::Metrics).await?;
+        let tunnels = listen(&mut settings.tunnels, Error::Peers).await?;
         let rows = listen(&mut settings.peers, Error::Peers).await?;
         let introductions = listen(&mut settings.introductions, Error::Peers).await?;
         let digests = UdpSocket::bind(settings.peers)
@@ -341,6 +368,7 @@
             callers,
             readiness,
             metrics,
+            tunnels,
             peers: peers::Sockets {
                 digests,
                 rows,
@@ -362,6 +390,7 @@
     source: S,
     introducers: Vec<SocketAddr>,
     sockets: peers::Sockets,
+    key: watch::Sender<Option<Key>>,
     inputs: peers::Inputs,
     outputs: peers::Outputs,
 ) {
@@ -375,6 +404,7 @@
             introduced.secret
         }
     };
+    key.send_replace(Some(secret.key.clone()));
     peers::run(clock, source, sockets, secret, inputs, outputs).await;
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -309,9 +309,10 @@
             return;
         }
         logging::event!(info, "routers_changed", registered = members.len());
-        let hosts = members.iter().map(|member| member.host.clone()).collect();
-        notify_dispatch(&self.outputs.dispatch, dispatch::Message::Members(hosts));
-        self.outputs.members.send_replace(Arc::new(members));
+        let members = Arc::new(members);
+        let message = dispatch::Message::Members(Arc::clone(&members));
+        notify_dispatch(&self.outputs.dispatch, message);
+        self.outputs.members.send_replace(members);
         self.publish_sizes();
     }
 
--- a/crates/gateway/tests/decisions/prefixes.rs
+++ b/crates/gateway/tests/decisions/prefixes.rs
@@ -14,10 +14,11 @@
     roster,
     settings::{Bounds, Settings},
 };
+use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot};
 use units::{chat, cost::Cost, request::Fingerprint, time::Instant};
 
-use crate::world::{START, bounds, demand, entry, fleet, host, members, pool, pool_of};
+use crate::world::{START, bounds, demand, entry, fleet, host, pool, pool_of, registered};
 
 fn engines() -> Vec<roster::Entry> {
     let zones = ["a", "b", "c"];
@@ -213,11 +214,13 @@
         readiness: unused_address,
         peers: unused_address,
         introductions: unused_address,
+        tunnels: unused_address,
         introducers: Vec::new(),
         metrics: unused_address,
         anonymous: "anonymous".parse().expect("a valid name"),
         bounds: Bounds { ..bounds() },
         connections: 10,
+        max_tunnels: 10,
         body_memory: 1 << 20,
         grace: units::time::Millis(1_000),
     }
@@ -231,7 +234,7 @@
     for entry in engines() {
         roster.apply(roster::Change::Present(entry), START);
     }
-    task.handle_message(Message::Members(members(6)));
+    task.handle_message(Message::Members(Arc::new(registered(6))));
     task.handle_message(Message::Roster(Arc::new(roster)));
     (task, messages)
 }
@@ -246,6 +249,7 @@
         rank: 0,
         latest_start: Instant::NEVER,
         demand: demand(7, 0),
+        unreached: SmallVec::new(),
         is_retry: false,
         fingerprint: Fingerprint(1),
     };
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -11,6 +11,7 @@
     settings::{Bounds, Settings},
 };
 use rollout::{Order, Role, Stage, counts::Route};
+use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot};
 use units::{
     cost::Cost,
@@ -19,7 +20,7 @@
 };
 use yare::parameterized;
 
-use crate::world::{START, bounds, demand, entry, fleet, host, members};
+use crate::world::{START, bounds, demand, entry, fleet, host, registered};
 
 const REVISION: u64 = 50;
 
@@ -261,23 +262,26 @@
             readiness: any,
             peers: any,
             introductions: any,
+            tunnels: any,
             introducers: Vec::new(),
             metrics: any,
             anonymous: "nobody".parse().expect("a valid name"),
             bounds: rollout_bounds(),
             connections: 1,
+            max_tunnels: 10,
             body_memory: 1,
             grace: Millis(1),
         };
         let metrics = Arc::new(Metrics::default());
         let (mut task, _handle, messages) = Dispatch::new(Clock::start(), metrics, settings);
-        task.handle_message(Message::Members(members(6)));
+        task.handle_message(Message::Members(Arc::new(registered(6))));
         task.handle_message(Message::Orders(vec![order()]));
         Self { task, messages }
     }
 
     fn acquire(&mut self, is_retry: bool) -> Permit {
         let request = AcquireRequest {
+            unreached: SmallVec::new(),
             pool: order().pool,
             route: Route(7),
             workspace: "w".parse().expect("a valid name"),
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -43,6 +43,7 @@
             host,
             zone: "a".parse().expect("a valid name"),
             address: ([127, 0, 0, 1], 1).into(),
+            tunnels: Some(([127, 0, 0, 1], 2).into()),
         })
         .collect()
 }
--- a/crates/units/src/time.rs
+++ b/crates/units/src/time.rs
@@ -78,6 +78,12 @@
     }
 }
 
+impl From<time::Duration> for Millis {
+    fn from(duration: time::Duration) -> Self {
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
 impl fmt::Display for Millis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
