Tell a server that ended from a lost path by a second connection

A connection that fails now counts against the server only if one to another server of the service, made after it, succeeds; a router that is asked by another one does the same before it says that a server refuses or is silent. Without that and without another router's word nothing is concluded; the entry in the store then tells.

--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -69,6 +69,8 @@
         let Some(address) = server.map(Server::address) else {
             return;
         };
+        let control = queue.and_then(|queue| queue.pool().another(&ticket.server, now));
+        let control = control.map(Server::address);
         if self.probed.insert(key) {
             let egress = self.egresses.choose(now);
             // The receiver lives as long as this task runs.
@@ -77,6 +79,8 @@
                 server: ticket.server.clone(),
                 incarnation: ticket.incarnation,
                 address,
+                control,
+                is_alone: self.fleet.members.len() < 2,
                 egress,
             }));
         }
@@ -101,15 +105,12 @@
         );
         match liveness {
             Liveness::Ended => self.record_death(&probe.server, probe.incarnation, now),
-            Liveness::Unconfirmed if self.is_reaching(&probe.server, now) => {
-                self.record_death(&probe.server, probe.incarnation, now);
-            }
             Liveness::Accepts => self.crashes.record_alive(&probe.server, probe.incarnation),
             Liveness::AcceptsOthers => {
                 self.crashes
                     .record_reachable(&probe.server, probe.incarnation);
             }
-            Liveness::Unconfirmed | Liveness::Unknown => {}
+            Liveness::Unknown => {}
         }
     }
 
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -135,9 +135,9 @@
     pub address: SocketAddr,
     /// The deadline for establishing the connection.
     pub connect_deadline: Instant,
-    /// Whether this router has connected to a server of the service a moment ago, so that a
-    /// failure is due to the server.
-    pub is_reaching: bool,
+    /// The address of another server of the service, to tell whether a failure is due to the
+    /// server.
+    pub control: Option<SocketAddr>,
 }
 
 /// A connection to a server that was attempted for another router.
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -1,7 +1,5 @@
 //! The paths of this router to backend servers.
 
-use std::time::Duration;
-
 use units::{backend, pool, time::Instant};
 
 use super::{AcquireRequest, Dial, Dispatch, Location, Ticket};
@@ -14,10 +12,6 @@
     tunnel,
 };
 
-/// How long after its last connection to a service a router can tell a server that ended from a
-/// lost path.
-const REACHING_FOR: Duration = Duration::from_secs(1);
-
 impl Dispatch {
     pub(super) fn set_members(&mut self, members: &[Member]) {
         let hosts = members.iter().map(|member| member.host.clone());
@@ -172,25 +166,14 @@
                     server: server.name().clone(),
                     incarnation: server.incarnation(),
                     address: server.address(),
+                    control: None,
+                    is_alone: false,
                     egress: None,
                 }));
             }
         }
     }
 
-    /// Whether this router has connected a moment ago to the service of `server`, so that a
-    /// failure to connect to it is due to the server.
-    pub(super) fn is_reaching(&self, server: &backend::Server, now: Instant) -> bool {
-        let mut queues = self.queues.iter();
-        let found = queues.find(|(_, queue)| queue.pool().server(server).is_some());
-        found.is_some_and(|(pool, _)| self.has_reached(pool, now))
-    }
-
-    fn has_reached(&self, pool: &pool::Id, now: Instant) -> bool {
-        let reach = self.reach.get(pool);
-        reach.is_some_and(|reach| !reach.is_lost() && now < reach.reached_at() + REACHING_FOR)
-    }
-
     /// Tells another router where a server is.
     pub(super) fn locate(
         &self,
@@ -214,7 +197,7 @@
             pool: pool.clone(),
             address: server.address(),
             connect_deadline: now + queue.pool().connect_timeout(server),
-            is_reaching: self.has_reached(pool, now),
+            control: queue.pool().another(name, now).map(Server::address),
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod connection;
 pub mod connector;
 pub mod crashes;
+pub mod dial;
 pub mod dispatch;
 pub mod egress;
 pub mod follow;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -444,6 +444,12 @@
         servers.map(Server::slots).sum()
     }
 
+    /// A server other than `name` that connections are not known to fail to.
+    pub fn another(&self, name: &backend::Server, now: Instant) -> Option<&Server> {
+        let mut servers = self.servers.values();
+        servers.find(|server| server.name() != name && server.is_reachable(now))
+    }
+
     /// One server of each zone, another one with each `round`.
     pub fn one_per_zone(&self, round: usize) -> Vec<&Server> {
         let mut zones: BTreeMap<&availability::Zone, Vec<&Server>> = BTreeMap::new();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,12 +1,13 @@
 //! Finds out whether a server that broke a connection has crashed.
 
-use std::{fmt, io, net::SocketAddr, pin, time::Duration};
+use std::{fmt, net::SocketAddr, pin, time::Duration};
 
 use tokio::{sync::mpsc, time};
 use units::{backend, pool, time::Millis};
 
 use crate::{
     connector::Connector,
+    dial,
     dispatch::Message,
     egress::Egress,
     protocol::Protocol,
@@ -40,6 +41,11 @@
     pub incarnation: u64,
     /// Its address.
     pub address: SocketAddr,
+    /// The address of another server of the service, to tell whether a failure is due to the
+    /// server.
+    pub control: Option<SocketAddr>,
+    /// Whether there is no other router, so that none can tell more than this one.
+    pub is_alone: bool,
     /// The router that is asked if this one cannot connect.
     pub egress: Option<Egress>,
 }
@@ -53,9 +59,7 @@
     AcceptsOthers,
     /// No server listens there, or the host does not answer.
     Ended,
-    /// The same as far as this router can tell; no other one could confirm it.
-    Unconfirmed,
-    /// The probe failed for a reason on this host.
+    /// This router cannot tell, since it may have lost its paths, and no other one can.
     Unknown,
 }
 
@@ -65,7 +69,6 @@
             Self::Accepts => "accepts",
             Self::AcceptsOthers => "accepts_others",
             Self::Ended => "ended",
-            Self::Unconfirmed => "unconfirmed",
             Self::Unknown => "unknown",
         })
     }
@@ -91,41 +94,28 @@
 /// Connects to a server, and asks the egress router to do so if that fails or takes long. The
 /// connections are closed at once: a request would wait for a slot.
 async fn connect<P: Protocol>(connector: &Connector<P>, probe: &Probe) -> Liveness {
-    let mut direct = pin::pin!(connect_directly(&connector.protocol, probe.address));
+    let direct = dial::connect(&connector.protocol, probe.address, probe.control, TIMEOUT);
+    let mut direct = pin::pin!(direct);
     let early = time::timeout(CONFIRM_AFTER, &mut direct).await;
-    if early == Ok(Liveness::Accepts) {
+    if matches!(early, Ok(Ok(_))) {
         return Liveness::Accepts;
     }
-    let Some(egress) = &probe.egress else {
-        return match early {
-            Ok(liveness) => liveness,
-            Err(_) => direct.await,
-        };
+    let confirmed = match &probe.egress {
+        Some(egress) => connect_through(connector, egress, probe).await,
+        None => Liveness::Unknown,
     };
-    let confirmed = connect_through(connector, egress, probe).await;
-    if confirmed == Liveness::Accepts {
-        return Liveness::AcceptsOthers;
+    match confirmed {
+        Liveness::Accepts => return Liveness::AcceptsOthers,
+        Liveness::Ended => return Liveness::Ended,
+        _ => {}
     }
-    let liveness = match early {
-        Ok(liveness) => liveness,
+    let result = match early {
+        Ok(result) => result,
         Err(_) => direct.await,
     };
-    match (liveness, confirmed) {
-        (Liveness::Ended, Liveness::Unknown) => Liveness::Unconfirmed,
-        (liveness, _) => liveness,
-    }
-}
-
-async fn connect_directly<P: Protocol>(protocol: &P, address: SocketAddr) -> Liveness {
-    match time::timeout(TIMEOUT, protocol.connect(address)).await {
-        Ok(Ok(_)) => Liveness::Accepts,
-        Ok(Err(error)) => match error.kind() {
-            io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable
-            | io::ErrorKind::TimedOut => Liveness::Ended,
-            _ => Liveness::Unknown,
-        },
+    match result {
+        Ok(_) => Liveness::Accepts,
+        Err(dial::Failure::Unsure) if !probe.is_alone => Liveness::Unknown,
         Err(_) => Liveness::Ended,
     }
 }
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -14,7 +14,7 @@
 use super::{Open, Refusal, Reply, Stream};
 use crate::{
     clock::Clock,
-    connection,
+    connection, dial,
     dispatch::{Dial, Location, Message},
     link::{self, Link},
     metrics::Metrics,
@@ -137,19 +137,15 @@
         }
         let location = self.locate(open).await?;
         let begun_at = self.clock.now();
+        let (address, control) = (location.address, location.control);
         let timeout = self.clock.remaining(location.connect_deadline);
-        let connected = time::timeout(timeout, self.protocol.connect(location.address)).await;
-        let result = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let result = dial::connect(&self.protocol, address, control, timeout).await;
         self.record_dial(open, &location, begun_at, result.is_ok());
-        let stream = match result {
-            Ok(stream) => stream,
-            // A router whose paths are blocked by refusals cannot tell these from a server's.
-            Err(_) if !location.is_reaching => return Err(Refusal::Unsure),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return Err(Refusal::ServerRefused);
-            }
-            Err(_) => return Err(Refusal::ServerSilent),
-        };
+        let stream = result.map_err(|failure| match failure {
+            dial::Failure::Refused => Refusal::ServerRefused,
+            dial::Failure::Silent => Refusal::ServerSilent,
+            dial::Failure::Unsure => Refusal::Unsure,
+        })?;
         connection::configure(&stream).map_err(|_| Refusal::ServerSilent)?;
         Ok(stream)
     }
