Hold failures back until the server or the path is known to be the reason

Other routers saw healthy servers fail: a router that loses its paths by resets or refusals counted each broken connection against its server, told the counts to all routers for outlier detection, and counted them against the version in a roll-out.

Broken and refused connections lead to a probe anyway. They now count when it says that the server accepts this router's connections or has ended, and are dropped if only others reach it or nobody knows. Backoff after a refusal and the freed slot take effect at once as before. Test: failures_of_a_lost_path_are_not_told; mutation without holding back: fails (160 sixteenths told), failures_of_a_reachable_server_are_told passes with both.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -161,12 +161,6 @@
             .retain(|request| request.server != *server || request.incarnation != incarnation);
     }
 
-    /// Whether requests at this incarnation of a server may have crashed it.
-    pub fn is_suspecting(&self, server: &backend::Server, incarnation: u64) -> bool {
-        let mut candidates = self.candidates.iter();
-        candidates.any(|request| request.server == *server && request.incarnation == incarnation)
-    }
-
     /// Records that a request completed, which clears it of suspicion on all routers.
     pub fn record_completed(&mut self, fingerprint: Fingerprint, now: Instant) {
         if let Some(completion) = self.suspects.record_completion(fingerprint, now) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 
 mod advisories;
 mod crashes;
+mod failures;
 mod message;
 mod paths;
 mod peers;
@@ -35,7 +36,7 @@
     load,
     metrics::Metrics,
     pause,
-    pool::{Fleet, Outcome, Part, Placement, Pool},
+    pool::{Fleet, Outcome, Part, Placement, Pool, Standing},
     prefixes::{self, PrefixUpdates},
     probe::{self, Probe},
     protocol::Protocol,
@@ -91,6 +92,8 @@
     reach: BTreeMap<pool::Id, reach::Tracker>,
     /// The routers that may connect to servers for this one.
     egresses: Egresses,
+    /// Failures at servers that are being probed.
+    held_failures: Vec<failures::Failure>,
 }
 
 impl Dispatch {
@@ -134,6 +137,7 @@
             rollouts: rollouts::Rollouts::default(),
             reach: BTreeMap::new(),
             egresses: Egresses::default(),
+            held_failures: Vec::new(),
         };
         (dispatch, sender, messages)
     }
@@ -407,6 +411,7 @@
         self.record_path(ticket, outcome, now);
         let outcome = self.attribute(ticket, outcome);
         self.record_crash(ticket, outcome, now);
+        let outcome = self.hold_failure(ticket, outcome);
         self.rollouts.ended(ticket, outcome, now);
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
@@ -429,20 +434,25 @@
                 .record_connect_timeout(&ticket.server, ticket.sent_at, now);
         }
         let standing = queue.ended(&ticket.server, &ticket.workspace, outcome, now);
-        if let Some(standing) = standing {
-            self.metrics.standing_changed(standing);
-            logging::event!(
-                info,
-                "server_standing",
-                server = ticket.server,
-                pool = ticket.pool,
-                standing = standing,
-                outcome = outcome
-            );
-        }
+        self.log_standing(ticket, standing, outcome);
         self.dequeue(&ticket.pool);
     }
 
+    fn log_standing(&self, ticket: &Ticket, standing: Option<Standing>, outcome: Outcome) {
+        let Some(standing) = standing else {
+            return;
+        };
+        self.metrics.standing_changed(standing);
+        logging::event!(
+            info,
+            "server_standing",
+            server = ticket.server,
+            pool = ticket.pool,
+            standing = standing,
+            outcome = outcome
+        );
+    }
+
     fn set_roster(&mut self, roster: &Roster) {
         self.record_ended_incarnations(roster);
         let mut names: Vec<pool::Id> = self.queues.keys().cloned().collect();
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -26,19 +26,13 @@
             // Another process has the address.
             Outcome::Moved => self.record_death(&ticket.server, ticket.incarnation, now),
             // The network between this router and the server may refuse connections, too.
-            Outcome::Refused => {
-                if self
-                    .crashes
-                    .is_suspecting(&ticket.server, ticket.incarnation)
-                {
-                    self.probe(ticket, now);
-                }
-            }
+            Outcome::Refused => self.probe(ticket, now),
             Outcome::Completed => {
                 self.crashes.record_completed(ticket.fingerprint, now);
             }
             // A server with too many connections resets new ones, and packets may be lost.
             Outcome::Unreachable
+            | Outcome::Interrupted
             | Outcome::NoPath
             | Outcome::Failed
             | Outcome::Full
@@ -103,6 +97,7 @@
             incarnation = probe.incarnation,
             result = liveness
         );
+        self.settle_failures(probe, liveness, now);
         match liveness {
             Liveness::Ended => self.record_death(&probe.server, probe.incarnation, now),
             Liveness::Accepts => self.crashes.record_alive(&probe.server, probe.incarnation),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -411,6 +411,7 @@
             // would eject whole zones during a network partition.
             Outcome::Refused
             | Outcome::Unreachable
+            | Outcome::Interrupted
             | Outcome::NoPath
             | Outcome::Moved
             | Outcome::Full
@@ -425,6 +426,25 @@
         (after != before).then_some(after)
     }
 
+    /// Records a failure of a request that has ended before. Returns the new standing of the
+    /// server if it changed.
+    pub fn record_late_failure(
+        &mut self,
+        name: &backend::Server,
+        outcome: Outcome,
+        now: Instant,
+    ) -> Option<Standing> {
+        let before = self.standing(name, now);
+        if outcome == Outcome::Broken {
+            self.ejection.record_failure(name, now);
+        }
+        if let Some(server) = self.servers.get_mut(name) {
+            server.record_failure(now);
+        }
+        let after = self.standing(name, now);
+        (after != before).then_some(after)
+    }
+
     /// The current state of a server.
     pub fn standing(&self, name: &backend::Server, now: Instant) -> Standing {
         if self.ejection.is_ejected(name, now) {
--- a/crates/gateway/src/pool/outcome.rs
+++ b/crates/gateway/src/pool/outcome.rs
@@ -11,6 +11,9 @@
     Failed,
     /// The connection broke while the server was processing the request.
     Broken,
+    /// The connection broke, and it is not known yet whether because of the server or of the path
+    /// to it.
+    Interrupted,
     /// The host refused the connection: nothing was sent, and no server runs there.
     Refused,
     /// No connection was established, so nothing was sent.
@@ -35,6 +38,7 @@
             Self::Completed => "completed",
             Self::Failed => "failed",
             Self::Broken => "broken",
+            Self::Interrupted => "interrupted",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
             Self::NoPath => "no_path",
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -393,6 +393,7 @@
             Outcome::Completed => self.outcomes.record(false, now),
             Outcome::Failed | Outcome::Broken | Outcome::Refused => self.outcomes.record(true, now),
             Outcome::Unreachable
+            | Outcome::Interrupted
             | Outcome::NoPath
             | Outcome::Moved
             | Outcome::Full
@@ -410,10 +411,19 @@
                 self.connect_backoff.record_success();
                 self.rejection_backoff.record_failure(now);
             }
-            Outcome::NoPath | Outcome::Broken | Outcome::Withdrawn | Outcome::Cancelled => {}
+            Outcome::Interrupted
+            | Outcome::NoPath
+            | Outcome::Broken
+            | Outcome::Withdrawn
+            | Outcome::Cancelled => {}
         }
     }
 
+    /// Records a failure of one of this router's requests that has ended before.
+    pub fn record_failure(&mut self, now: Instant) {
+        self.outcomes.record(true, now);
+    }
+
     fn connect_failed(&mut self, now: Instant) {
         if self.connect_backoff.record_failure(now) {
             self.outage_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
--- a/crates/gateway/src/pool/zone.rs
+++ b/crates/gateway/src/pool/zone.rs
@@ -55,6 +55,7 @@
             // network path.
             Outcome::Refused
             | Outcome::Unreachable
+            | Outcome::Interrupted
             | Outcome::NoPath
             | Outcome::Broken
             | Outcome::Moved
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod events;
 mod explore;
+mod failures;
 mod leaving;
 mod outlier;
 mod peers;
