Keep brittle servers whole by counting their slots at one router

The users' pages say that servers may announce in all responses that they fail when they have to reject more than N requests in a second; the sum over all routers is known to none. Read as Advisory::max_rejections. While a service announces it:

- Each plain server is reached through one router, the same at all that agree on who is alive (rendezvous by the server's name), over the tunnels for lost paths.
It counts the slots in use, less a sixth, and lets requests wait for one for 200 ms, in their order.
A router that cannot reach it takes the next one.
- Engines, whose requests are long and reported, keep an eighth of their slots free.
- A router sends nothing for routers/N seconds (0.4 to 3 s) to a server that has rejected it.

Tests: brittle_servers_do_not_fail, a_brittle_engine_keeps_slots_free, and over sockets a_burst_at_all_routers_leaves_brittle_servers_whole; mutation without the counting router: fails with far more than five rejections in a second.

--- a/crates/gateway/src/advisory.rs
+++ b/crates/gateway/src/advisory.rs
@@ -10,6 +10,9 @@
     /// Until when the server asks this router to send nothing; [`Instant::ZERO`] if it
     /// does not ask.
     pub throttled_until: Instant,
+    /// The most requests that the server can reject in a second without failing, if it says
+    /// so.
+    pub max_rejections: Option<u32>,
 }
 
 impl Advisory {
@@ -30,6 +33,7 @@
     pub fn after_restart(self) -> Self {
         Self {
             is_leaving: false,
+            max_rejections: None,
             ..self
         }
     }
@@ -40,6 +44,7 @@
         Self {
             is_leaving: self.is_leaving || other.is_leaving,
             throttled_until: self.throttled_until.max(other.throttled_until),
+            max_rejections: other.max_rejections.or(self.max_rejections),
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     Unsent(String),
     /// The same, because there was no path to the server.
     NoPath(String),
+    /// Nothing was sent, because all slots of the server are in use.
+    NoSlot,
     /// The server is full and has not run the request.
     Full,
     /// Nothing was sent, because the server has announced meanwhile that it wants nothing, or
@@ -81,6 +83,7 @@
             permit.end(outcome);
             return match outcome {
                 Outcome::NoPath => End::NoPath(reason),
+                Outcome::Withdrawn => End::NoSlot,
                 _ => End::Unsent(reason),
             };
         }
--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -50,6 +50,8 @@
     Egress(tunnel::Error),
     /// The egress router could not connect to the server.
     Server(tunnel::Refusal),
+    /// All slots of the server are in use.
+    Full,
 }
 
 impl Error {
@@ -61,6 +63,7 @@
             }
             Self::Direct(_) | Self::Server(_) => Outcome::Unreachable,
             Self::Egress(_) => Outcome::NoPath,
+            Self::Full => Outcome::Withdrawn,
         }
     }
 }
@@ -71,6 +74,7 @@
             Self::Direct(error) => error.fmt(f),
             Self::Egress(error) => error.fmt(f),
             Self::Server(refusal) => refusal.fmt(f),
+            Self::Full => f.write_str("all slots are in use"),
         }
     }
 }
@@ -107,6 +111,7 @@
                     server: placement.server.clone(),
                     incarnation: placement.incarnation,
                     remaining,
+                    is_gated: placement.is_gated,
                 };
                 self.connect_through(egress, &open, timeout).await
             }
@@ -135,6 +140,7 @@
             Err(tunnel::Error::Refused(refusal)) if refusal.is_by_server() => {
                 return Err(Error::Server(refusal));
             }
+            Err(tunnel::Error::Refused(tunnel::Refusal::Full)) => return Err(Error::Full),
             Err(error) => return Err(Error::Egress(error)),
         };
         let connection = Connection::over(stream).await;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -433,6 +433,11 @@
                 .pool_mut()
                 .record_connect_timeout(&ticket.server, ticket.sent_at, now);
         }
+        if outcome == Outcome::Full {
+            let routers = self.fleet.members.len();
+            let pool = queue.pool_mut();
+            pool.record_rejection(&ticket.server, routers, now);
+        }
         let standing = queue.ended(&ticket.server, &ticket.workspace, outcome, now);
         self.log_standing(ticket, standing, outcome);
         self.dequeue(&ticket.pool);
--- a/crates/gateway/src/dispatch/advisories.rs
+++ b/crates/gateway/src/dispatch/advisories.rs
@@ -34,6 +34,9 @@
         };
         let (server, advisory) = (&announcement.server, announcement.advisory);
         let pool = queue.pool_mut();
+        if let Some(max_rejections) = advisory.max_rejections {
+            pool.record_brittle(max_rejections, now);
+        }
         if pool.record_advisory(server, announcement.incarnation, advisory) {
             if advisory.is_throttled(now) {
                 self.metrics.standing_changed(Standing::Throttled);
@@ -45,6 +48,7 @@
                 pool = announcement.pool,
                 request = announcement.request,
                 leaving = advisory.is_leaving,
+                max_rejections = advisory.max_rejections.unwrap_or_default(),
                 throttled_ms = advisory.throttled_until.since(now).as_millis()
             );
         }
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -133,8 +133,10 @@
     pub pool: pool::Id,
     /// The address of the server.
     pub address: SocketAddr,
-    /// The deadline for establishing the connection.
-    pub connect_deadline: Instant,
+    /// The number of requests that it runs concurrently.
+    pub slots: u32,
+    /// The timeout for connecting to it.
+    pub connect_timeout: Millis,
     /// The address of another server of the service, to tell whether a failure is due to the
     /// server.
     pub control: Option<SocketAddr>,
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -1,6 +1,9 @@
 //! The paths of this router to backend servers.
 
-use units::{backend, pool, time::Instant};
+use units::{
+    backend, pool,
+    time::{Instant, Millis},
+};
 
 use super::{AcquireRequest, Dial, Dispatch, Location, Ticket};
 use crate::{
@@ -27,10 +30,17 @@
 
     /// Chooses the way to the server of `placement`.
     pub(super) fn choose_path(&mut self, pool: &pool::Id, placement: &mut Placement, now: Instant) {
-        if !self.is_lost(pool) {
-            return;
-        }
-        let Some(egress) = self.egresses.choose(now) else {
+        let queue = self.queues.get(pool);
+        placement.is_gated = queue.is_some_and(|queue| queue.pool().is_gated(now));
+        let egress = if placement.is_gated {
+            let is_lost = self.is_lost(pool);
+            self.egresses.gatekeeper(&placement.server, is_lost, now)
+        } else if self.is_lost(pool) {
+            self.egresses.choose(now)
+        } else {
+            None
+        };
+        let Some(egress) = egress else {
             return;
         };
         self.metrics.tunnelled();
@@ -196,7 +206,8 @@
         Ok(Location {
             pool: pool.clone(),
             address: server.address(),
-            connect_deadline: now + queue.pool().connect_timeout(server),
+            slots: server.slots(),
+            connect_timeout: Millis::from(queue.pool().connect_timeout(server)),
             control: queue.pool().another(name, now).map(Server::address),
         })
     }
--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use units::{availability, host, time::Instant};
+use units::{availability, backend, host, time::Instant};
+use xxhash_rust::xxh3;
 
 use crate::source::Member;
 
@@ -33,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Egresses {
     candidates: BTreeMap<host::Id, Candidate>,
+    /// This router, once it is registered.
+    own: Option<Egress>,
     /// The host that was chosen last. The others have their turns first.
     last: Option<host::Id>,
 }
@@ -41,10 +44,18 @@
     /// Replaces the routers, of which `own` is this one.
     pub fn set_members(&mut self, members: &[Member], own: &host::Id, zone: &availability::Zone) {
         let mut old = std::mem::take(&mut self.candidates);
-        for member in members.iter().filter(|member| member.host != *own) {
+        self.own = None;
+        for member in members {
             let Some(address) = member.tunnels else {
                 continue;
             };
+            if member.host == *own {
+                self.own = Some(Egress {
+                    host: own.clone(),
+                    address,
+                });
+                continue;
+            }
             let known = old.remove(&member.host);
             let candidate = Candidate {
                 egress: Egress {
@@ -77,6 +88,25 @@
         Some(egress)
     }
 
+    /// The router that counts the slots of `server`, the same one at all routers that agree on
+    /// which others are alive. It may be this one unless it has lost its paths.
+    pub fn gatekeeper(
+        &self,
+        server: &backend::Server,
+        is_lost: bool,
+        now: Instant,
+    ) -> Option<Egress> {
+        let is_usable = |candidate: &&Candidate| !candidate.is_silent && now >= candidate.retry_at;
+        let others = self.candidates.values().filter(is_usable);
+        let others = others.map(|candidate| &candidate.egress);
+        let score = |egress: &&Egress| {
+            let seed = xxh3::xxh3_64(egress.host.as_str().as_bytes());
+            xxh3::xxh3_64_with_seed(server.as_str().as_bytes(), seed)
+        };
+        let own = self.own.iter().filter(|_| !is_lost);
+        others.chain(own).min_by_key(score).cloned()
+    }
+
     /// Whether any router may be asked at `now`.
     pub fn is_any_usable(&self, now: Instant) -> bool {
         let mut candidates = self.candidates.values();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dispatch;
 pub mod egress;
 pub mod follow;
+pub mod gate;
 pub mod headers;
 pub mod link;
 pub mod listener;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod advisories;
 mod backoff;
+mod brittle;
 mod choice;
 pub mod connect;
 mod copies;
@@ -97,6 +98,8 @@
     pub connect_deadline: Instant,
     /// The way to the server.
     pub path: Path,
+    /// Whether the server is reached through one router only, which counts its slots.
+    pub is_gated: bool,
 }
 
 /// The state of a server as this router sees it.
@@ -172,6 +175,7 @@
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
+    brittleness: brittle::Brittleness,
     /// Whether this router is up to date. If it is not, it cannot know that the version in
     /// service was replaced.
     is_up_to_date: bool,
@@ -197,6 +201,7 @@
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
+            brittleness: brittle::Brittleness::default(),
             is_up_to_date: true,
         }
     }
@@ -272,6 +277,7 @@
             load: server.load(),
             bound,
             path: Path::Direct,
+            is_gated: false,
         })
     }
 
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -62,6 +62,7 @@
         let counts_peers = self.service.cache_tokens > 0;
         candidates.retain(|server| {
             server.has_room(demand.leaves_reserve, counts_peers)
+                && !self.is_spared(server, now)
                 && f64::from(server.load() + 1) <= bound
         });
         if candidates.is_empty() {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -56,6 +56,8 @@
     peer_prefixes: CacheIndex,
     pacer: Pacer,
     connect_backoff: Backoff,
+    /// Until when the server, which bears few rejections, gets nothing after one.
+    spared_until: Instant,
     /// After rejections of requests, although the server is known to have free slots.
     rejection_backoff: Backoff,
     assumed_cold_until: Instant,
@@ -94,6 +96,7 @@
             peer_prefixes: CacheIndex::new(settings),
             pacer: Pacer::default(),
             connect_backoff: Backoff::default(),
+            spared_until: Instant::ZERO,
             rejection_backoff: Backoff::default(),
             assumed_cold_until: Instant::ZERO,
             outage_until: Instant::ZERO,
@@ -386,6 +389,16 @@
         }
     }
 
+    /// Until when the server gets nothing because it has rejected a request.
+    pub(super) fn spared_until(&self) -> Instant {
+        self.spared_until
+    }
+
+    /// Sends nothing to the server until `until`.
+    pub(super) fn spare_until(&mut self, until: Instant) {
+        self.spared_until = self.spared_until.max(until);
+    }
+
     /// Records the end of one of this router's requests.
     pub fn ended(&mut self, outcome: Outcome, now: Instant) {
         self.running = self.running.saturating_sub(1);
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -129,6 +129,7 @@
         server: probe.server.clone(),
         incarnation: probe.incarnation,
         remaining: Millis(0),
+        is_gated: false,
     };
     match connector.tunnels.open(egress.address, &open).await {
         Ok(_) => Liveness::Accepts,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -30,6 +30,8 @@
 
 /// The number of failed connection attempts after which a request is refused.
 const MAX_FAILED_CONNECTS: u32 = 4;
+/// The number of servers whose slots are waited for before a request is refused.
+const MAX_WAITS: u32 = 2;
 /// The queue timeout, as a multiple of the route's target time to first byte.
 const QUEUE_TIMEOUT_TARGETS: u32 = 2;
 /// The lower bound of the queue timeout.
@@ -341,6 +343,7 @@
         match end {
             End::Unsent(_) | End::NoPath(_) => self.after_connect_failure(),
             End::Withdrawn => Step::Retry,
+            End::NoSlot => self.after_no_slot(),
             End::Responded(response) => self.after_response(response),
             End::Full => {
                 self.sent_attempts += 1;
@@ -371,6 +374,16 @@
         Step::Refuse(refusal.retry_at(now + RETRY_AFTER_NO_SERVER))
     }
 
+    fn after_no_slot(&mut self) -> Step {
+        self.failed_connects += 1;
+        if self.failed_connects < MAX_WAITS {
+            return Step::Retry;
+        }
+        let now = self.context.clock.now();
+        let refusal = self.refusal(Code::Busy, "All slots are in use.");
+        Step::Refuse(refusal.retry_at(now + RETRY_AFTER_FULL))
+    }
+
     fn after_response(&mut self, mut response: Box<Response>) -> Step {
         self.sent_attempts += 1;
         if response.is_failure && self.may_retry() {
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -38,6 +38,7 @@
             }
             End::Unsent(reason) => ("unsent", reason.as_str()),
             End::NoPath(reason) => ("no_path", reason.as_str()),
+            End::NoSlot => ("no_slot", ""),
             End::Full => ("full", ""),
             End::Withdrawn => ("withdrawn", ""),
             End::Moved => ("moved", ""),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -18,6 +18,7 @@
     connector::Connector,
     dispatch::{self, Dispatch},
     follow::{self, Follow},
+    gate::Gates,
     listener,
     metrics::Metrics,
     observer,
@@ -216,6 +217,7 @@
             dispatch: handle.clone(),
             clock,
             metrics: Arc::clone(&metrics),
+            gates: Gates::default(),
             phase: phase_receiver.clone(),
         };
         let tunnels = tunnel::serve(sockets.tunnels, server, settings.max_tunnels);
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -29,6 +29,8 @@
     pub incarnation: u64,
     /// How long the connection will be needed at most.
     pub remaining: Millis,
+    /// Whether the connection has to wait for a slot of the server, which must not be overloaded.
+    pub is_gated: bool,
 }
 
 /// The response to [`Open`].
@@ -51,6 +53,8 @@
     Busy,
     /// It is shutting down.
     Leaving,
+    /// All slots of the server are in use.
+    Full,
     /// It could not connect, and cannot tell whether that is due to the server.
     Unsure,
     /// The server refuses connections.
@@ -71,6 +75,7 @@
             Self::Isolated => "isolated",
             Self::Busy => "busy",
             Self::Leaving => "leaving",
+            Self::Full => "full",
             Self::Unsure => "unsure",
             Self::ServerRefused => "server_refused",
             Self::ServerSilent => "server_silent",
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -5,7 +5,7 @@
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc, oneshot, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
     time,
 };
 use units::time::Instant;
@@ -16,6 +16,7 @@
     clock::Clock,
     connection, dial,
     dispatch::{Dial, Location, Message},
+    gate::Gates,
     link::{self, Link},
     metrics::Metrics,
     protocol::Protocol,
@@ -37,6 +38,9 @@
 /// The size of the copy buffer of each direction, in bytes.
 const BUFFER: usize = 8 * 1024;
 
+/// A slot in use at a backend server.
+type Slot = OwnedSemaphorePermit;
+
 /// What the server needs of this router.
 #[derive(Clone, Debug)]
 pub struct Server<P> {
@@ -50,6 +54,8 @@
     pub clock: Clock,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// Admission to servers that must not be overloaded.
+    pub gates: Gates,
     /// The shutdown phase of the process.
     pub phase: watch::Receiver<Phase>,
 }
@@ -99,14 +105,14 @@
         let Ok(_tunnel) = tunnels.try_acquire() else {
             return self.refuse(&mut link, &open, Refusal::Busy).await;
         };
-        let server = match self.connect(&open).await {
-            Ok(server) => server,
+        let (server, slot) = match self.connect(&open).await {
+            Ok(connected) => connected,
             Err(refusal) => return self.refuse(&mut link, &open, refusal).await,
         };
         link.writer.send(&Reply::Opened).await?;
         self.metrics.tunnel_carried("opened");
         let until = time::Instant::now() + open.remaining.duration() + MARGIN;
-        let copied = copy(Stream::new(link)?, server);
+        let copied = copy(Stream::new(link)?, server, slot);
         time::timeout_at(until, copied)
             .await
             .map_err(|_| link::Error::Timeout)??;
@@ -131,14 +137,21 @@
     }
 
     /// Connects to the server.
-    async fn connect(&self, open: &Open) -> Result<TcpStream, Refusal> {
+    async fn connect(&self, open: &Open) -> Result<(TcpStream, Option<Slot>), Refusal> {
         if *self.phase.borrow() != Phase::Serving {
             return Err(Refusal::Leaving);
         }
         let location = self.locate(open).await?;
+        let mut slot = None;
+        if open.is_gated {
+            let entered = self
+                .gates
+                .enter(&open.server, open.incarnation, location.slots);
+            slot = Some(entered.await.ok_or(Refusal::Full)?);
+        }
         let begun_at = self.clock.now();
         let (address, control) = (location.address, location.control);
-        let timeout = self.clock.remaining(location.connect_deadline);
+        let timeout = location.connect_timeout.duration();
         let result = dial::connect(&self.protocol, address, control, timeout).await;
         self.record_dial(open, &location, begun_at, result.is_ok());
         let stream = result.map_err(|failure| match failure {
@@ -147,7 +160,7 @@
             dial::Failure::Unsure => Refusal::Unsure,
         })?;
         connection::configure(&stream).map_err(|_| Refusal::ServerSilent)?;
-        Ok(stream)
+        Ok((stream, slot))
     }
 
     async fn locate(&self, open: &Open) -> Result<Location, Refusal> {
@@ -191,7 +204,9 @@
 ///
 /// The connection to the server is closed at once when the other router closes the tunnel, so
 /// that the server stops its work as soon as after a direct connection.
-async fn copy(mut stream: Stream, mut server: TcpStream) -> io::Result<()> {
+///
+/// The slot is free as soon as the server has responded.
+async fn copy(mut stream: Stream, mut server: TcpStream, slot: Option<Slot>) -> io::Result<()> {
     let is_complete = {
         let (mut from_router, mut to_router) = tokio::io::split(&mut stream);
         let (mut from_server, mut to_server) = server.split();
@@ -200,7 +215,7 @@
             result = copy_all(&mut from_server, &mut to_router) => result.is_ok(),
         }
     };
-    drop(server);
+    drop((server, slot));
     if is_complete {
         stream.shutdown().await?;
     } else {
--- a/crates/gateway/tests/decisions/leaving.rs
+++ b/crates/gateway/tests/decisions/leaving.rs
@@ -17,6 +17,7 @@
 const LEAVING: Advisory = Advisory {
     is_leaving: true,
     throttled_until: Instant::ZERO,
+    max_rejections: None,
 };
 
 /// Announces the shutdown of `s0`.
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod advisories;
 mod aggregation;
+mod brittle;
 mod configurations;
 mod connect;
 mod copies;
--- a/crates/gateway/tests/network/tunnels.rs
+++ b/crates/gateway/tests/network/tunnels.rs
@@ -111,6 +111,7 @@
         server: "s1".parse().expect("a name"),
         incarnation: 1,
         remaining: Millis(1000),
+        is_gated: false,
     };
     let client = Client::new(watch::channel(Some(key)).1);
     client.open(address, &open).await
