Keep a server in service that is silent for a second and goes on

What a router made of it: each stream that had stalled there counted as a failure of the server, since it accepted a connection again when the probe ended, so that a server with a few streams was ejected, here and by the others; with the confirmation by other routers, which time out after 50 ms, it even counted as crashed. And the kernel broke connections whose bytes were not acknowledged for 1.5 s.

A server counts as ended by its silence only after the whole 1.2 s of a probe (1.7 s after its last byte) and another router's word after that; only a refusal is believed at once. If it accepts late, the failures held back are dropped. Unacknowledged bytes are kept for 3 s.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -14,8 +14,9 @@
 /// How long sent bytes may remain unacknowledged.
 ///
 /// A network path that has lost the state of a connection drops packets silently. The
-/// kernel closes the connection after this time.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// kernel closes the connection after this time. A server that falls silent for a second or so
+/// must not lose its requests by it.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// A connection to a backend server that carries one request at a time.
 #[derive(Debug)]
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -83,7 +83,7 @@
     /// Records the result of a probe.
     pub(super) fn probed(&mut self, probe: &Probe, liveness: Liveness, now: Instant) {
         if let Purpose::Path(pool) = &probe.purpose {
-            if liveness == Liveness::Accepts {
+            if matches!(liveness, Liveness::Accepts | Liveness::Resumed) {
                 self.record_reached(pool, now);
             }
             return;
@@ -100,7 +100,9 @@
         self.settle_failures(probe, liveness, now);
         match liveness {
             Liveness::Ended => self.record_death(&probe.server, probe.incarnation, now),
-            Liveness::Accepts => self.crashes.record_alive(&probe.server, probe.incarnation),
+            Liveness::Accepts | Liveness::Resumed => {
+                self.crashes.record_alive(&probe.server, probe.incarnation)
+            }
             Liveness::AcceptsOthers => {
                 self.crashes
                     .record_reachable(&probe.server, probe.incarnation);
--- a/crates/gateway/src/dispatch/failures.rs
+++ b/crates/gateway/src/dispatch/failures.rs
@@ -43,7 +43,8 @@
         preliminary
     }
 
-    /// Counts the failures at a probed server, or drops them if the path was the reason.
+    /// Counts the failures at a probed server, or drops them if the path or a pause of the host was
+    /// the reason.
     pub(super) fn settle_failures(&mut self, probe: &Probe, liveness: Liveness, now: Instant) {
         let is_settled = |failure: &mut Failure| {
             failure.ticket.server == probe.server && failure.ticket.incarnation == probe.incarnation
@@ -51,6 +52,8 @@
         let settled: Vec<_> = self.held_failures.extract_if(.., is_settled).collect();
         match liveness {
             Liveness::Accepts | Liveness::Ended => {}
+            // The whole host was silent, which is no failure of the requests there.
+            Liveness::Resumed => return,
             Liveness::AcceptsOthers | Liveness::Unknown => return,
         }
         for failure in settled {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -15,7 +15,8 @@
 };
 
 /// The timeout for connecting to a server: the first packet may be lost, and is sent again
-/// after a second.
+/// after a second. A server may also fall silent for about as long; with the time after which a
+/// request has stalled, this allows for 1.7 s.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// The time without a connection after which another router is asked.
@@ -55,6 +56,8 @@
 pub enum Liveness {
     /// Some server accepts connections at the address.
     Accepts,
+    /// The same, after it did not for some time.
+    Resumed,
     /// The server accepts connections of another router, and none of this one.
     AcceptsOthers,
     /// No server listens there, or the host does not answer.
@@ -67,6 +70,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Accepts => "accepts",
+            Self::Resumed => "resumed",
             Self::AcceptsOthers => "accepts_others",
             Self::Ended => "ended",
             Self::Unknown => "unknown",
@@ -91,8 +95,10 @@
     }
 }
 
-/// Connects to a server, and asks the egress router to do so if that fails or takes long. The
-/// connections are closed at once: a request would wait for a slot.
+/// Connects to a server. The connection is closed at once: a request would wait for a slot.
+///
+/// If that fails or takes long, the egress router is asked, and asked again before a silent
+/// server counts as ended: a server may fall silent for a second and go on.
 async fn connect<P: Protocol>(connector: &Connector<P>, probe: &Probe) -> Liveness {
     let direct = dial::connect(&connector.protocol, probe.address, probe.control, TIMEOUT);
     let mut direct = pin::pin!(direct);
@@ -100,31 +106,46 @@
     if matches!(early, Ok(Ok(_))) {
         return Liveness::Accepts;
     }
-    let confirmed = match &probe.egress {
-        Some(egress) => connect_through(connector, egress, probe).await,
-        None => Liveness::Unknown,
-    };
-    match confirmed {
-        Liveness::Accepts => return Liveness::AcceptsOthers,
-        Liveness::Ended => return Liveness::Ended,
-        _ => {}
+    match connect_through(connector, probe).await {
+        Answer::Accepts => return Liveness::AcceptsOthers,
+        Answer::Refuses => return Liveness::Ended,
+        Answer::Silent | Answer::Unknown => {}
     }
     let result = match early {
         Ok(result) => result,
         Err(_) => direct.await,
     };
-    match result {
-        Ok(_) => Liveness::Accepts,
-        Err(dial::Failure::Unsure) if !probe.is_alone => Liveness::Unknown,
-        Err(_) => Liveness::Ended,
+    if result.is_ok() {
+        return Liveness::Resumed;
+    }
+    match connect_through(connector, probe).await {
+        Answer::Accepts => Liveness::AcceptsOthers,
+        Answer::Refuses | Answer::Silent => Liveness::Ended,
+        Answer::Unknown if result.is_err_and(|failure| failure == dial::Failure::Unsure) => {
+            // Without other routers, none can tell more than this one.
+            if probe.is_alone {
+                Liveness::Ended
+            } else {
+                Liveness::Unknown
+            }
+        }
+        Answer::Unknown => Liveness::Ended,
     }
 }
 
-async fn connect_through<P: Protocol>(
-    connector: &Connector<P>,
-    egress: &Egress,
-    probe: &Probe,
-) -> Liveness {
+/// What the egress router says about a server.
+enum Answer {
+    Accepts,
+    Refuses,
+    Silent,
+    /// There is none, or it cannot tell.
+    Unknown,
+}
+
+async fn connect_through<P: Protocol>(connector: &Connector<P>, probe: &Probe) -> Answer {
+    let Some(egress) = &probe.egress else {
+        return Answer::Unknown;
+    };
     let open = Open {
         server: probe.server.clone(),
         incarnation: probe.incarnation,
@@ -132,8 +153,9 @@
         is_gated: false,
     };
     match connector.tunnels.open(egress.address, &open).await {
-        Ok(_) => Liveness::Accepts,
-        Err(tunnel::Error::Refused(refusal)) if refusal.is_by_server() => Liveness::Ended,
-        Err(_) => Liveness::Unknown,
+        Ok(_) => Answer::Accepts,
+        Err(tunnel::Error::Refused(tunnel::Refusal::ServerRefused)) => Answer::Refuses,
+        Err(tunnel::Error::Refused(tunnel::Refusal::ServerSilent)) => Answer::Silent,
+        Err(_) => Answer::Unknown,
     }
 }
