--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -80,6 +80,7 @@
         Err(error) => {
             let reason = error.to_string();
             let outcome = error.outcome();
+            permit.set_provider(error.into_provider());
             permit.end(outcome);
             return match outcome {
                 Outcome::NoPath => End::NoPath(reason),
--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use tokio::time;
-use units::time::Millis;
+use units::{host, time::Millis};
 
 use crate::{
     connection::Connection,
@@ -55,6 +55,14 @@
 }
 
 impl Error {
+    /// A router that provides connections, if the egress router named one.
+    pub fn into_provider(self) -> Option<host::Id> {
+        match self {
+            Self::Egress(tunnel::Error::Refused(rejection)) => rejection.provider,
+            _ => None,
+        }
+    }
+
     /// The outcome that the attempt counts as.
     pub fn outcome(&self) -> Outcome {
         match self {
@@ -137,13 +145,21 @@
         let opened = opened.unwrap_or(Err(tunnel::Error::Link(crate::link::Error::Timeout)));
         let stream = match opened {
             Ok(stream) => stream,
-            Err(tunnel::Error::Refused(refusal)) if refusal.is_by_server() => {
-                return Err(Error::Server(refusal));
-            }
-            Err(tunnel::Error::Refused(tunnel::Refusal::Full)) => return Err(Error::Full),
-            Err(error) => return Err(Error::Egress(error)),
+            Err(error) => return Err(refused(error)),
         };
         let connection = Connection::over(stream).await;
         connection.map_err(|error| Error::Egress(crate::link::Error::from(error).into()))
     }
 }
+
+/// Tells reasons of the server from those of the egress router.
+fn refused(error: tunnel::Error) -> Error {
+    let tunnel::Error::Refused(rejection) = &error else {
+        return Error::Egress(error);
+    };
+    match rejection.refusal {
+        tunnel::Refusal::Full => Error::Full,
+        refusal if refusal.is_by_server() => Error::Server(refusal),
+        _ => Error::Egress(error),
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -338,6 +338,7 @@
             connected_at: None,
             connect_deadline: placement.connect_deadline,
             egress: placement.path.egress().map(|egress| egress.host.clone()),
+            provider: None,
             has_first_byte: false,
             last_byte_at: None,
         };
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -180,7 +180,7 @@
     Locate(
         backend::Server,
         u64,
-        oneshot::Sender<Result<Location, tunnel::Refusal>>,
+        oneshot::Sender<Result<Location, tunnel::Rejection>>,
     ),
     /// A connection to a server was attempted for another router.
     Dialed(Dial),
@@ -238,6 +238,8 @@
     pub connect_deadline: Instant,
     /// The router through which it is sent, unless it is sent directly.
     pub egress: Option<host::Id>,
+    /// A router that provides connections, as the egress router said when it refused one.
+    pub provider: Option<host::Id>,
     /// Whether the first byte of the response has arrived.
     pub has_first_byte: bool,
     /// When the last byte of the response arrived.
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -85,15 +85,21 @@
             (None, Outcome::Refused | Outcome::Unreachable) => {
                 self.record_connect_failure(&ticket.pool, &ticket.server, ticket.sent_at, now);
             }
-            (Some(egress), Outcome::NoPath) => self.egresses.record_failure(egress, now),
+            (Some(egress), Outcome::NoPath) => {
+                self.egresses.record_failure(egress, now);
+                if let Some(provider) = &ticket.provider {
+                    self.egresses.record_hint(provider);
+                }
+            }
             _ => {}
         }
     }
 
     /// Records that the connection of an attempt was established at `at`.
     pub(super) fn record_connected(&mut self, ticket: &Ticket, at: Instant) {
-        if ticket.egress.is_none() {
-            self.record_reached(&ticket.pool, at);
+        match &ticket.egress {
+            Some(egress) => self.egresses.record_success(egress),
+            None => self.record_reached(&ticket.pool, at),
         }
     }
 
@@ -190,18 +196,21 @@
         name: &backend::Server,
         incarnation: u64,
         now: Instant,
-    ) -> Result<Location, tunnel::Refusal> {
+    ) -> Result<Location, tunnel::Rejection> {
         let mut queues = self.queues.iter();
         let found =
             queues.find_map(|(pool, queue)| Some((pool, queue, queue.pool().server(name)?)));
         let Some((pool, queue, server)) = found else {
-            return Err(tunnel::Refusal::Unknown);
+            return Err(tunnel::Refusal::Unknown.into());
         };
         if server.incarnation() != incarnation {
-            return Err(tunnel::Refusal::Unknown);
+            return Err(tunnel::Refusal::Unknown.into());
         }
         if self.is_lost(pool) {
-            return Err(tunnel::Refusal::Isolated);
+            return Err(tunnel::Rejection {
+                refusal: tunnel::Refusal::Isolated,
+                provider: self.egresses.provider(now),
+            });
         }
         Ok(Location {
             pool: pool.clone(),
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use tokio::sync::{mpsc, watch};
-use units::{request::Fingerprint, time::Instant};
+use units::{host, request::Fingerprint, time::Instant};
 
 use super::{Announcement, Message, Ticket};
 use crate::{
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Records a router that provides connections, as the egress router of the request said.
+    pub fn set_provider(&mut self, provider: Option<host::Id>) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.provider = provider;
+        }
+    }
+
     /// Records that a part of the response has arrived.
     pub fn received(&mut self, now: Instant) {
         let Some(ticket) = &mut self.ticket else {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -154,8 +154,11 @@
     };
     match connector.tunnels.open(egress.address, &open).await {
         Ok(_) => Answer::Accepts,
-        Err(tunnel::Error::Refused(tunnel::Refusal::ServerRefused)) => Answer::Refuses,
-        Err(tunnel::Error::Refused(tunnel::Refusal::ServerSilent)) => Answer::Silent,
+        Err(tunnel::Error::Refused(rejection)) => match rejection.refusal {
+            tunnel::Refusal::ServerRefused => Answer::Refuses,
+            tunnel::Refusal::ServerSilent => Answer::Silent,
+            _ => Answer::Unknown,
+        },
         Err(_) => Answer::Unknown,
     }
 }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -12,7 +12,7 @@
 use std::{error, fmt};
 
 use serde::{Deserialize, Serialize};
-use units::{backend, time::Millis};
+use units::{backend, host, time::Millis};
 
 pub use client::{Client, TIMEOUT};
 pub use server::{Server, serve};
@@ -34,12 +34,33 @@
 }
 
 /// The response to [`Open`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The connection is established.
     Opened,
     /// There is no connection.
-    Refused(Refusal),
+    Refused(Rejection),
+}
+
+/// A refusal, and where to ask instead.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejection {
+    /// The reason.
+    pub refusal: Refusal,
+    /// A router that provides connections for the one that refuses.
+    ///
+    /// If most routers of a large fleet have lost their paths, each would have to try many until
+    /// it found one that has not.
+    pub provider: Option<host::Id>,
+}
+
+impl From<Refusal> for Rejection {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            provider: None,
+        }
+    }
 }
 
 /// Why an egress router does not provide a connection. Nothing was sent to the server.
@@ -97,7 +118,7 @@
     /// The connection to the egress router failed.
     Link(link::Error),
     /// The egress router refused.
-    Refused(Refusal),
+    Refused(Rejection),
 }
 
 impl fmt::Display for Error {
@@ -105,7 +126,7 @@
         match self {
             Self::NoKey => f.write_str("no_key"),
             Self::Link(error) => error.fmt(f),
-            Self::Refused(refusal) => refusal.fmt(f),
+            Self::Refused(rejection) => rejection.refusal.fmt(f),
         }
     }
 }
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -47,7 +47,7 @@
         let reply = link.reader.receive_within::<Reply>(TIMEOUT - LINK_TIMEOUT);
         match reply.await? {
             Frame::Message(Reply::Opened) => Ok(Stream::new(link).map_err(link::Error::from)?),
-            Frame::Message(Reply::Refused(refusal)) => Err(Error::Refused(refusal)),
+            Frame::Message(Reply::Refused(rejection)) => Err(Error::Refused(rejection)),
             Frame::Data(_) => Err(Error::Link(link::Error::Closed)),
         }
     }
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -11,7 +11,7 @@
 use units::time::Instant;
 use wire::{hop::Frame, seal::Key};
 
-use super::{Open, Refusal, Reply, Stream};
+use super::{Open, Refusal, Rejection, Reply, Stream};
 use crate::{
     clock::Clock,
     connection, dial,
@@ -103,11 +103,11 @@
             return Err(link::Error::Closed);
         };
         let Ok(_tunnel) = tunnels.try_acquire() else {
-            return self.refuse(&mut link, &open, Refusal::Busy).await;
+            return self.refuse(&mut link, &open, Refusal::Busy.into()).await;
         };
         let (server, slot) = match self.connect(&open).await {
             Ok(connected) => connected,
-            Err(refusal) => return self.refuse(&mut link, &open, refusal).await,
+            Err(rejection) => return self.refuse(&mut link, &open, rejection).await,
         };
         link.writer.send(&Reply::Opened).await?;
         self.metrics.tunnel_carried("opened");
@@ -123,7 +123,7 @@
         &self,
         link: &mut Link,
         open: &Open,
-        refusal: Refusal,
+        rejection: Rejection,
     ) -> Result<(), link::Error> {
         self.metrics.tunnel_carried("refused");
         logging::event!(
@@ -131,15 +131,15 @@
             "tunnel_refused",
             server = open.server,
             incarnation = open.incarnation,
-            reason = refusal
+            reason = rejection.refusal
         );
-        link.writer.send(&Reply::Refused(refusal)).await
+        link.writer.send(&Reply::Refused(rejection)).await
     }
 
     /// Connects to the server.
-    async fn connect(&self, open: &Open) -> Result<(TcpStream, Option<Slot>), Refusal> {
+    async fn connect(&self, open: &Open) -> Result<(TcpStream, Option<Slot>), Rejection> {
         if *self.phase.borrow() != Phase::Serving {
-            return Err(Refusal::Leaving);
+            return Err(Refusal::Leaving.into());
         }
         let location = self.locate(open).await?;
         let mut slot = None;
@@ -163,12 +163,14 @@
         Ok((stream, slot))
     }
 
-    async fn locate(&self, open: &Open) -> Result<Location, Refusal> {
+    async fn locate(&self, open: &Open) -> Result<Location, Rejection> {
         let (reply, located) = oneshot::channel();
         let message = Message::Locate(open.server.clone(), open.incarnation, reply);
         // The dispatch task runs as long as the process.
         drop(self.dispatch.send(message));
-        located.await.unwrap_or(Err(Refusal::Leaving))
+        located
+            .await
+            .unwrap_or_else(|_| Err(Refusal::Leaving.into()))
     }
 
     fn record_dial(
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod events;
 mod explore;
 mod failures;
+mod isolation;
 mod leaving;
 mod outlier;
 mod peers;
