--- a/crates/gateway/tests/network/main.rs
+++ b/crates/gateway/tests/network/main.rs
@@ -1,4 +1,5 @@
 //! Tests of requests between routers over real connections.
 
 mod fetch;
+mod options;
 mod tunnels;
