Forget connection failures only once a loss of paths is certain

By reading: two crashed servers look like lost paths until a probe answers, and the backoff and the slow start of both were forgotten each time, so that a dark server would have been tried again at once, for 50 ms and more a request. Failures are forgotten 250 ms after the loss if no probe has succeeded by then, and the queue is served afterwards.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -170,6 +170,7 @@
                 _ = pause_checks.tick() => {
                     let now = self.clock.now();
                     self.detect_pause(now);
+                    self.forget_failures(now);
                     self.probe_paths(now);
                 }
             }
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -141,7 +141,7 @@
         if self.fleet.members.len() < 2 {
             return;
         }
-        let Some(queue) = self.queues.get_mut(pool) else {
+        let Some(queue) = self.queues.get(pool) else {
             return;
         };
         let servers = queue.pool().servers().count();
@@ -150,7 +150,6 @@
         if !reach.record_failure(server, servers, begun_at, now) {
             return;
         }
-        queue.pool_mut().forget_connect_failures();
         let reached_ms = now.since(reach.reached_at()).as_millis();
         self.metrics.path_changed(false);
         logging::event!(
@@ -165,6 +164,21 @@
         self.probe_paths(now);
     }
 
+    /// Forgets connection failures once it is certain that this router had lost its paths. Until
+    /// then two crashed servers may be the reason, and would be tried again at once.
+    pub(super) fn forget_failures(&mut self, now: Instant) {
+        let is_certain = |(name, reach): (&pool::Id, &mut reach::Tracker)| {
+            reach.take_certainty(now).then(|| name.clone())
+        };
+        let certain: Vec<pool::Id> = self.reach.iter_mut().filter_map(is_certain).collect();
+        for name in certain {
+            if let Some(queue) = self.queues.get_mut(&name) {
+                queue.pool_mut().forget_connect_failures();
+            }
+            self.dequeue(&name);
+        }
+    }
+
     /// Probes one server of each zone for each service whose paths are lost, if that is due.
     pub(super) fn probe_paths(&mut self, now: Instant) {
         let routers = self.fleet.members.len();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -12,6 +12,8 @@
 const MIN_FAILED_SERVERS: usize = 2;
 /// The interval between two rounds of probes while the paths are lost, for a single router.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long no probe may succeed before a loss is certain.
+const CERTAIN_AFTER: Duration = Duration::from_millis(250);
 /// The interval between two requests that try to connect while no other router provides a path.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(100);
 /// The fleet size by which the interval grows by [`PROBE_INTERVAL`], since all routers probe a
@@ -34,6 +36,8 @@
     probe_at: Instant,
     /// When the next request may try to connect.
     trial_at: Instant,
+    /// When the loss is certain, if no probe has succeeded until then.
+    certain_at: Instant,
     rounds: usize,
 }
 
@@ -79,11 +83,24 @@
             at: now,
             probe_at: now,
             trial_at: now,
+            certain_at: now + CERTAIN_AFTER,
             rounds: 0,
         });
         true
     }
 
+    /// Whether the loss has become certain. Returns true once for each loss.
+    pub fn take_certainty(&mut self, now: Instant) -> bool {
+        let Some(lost) = &mut self.lost else {
+            return false;
+        };
+        let is_certain = now >= lost.certain_at;
+        if is_certain {
+            lost.certain_at = Instant::NEVER;
+        }
+        is_certain
+    }
+
     /// Lets one request try to connect although the paths are lost.
     ///
     /// # Errors
