--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,16 +1,20 @@
 //! HTTP/1.1 connections to backend servers.
 
-use std::{io, time::Duration};
+use std::{io, net, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use storage::traffic::{Metered, Traffic};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
+    time,
 };
 
+/// The default timeout of a connection attempt.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long sent bytes may remain unacknowledged.
 ///
 /// A network path that has lost the state of a connection drops packets silently. The
@@ -25,6 +29,26 @@
 }
 
 impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// When the server does not accept it in time. Nothing was sent.
+    pub async fn open(address: net::SocketAddr) -> io::Result<Self> {
+        Self::metered(address, Arc::default()).await
+    }
+
+    /// Opens a connection whose transferred bytes are counted in `traffic`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::open`].
+    pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
+        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        configure(&stream)?;
+        Self::over(Metered::new(stream, traffic)).await
+    }
+
     /// Speaks HTTP over an open TCP connection.
     ///
     /// # Errors
@@ -58,6 +82,11 @@
         Ok(Self { sender })
     }
 
+    /// Whether the connection can send another request.
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
