--- /dev/null
+++ b/crates/framing/src/tracker.rs
@@ -0,0 +1,115 @@
+//! How much of one response has been read.
+
+use std::{error, fmt};
+
+use http::{HeaderMap, Method, StatusCode};
+
+use crate::{Delimiter, Format, events::Scanner};
+
+/// Why a response whose body ended regularly is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Truncation {
+    /// Bytes that the head declares are missing.
+    Short,
+    /// The stream ended inside an event.
+    InsideEvent,
+    /// The stream ended with its connection, before its first event.
+    Empty,
+}
+
+impl fmt::Display for Truncation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Short => "ended before its length",
+            Self::InsideEvent => "ended inside an event",
+            Self::Empty => "ended before its first event",
+        })
+    }
+}
+
+impl error::Error for Truncation {}
+
+/// Follows the body of one response and decides whether it is complete.
+#[derive(Clone, Debug)]
+pub struct Tracker {
+    delimiter: Delimiter,
+    format: Format,
+    scanner: Scanner,
+    received: u64,
+    may_be_empty: bool,
+}
+
+impl Tracker {
+    /// Creates the tracker of the response to a request with `method`.
+    pub fn new(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+        Self {
+            delimiter: Delimiter::of(method, status, headers),
+            format: Format::of(headers),
+            scanner: Scanner::default(),
+            received: 0,
+            may_be_empty: false,
+        }
+    }
+
+    /// The same for a response that continues a stream, of which nothing may be left.
+    pub fn continued(self) -> Self {
+        Self {
+            may_be_empty: true,
+            ..self
+        }
+    }
+
+    /// What delimits the body.
+    pub fn delimiter(&self) -> Delimiter {
+        self.delimiter
+    }
+
+    /// The format of the body.
+    pub fn format(&self) -> Format {
+        self.format
+    }
+
+    /// Whether the last byte that was read is inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.format == Format::EventStream && self.scanner.is_inside()
+    }
+
+    /// Reads bytes of the body. Returns how many of them end outside of an event.
+    pub fn record(&mut self, bytes: &[u8]) -> usize {
+        self.received += bytes.len() as u64;
+        match self.format {
+            Format::EventStream => self.scanner.push(bytes),
+            Format::Other => bytes.len(),
+        }
+    }
+
+    /// Whether the declared length, if any, has been read: there will be no more bytes, and the
+    /// end of the body need not be waited for.
+    pub fn is_exhausted(&self) -> bool {
+        match self.delimiter {
+            Delimiter::Head => true,
+            Delimiter::Length(length) => self.received >= length,
+            Delimiter::Chunked | Delimiter::Close => false,
+        }
+    }
+
+    /// Whether the response is complete, given that its body ended regularly: after its length,
+    /// with its last chunk, or with a connection that the server closed.
+    ///
+    /// # Errors
+    ///
+    /// Why it is truncated all the same.
+    pub fn end(&self) -> Result<(), Truncation> {
+        match self.delimiter {
+            Delimiter::Head => Ok(()),
+            Delimiter::Length(length) if self.received < length => Err(Truncation::Short),
+            _ if self.is_inside_event() => Err(Truncation::InsideEvent),
+            Delimiter::Close if self.is_empty_stream() => Err(Truncation::Empty),
+            _ => Ok(()),
+        }
+    }
+
+    fn is_empty_stream(&self) -> bool {
+        self.format == Format::EventStream && self.received == 0 && !self.may_be_empty
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
+use framing::Tracker;
 use hyper::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -15,7 +16,11 @@
 use units::{availability, time::Instant};
 use verdict::Refusal;
 
-use crate::{ages::Ages, pool::Standing, source::Topic};
+use crate::{
+    ages::Ages,
+    pool::{Outcome, Standing},
+    source::Topic,
+};
 
 /// The upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 2.0, 5.0];
@@ -33,6 +38,15 @@
     status: u16,
 }
 
+/// The labels of the end of a response's body.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    delimiter: &'static str,
+    format: &'static str,
+    inside_event: String,
+    outcome: String,
+}
+
 /// The labels of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
@@ -131,6 +145,7 @@
     registry: Registry,
     refusals: Family<RefusalLabels, Counter>,
     responses: Family<ResponseLabels, Counter>,
+    response_ends: Family<EndLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     head_seconds: Histogram,
     first_byte_seconds: Histogram,
@@ -158,6 +173,7 @@
         let mut registry = Registry::default();
         let refusals = Family::default();
         let responses = Family::default();
+        let response_ends = Family::default();
         let calls = Family::default();
         let head_seconds = Histogram::new(BUCKETS);
         let first_byte_seconds = Histogram::new(BUCKETS);
@@ -184,6 +200,11 @@
             "Answers by status",
             Family::clone(&responses),
         );
+        registry.register(
+            "weir_response_ends",
+            "Ends of response bodies, by what delimits them and by outcome",
+            Family::clone(&response_ends),
+        );
         registry.register(
             "weir_store_calls",
             "Calls to the store",
@@ -280,6 +301,7 @@
             registry,
             refusals,
             responses,
+            response_ends,
             calls,
             head_seconds,
             first_byte_seconds,
@@ -328,6 +350,17 @@
         self.first_byte_seconds.observe(waited.as_secs_f64());
     }
 
+    /// Counts the end of the body that `tracker` has followed.
+    pub fn response_ended(&self, tracker: &Tracker, outcome: Outcome) {
+        let labels = EndLabels {
+            delimiter: tracker.delimiter().name(),
+            format: tracker.format().name(),
+            inside_event: tracker.is_inside_event().to_string(),
+            outcome: outcome.to_string(),
+        };
+        self.response_ends.get_or_create(&labels).inc();
+    }
+
     /// Records that a request was placed at a server or refused after `waited`.
     pub fn queue_wait(&self, waited: Duration) {
         self.wait_seconds.observe(waited.as_secs_f64());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::{error, fmt, pin, time::Duration};
 
 use bytes::Bytes;
+use framing::Tracker;
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
 use hyper::{
@@ -68,6 +69,8 @@
     /// The rest of the response body; `None` while the stream moves to another server.
     body: Option<Incoming>,
     permit: Option<Permit>,
+    /// Decides whether the body is complete.
+    tracker: Tracker,
     /// Splits a resumable stream into events.
     splitter: Option<Splitter>,
     first_byte_at: Option<Instant>,
@@ -88,7 +91,13 @@
     let is_events = exchange.plan().route.kind == Kind::Resumable
         && response.head.status.is_success()
         && !response.head.headers.contains_key(header::CONTENT_LENGTH);
+    let tracker = Tracker::new(
+        &exchange.plan().method,
+        response.head.status,
+        &response.head.headers,
+    );
     let mut relay = Relay {
+        tracker,
         status: response.head.status.as_u16(),
         is_failure: response.is_failure,
         body: Some(response.body),
@@ -188,6 +197,7 @@
         if let Some(permit) = &mut self.permit {
             permit.received(now);
         }
+        self.tracker.record(&bytes);
         let Some(splitter) = &mut self.splitter else {
             return Some(bytes);
         };
@@ -262,6 +272,7 @@
             "request_done",
             request = plan.head.id,
             route = plan.route.name,
+            kind = plan.route.kind,
             pool = plan.pool,
             workspace = self.exchange.workspace(),
             server = placement.map_or("none", |placement| placement.server.as_str()),
@@ -272,6 +283,9 @@
             unread = placement.map_or(Cost(0), |placement| placement.uncached),
             copied = placement.is_some_and(|placement| placement.source.is_some()),
             status = self.status,
+            delimiter = self.tracker.delimiter(),
+            format = self.tracker.format(),
+            inside_event = self.tracker.is_inside_event(),
             ending = ending,
             sends = self.exchange.sent_attempts(),
             first_ms = waited.as_millis(),
@@ -282,6 +296,7 @@
         );
         context.metrics.first_byte(waited);
         context.metrics.longest_gap(self.longest_gap);
+        context.metrics.response_ended(&self.tracker, outcome);
         let outcome = match outcome {
             Outcome::Completed if self.is_failure => Outcome::Failed,
             other => other,
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     sync::Arc,
 };
 
@@ -24,12 +25,27 @@
 }
 
 impl Kind {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::Once => "once",
+            Self::Stream => "stream",
+            Self::Resumable => "resumable",
+        }
+    }
+
     /// Whether the request may be sent to another server after it may have run on one.
     pub const fn is_idempotent(self) -> bool {
         matches!(self, Self::Idempotent | Self::Resumable)
     }
 }
 
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
 /// A service that receives a share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Split {
