Take streams that end inside an event for broken off

What callers saw: a 200 that was complete by its framing and lacked the last events of its stream. Cause: whether a response is complete was decided by the end of its body as the HTTP library reports it. That knows lengths and chunks; a response with neither ends with its connection, and a server that crashes closes it as one that has finished does. Events were looked at only where the route allows to resume the stream.

Change: the relay asks framing::Tracker at each end of a body, on all routes and for each delimiter, and no longer the HTTP library. Bytes are forwarded as before; only what follows the end of the body differs. Of a response with a length that ends inside an event, the bytes after its last whole event are held back, as the caller would take all of the length for complete. A stream that ends with its connection before its first event counts as broken off, unless it continues another.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
 use hyper::{
-    body::{Body, Frame, Incoming},
+    body::{Frame, Incoming},
     header,
 };
 use tokio::time;
@@ -71,7 +71,7 @@
     permit: Option<Permit>,
     /// Decides whether the body is complete.
     tracker: Tracker,
-    /// Splits a resumable stream into events.
+    /// Holds the events of a resumable stream back until they are complete.
     splitter: Option<Splitter>,
     first_byte_at: Option<Instant>,
     last_byte_at: Option<Instant>,
@@ -91,13 +91,8 @@
     let is_events = exchange.plan().route.kind == Kind::Resumable
         && response.head.status.is_success()
         && !response.head.headers.contains_key(header::CONTENT_LENGTH);
-    let tracker = Tracker::new(
-        &exchange.plan().method,
-        response.head.status,
-        &response.head.headers,
-    );
     let mut relay = Relay {
-        tracker,
+        tracker: tracker(&exchange, &response),
         status: response.head.status.as_u16(),
         is_failure: response.is_failure,
         body: Some(response.body),
@@ -117,6 +112,11 @@
     })
 }
 
+fn tracker<P>(exchange: &Exchange<P>, response: &Response) -> Tracker {
+    let head = &response.head;
+    Tracker::new(&exchange.plan().method, head.status, &head.headers)
+}
+
 impl<P: Protocol> Relay<P> {
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, Error>> {
         if self.is_finished {
@@ -131,11 +131,13 @@
                     }
                     None => continue,
                 },
-                Next::End if self.has_partial_event() => String::from("ended inside an event"),
-                Next::End => {
-                    self.finish(Outcome::Completed, "complete");
-                    return None;
-                }
+                Next::End => match self.tracker.end() {
+                    Ok(()) => {
+                        self.finish(Outcome::Completed, "complete");
+                        return None;
+                    }
+                    Err(truncation) => truncation.to_string(),
+                },
                 Next::TimedOut => {
                     self.finish(Outcome::Cancelled, "late");
                     return Some(Err(Error::Deadline));
@@ -197,13 +199,21 @@
         if let Some(permit) = &mut self.permit {
             permit.received(now);
         }
-        self.tracker.record(&bytes);
-        let Some(splitter) = &mut self.splitter else {
-            return Some(bytes);
+        let boundary = self.tracker.record(&bytes);
+        let forwarded = match &mut self.splitter {
+            Some(splitter) => {
+                let protocol = &self.exchange.context().connector.protocol;
+                splitter.push(&bytes, boundary, |line| {
+                    protocol.event_id(line).map(String::from)
+                })
+            }
+            // With all of the declared length, the response would look complete to the caller.
+            None if self.tracker.is_exhausted() && self.tracker.end().is_err() => {
+                bytes.slice(..boundary)
+            }
+            None => bytes,
         };
-        let protocol = &self.exchange.context().connector.protocol;
-        let complete = splitter.push(&bytes, |line| protocol.event_id(line).map(String::from));
-        (!complete.is_empty()).then_some(complete)
+        (!forwarded.is_empty()).then_some(forwarded)
     }
 
     /// Finishes at the last byte of a response whose length is known, or immediately if the
@@ -213,16 +223,11 @@
     /// be observed: the attempt would count as cancelled and the request would not be
     /// logged correctly, whether or not the server failed it.
     fn finish_if_complete(&mut self) {
-        let is_complete = self.body.as_ref().is_some_and(Body::is_end_stream);
-        if is_complete && !self.has_partial_event() {
+        if self.tracker.is_exhausted() && self.tracker.end().is_ok() {
             self.finish(Outcome::Completed, "complete");
         }
     }
 
-    fn has_partial_event(&self) -> bool {
-        self.splitter.as_ref().is_some_and(Splitter::is_partial)
-    }
-
     /// Continues the stream at another server, after the last complete event.
     ///
     /// The connection to the first server is closed first, so that it stops generating.
@@ -253,6 +258,11 @@
         if !response.head.status.is_success() {
             return false;
         }
+        let tracker = tracker(&self.exchange, &response);
+        self.tracker = match last_id {
+            Some(_) => tracker.continued(),
+            None => tracker,
+        };
         self.body = Some(response.body);
         self.permit = response.permit;
         true
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -1,11 +1,8 @@
-//! Splits a stream of server-sent events.
+//! Holds the events of a stream back until they are complete.
 
 use bytes::{Bytes, BytesMut};
 
-/// The terminator of an event.
-const EVENT_END: &[u8] = b"\n\n";
-
-/// Yields only complete events and remembers the id of the last one.
+/// Forwards only complete events and remembers the id of the last one.
 ///
 /// A server may stop in the middle of an event. If its first half had been forwarded, the
 /// stream could not be continued at another server: the caller would receive two halves
@@ -17,15 +14,28 @@
 }
 
 impl Splitter {
-    /// Appends bytes and returns the events that they complete.
+    /// Appends bytes, of which the first `boundary` end outside of an event, and returns what
+    /// is complete.
     ///
     /// `event_id` extracts the event id from a line, if the line contains one.
-    pub fn push(&mut self, bytes: &[u8], event_id: impl Fn(&str) -> Option<String>) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        let Some(end) = self.end() else {
+    pub fn push(
+        &mut self,
+        bytes: &Bytes,
+        boundary: usize,
+        event_id: impl Fn(&str) -> Option<String>,
+    ) -> Bytes {
+        let (head, tail) = bytes.split_at(boundary);
+        if head.is_empty() {
+            self.partial.extend_from_slice(tail);
             return Bytes::new();
+        }
+        let complete = if self.partial.is_empty() {
+            bytes.slice(..boundary)
+        } else {
+            self.partial.extend_from_slice(head);
+            self.partial.split().freeze()
         };
-        let complete = self.partial.split_to(end).freeze();
+        self.partial.extend_from_slice(tail);
         let text = String::from_utf8_lossy(&complete);
         if let Some(last_id) = text.lines().rev().find_map(event_id) {
             self.last_id = Some(last_id);
@@ -33,12 +43,6 @@
         complete
     }
 
-    fn end(&self) -> Option<usize> {
-        let mut ends = self.partial.windows(EVENT_END.len());
-        let start = ends.rposition(|window| window == EVENT_END)?;
-        Some(start + EVENT_END.len())
-    }
-
     /// Whether a part of an event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateway/tests/decisions/events.rs
+++ b/crates/gateway/tests/decisions/events.rs
@@ -1,5 +1,7 @@
 //! Splitting of event streams into complete events.
 
+use bytes::Bytes;
+use framing::events::Scanner;
 use gateway::relay::Splitter;
 use yare::parameterized;
 
@@ -8,10 +10,13 @@
 }
 
 fn split(pieces: &[&str]) -> (String, Splitter) {
+    let mut scanner = Scanner::default();
     let mut splitter = Splitter::default();
     let mut forwarded = String::new();
     for piece in pieces {
-        let complete = splitter.push(piece.as_bytes(), event_id);
+        let boundary = scanner.push(piece.as_bytes());
+        let bytes = Bytes::copy_from_slice(piece.as_bytes());
+        let complete = splitter.push(&bytes, boundary, event_id);
         forwarded.push_str(std::str::from_utf8(&complete).expect("text"));
     }
     (forwarded, splitter)
