Find the last event id of streams whose lines end with a carriage return

Cause: events were split at two LFs only, and the id after which another server continues was looked for in lines that end with LF. A byte order mark hid the id of the first event, and the mark of a continuing server would have become a part of a field's name.

--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -1,6 +1,9 @@
 //! Holds the events of a stream back until they are complete.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+
+/// The byte order mark with which a stream may begin.
+const BYTE_ORDER_MARK: &str = "\u{feff}";
 
 /// Forwards only complete events and remembers the id of the last one.
 ///
@@ -11,6 +14,19 @@
 pub struct Splitter {
     partial: BytesMut,
     last_id: Option<String>,
+    position: Position,
+}
+
+/// What the next complete bytes are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Position {
+    /// The first ones that the caller receives.
+    #[default]
+    Start,
+    /// The first ones of a server that continues the stream of another.
+    Continuation,
+    /// Any others.
+    Inside,
 }
 
 impl Splitter {
@@ -29,15 +45,25 @@
             self.partial.extend_from_slice(tail);
             return Bytes::new();
         }
-        let complete = if self.partial.is_empty() {
+        let mut complete = if self.partial.is_empty() {
             bytes.slice(..boundary)
         } else {
             self.partial.extend_from_slice(head);
             self.partial.split().freeze()
         };
         self.partial.extend_from_slice(tail);
+        let position = std::mem::replace(&mut self.position, Position::Inside);
+        // Inside a stream, the mark would count as a part of the first field's name.
+        if position == Position::Continuation && complete.starts_with(BYTE_ORDER_MARK.as_bytes()) {
+            complete.advance(BYTE_ORDER_MARK.len());
+        }
         let text = String::from_utf8_lossy(&complete);
-        if let Some(last_id) = text.lines().rev().find_map(event_id) {
+        let text = match position {
+            Position::Start => text.trim_start_matches(BYTE_ORDER_MARK),
+            _ => &text,
+        };
+        let mut lines = text.rsplit(['\r', '\n']);
+        if let Some(last_id) = lines.find_map(event_id) {
             self.last_id = Some(last_id);
         }
         complete
@@ -51,6 +77,9 @@
     /// Discards the buffered part and returns the id of the last complete event.
     pub fn reset(&mut self) -> Option<String> {
         self.partial.clear();
+        if self.position == Position::Inside {
+            self.position = Position::Continuation;
+        }
         self.last_id.clone()
     }
 }
--- a/crates/gateway/tests/decisions/events.rs
+++ b/crates/gateway/tests/decisions/events.rs
@@ -49,3 +49,26 @@
     let (_, mut splitter) = split(&["id: 1\n"]);
     assert_eq!(splitter.reset(), None);
 }
+
+/// Guards against a stream that is continued after the wrong event.
+#[parameterized(
+    line_feeds = { "id: 1\ndata: x\n\nid: 2\n\n" },
+    both = { "id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n" },
+    carriage_returns = { "id: 1\rdata: x\r\rid: 2\r\r" },
+    after_a_mark = { "\u{feff}\nid: 2\ndata: x\n\n" },
+)]
+fn the_last_event_is_found_whatever_ends_its_lines(stream: &str) {
+    let (forwarded, mut splitter) = split(&[stream]);
+    assert_eq!(forwarded, stream);
+    assert_eq!(splitter.reset().as_deref(), Some("2"));
+}
+
+/// Guards against a byte order mark inside a stream, where it belongs to the name of a field.
+#[test]
+fn the_byte_order_mark_of_a_continuation_is_removed() {
+    let (_, mut splitter) = split(&["\u{feff}id: 1\n\n"]);
+    splitter.reset();
+    let rest = Bytes::from_static("\u{feff}id: 2\n\n".as_bytes());
+    let forwarded = splitter.push(&rest, rest.len(), event_id);
+    assert_eq!(forwarded, "id: 2\n\n");
+}
