Read only event streams as events

What callers saw: of a response that is no event stream, on a route whose streams may be resumed, nothing until its end, and then its end as broken off; one with CL or of another format that broke off was sent again as if it could be continued. Cause: the kind of the route decided whether a body is split into events. Now its content type does, and a response of another format does not continue a stream.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,13 +5,10 @@
 use std::{error, fmt, pin, time::Duration};
 
 use bytes::Bytes;
-use framing::Tracker;
+use framing::{Delimiter, Format, Tracker};
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
-use hyper::{
-    body::{Frame, Incoming},
-    header,
-};
+use hyper::body::{Frame, Incoming};
 use tokio::time;
 use units::{cost::Cost, time::Instant};
 
@@ -88,16 +85,18 @@
     response: Box<Response>,
     guard: Guard,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Error>> + Send {
-    let is_events = exchange.plan().route.kind == Kind::Resumable
+    let tracker = tracker(&exchange, &response);
+    let is_resumable = exchange.plan().route.kind == Kind::Resumable
         && response.head.status.is_success()
-        && !response.head.headers.contains_key(header::CONTENT_LENGTH);
+        && tracker.format() == Format::EventStream
+        && !matches!(tracker.delimiter(), Delimiter::Length(_));
     let mut relay = Relay {
-        tracker: tracker(&exchange, &response),
+        tracker,
         status: response.head.status.as_u16(),
         is_failure: response.is_failure,
         body: Some(response.body),
         permit: response.permit,
-        splitter: is_events.then(Splitter::default),
+        splitter: is_resumable.then(Splitter::default),
         first_byte_at: None,
         last_byte_at: None,
         longest_gap: Duration::ZERO,
@@ -255,10 +254,11 @@
         let Ok(response) = self.exchange.respond(last_id.as_deref()).await else {
             return false;
         };
-        if !response.head.status.is_success() {
+        let tracker = tracker(&self.exchange, &response);
+        let is_continuation = tracker.format() == Format::EventStream;
+        if !response.head.status.is_success() || !is_continuation {
             return false;
         }
-        let tracker = tracker(&self.exchange, &response);
         self.tracker = match last_id {
             Some(_) => tracker.continued(),
             None => tracker,
