Bound what is held back of an event

What callers saw: nothing of a resumable stream whose event does not end; 40 MB of it were held in memory (probe of the users' page). Cause: an event was held back until its end, of whatever length, and looked through from its start at each read.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -202,9 +202,10 @@
         let forwarded = match &mut self.splitter {
             Some(splitter) => {
                 let protocol = &self.exchange.context().connector.protocol;
-                splitter.push(&bytes, boundary, |line| {
+                let complete = splitter.push(&bytes, boundary, |line| {
                     protocol.event_id(line).map(String::from)
-                })
+                });
+                self.release_long_event(complete)
             }
             // With all of the declared length, the response would look complete to the caller.
             None if self.tracker.is_exhausted() && self.tracker.end().is_err() => {
@@ -215,6 +216,28 @@
         (!forwarded.is_empty()).then_some(forwarded)
     }
 
+    /// Stops holding events back if the buffered one is too long. Returns what can be forwarded
+    /// now, after `complete` events.
+    fn release_long_event(&mut self, complete: Bytes) -> Bytes {
+        let context = self.exchange.context();
+        let is_too_long = |splitter: &mut Splitter| splitter.buffered() > context.max_event_bytes;
+        let Some(splitter) = self.splitter.take_if(is_too_long) else {
+            return complete;
+        };
+        logging::event!(
+            info,
+            "event_too_long",
+            request = self.exchange.plan().head.id,
+            bytes = splitter.buffered(),
+            most = context.max_event_bytes
+        );
+        let partial = splitter.into_partial();
+        if complete.is_empty() {
+            return partial;
+        }
+        Bytes::from([complete, partial].concat())
+    }
+
     /// Finishes at the last byte of a response whose length is known, or immediately if the
     /// body is empty.
     ///
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -74,6 +74,16 @@
         !self.partial.is_empty()
     }
 
+    /// The number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// The buffered part of an event, which will not be continued at another server.
+    pub fn into_partial(self) -> Bytes {
+        self.partial.freeze()
+    }
+
     /// Discards the buffered part and returns the id of the last complete event.
     pub fn reset(&mut self) -> Option<String> {
         self.partial.clear();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -45,6 +45,8 @@
     pub anonymous: workspace::Id,
     /// The memory for request bodies, in units of [`BODY_UNIT`] bytes.
     pub body_memory: Arc<Semaphore>,
+    /// The most bytes of an event that are held back.
+    pub max_event_bytes: usize,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The ages of the replicated views.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,9 @@
     pub max_tunnels: usize,
     /// The memory for request bodies, in bytes.
     pub body_memory: usize,
+    /// The most bytes of an event that are held back until it is complete. A stream with a longer
+    /// one is forwarded as it arrives from then on, and no longer continued at another server.
+    pub max_event_bytes: usize,
     /// The grace period between the termination signal and the kill signal.
     pub grace: Millis,
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -242,6 +242,7 @@
             dispatch: handle.clone(),
             phase: phase_receiver.clone(),
             body_memory: Arc::new(Semaphore::new(settings.body_memory / BODY_UNIT)),
+            max_event_bytes: settings.max_event_bytes,
             metrics,
             ages,
             readiness: readiness_receiver,
