Reset the connections of HTTP/1.0 callers whose responses break off

What callers saw: callers of HTTP/1.0, for whom a response without a length ends with its connection, took each response that broke off for complete: the router closed their connections as after a complete one. It resets them now, and only those: a caller of HTTP/1.1 sees that the last chunk or a part of the length is missing, and a reset could discard bytes that it has not read.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -6,7 +6,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
 };
@@ -30,6 +30,7 @@
     idle_since_us: AtomicU64,
     head_since_us: AtomicU64,
     head_started: Notify,
+    ends_with_connection: AtomicBool,
 }
 
 impl Activity {
@@ -40,6 +41,7 @@
             idle_since_us: AtomicU64::new(clock.now().as_micros()),
             head_since_us: AtomicU64::new(NONE),
             head_started: Notify::new(),
+            ends_with_connection: AtomicBool::new(false),
             clock,
         }
     }
@@ -64,6 +66,11 @@
         self.head_started.notified().await;
     }
 
+    /// Whether the caller takes the end of the connection for the end of the present response.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection.load(Ordering::Relaxed)
+    }
+
     fn received(&self) {
         if self.idle_since().is_none() || self.head_since_us.load(Ordering::Relaxed) != NONE {
             return;
@@ -87,6 +94,13 @@
     }
 }
 
+impl Guard {
+    /// Records that the response ends with the connection.
+    pub fn end_with_connection(&self) {
+        self.0.ends_with_connection.store(true, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         let now = self.0.clock.now().as_micros();
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -88,12 +88,12 @@
     let clock = context.clock;
     let table = context.table.clone();
     let activity = Arc::new(Activity::new(clock));
-    let watched_activity = Arc::clone(&activity);
+    let shared_activity = Arc::clone(&activity);
     let stream = Tracked::new(stream, Arc::clone(&activity));
     let shared_context = Arc::clone(&context);
     let service = service::service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
-        let guard = Guard::new(&activity);
+        let guard = Guard::new(&shared_activity);
         async move { Ok::<_, std::convert::Infallible>(serve::serve(context, request, guard).await) }
     });
     let mut connection = http1::Builder::new()
@@ -103,10 +103,10 @@
         .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
         result = &mut connection => result,
-        expired = wait_for_timeout(&watched_activity, clock, &table) => match expired {
+        expired = wait_for_timeout(&activity, clock, &table) => match expired {
             Expired::Idle => {
                 pin::Pin::new(&mut connection).graceful_shutdown();
-                connection.await
+                (&mut connection).await
             }
             Expired::SlowHead => {
                 let stream = connection.into_parts().io.into_inner().into_inner();
@@ -116,11 +116,21 @@
         },
         () = Phase::reached(&mut phase, Phase::Closing) => {
             pin::Pin::new(&mut connection).graceful_shutdown();
-            connection.await
+            (&mut connection).await
         }
     };
     if let Err(error) = result {
         logging::event!(debug, "caller_connection_broken", reason = error);
+        if activity.ends_with_connection() {
+            reset(connection.into_parts().io.into_inner().into_inner());
+        }
+    }
+}
+
+/// Closes a connection so that the response on it does not look complete.
+fn reset(stream: TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        logging::event!(debug, "caller_gone", reason = error);
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 use futures_util::Stream;
 use http_body_util::{Either, Full, StreamBody};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Frame, Incoming},
     header,
 };
@@ -70,10 +70,14 @@
 ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, relay::Error>> + Send>> {
     let is_closing = *context.phase.borrow() > Phase::Serving;
     let started = context.clock.now();
+    let version = request.version();
     let mut response = match respond(&context, request).await {
         Ok((exchange, upstream)) => {
             let mut head = upstream.head.clone();
             crate::headers::strip(&mut head.headers);
+            if version < Version::HTTP_11 && !head.headers.contains_key(header::CONTENT_LENGTH) {
+                guard.end_with_connection();
+            }
             let stream = relay::stream(exchange, upstream, guard);
             Response::from_parts(head, Either::Right(StreamBody::new(stream)))
         }
