Judge the ends of responses in weir-router as in the gateway

The owner knew the last event of an engine's stream only; other responses were complete when the HTTP library reported the end of the body. The entry took the end of its channel for the end of the body, and the event that reports an error filled the declared length of a response that had broken off.

Change: owner and entry ask framing::Tracker. The end of a body is a part of its channel, so that the end of the task or router that forwards it is no end of the response. Errors are reported in an event only where they cannot become a part of another one or of a length.

For them the stand-ins have a server that answers with fixed bytes.

--- a/crates/framing/src/events.rs
+++ b/crates/framing/src/events.rs
@@ -35,6 +35,8 @@
     has_fields: bool,
     /// Whether the last byte was a CR, so that an LF belongs to the same end of line.
     is_after_cr: bool,
+    /// The number of events that have ended.
+    events: u64,
 }
 
 impl Default for Scanner {
@@ -43,6 +45,7 @@
             line: Line::Mark(0),
             has_fields: false,
             is_after_cr: false,
+            events: 0,
         }
     }
 }
@@ -66,6 +69,11 @@
         self.has_fields || !matches!(self.line, Line::Start | Line::Mark(0))
     }
 
+    /// The number of events that have ended. A blank line without fields before it ends none.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     fn advance(&mut self, byte: u8) {
         let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
         match byte {
@@ -77,7 +85,10 @@
 
     fn end_line(&mut self) {
         match self.line {
-            Line::Start | Line::Mark(0) => self.has_fields = false,
+            Line::Start | Line::Mark(0) => {
+                self.events += u64::from(self.has_fields);
+                self.has_fields = false;
+            }
             Line::Comment | Line::Retry => {}
             Line::Name(matched) if matched == RETRY.len() => {}
             Line::Mark(_) | Line::Name(_) | Line::Field => self.has_fields = true,
--- a/crates/framing/src/tracker.rs
+++ b/crates/framing/src/tracker.rs
@@ -37,6 +37,8 @@
     scanner: Scanner,
     received: u64,
     may_be_empty: bool,
+    /// The events of the responses that this one continues.
+    earlier_events: u64,
 }
 
 impl Tracker {
@@ -48,11 +50,13 @@
             scanner: Scanner::default(),
             received: 0,
             may_be_empty: false,
+            earlier_events: 0,
         }
     }
 
-    /// The same for a response that continues a stream, of which nothing may be left.
-    pub fn continued(self) -> Self {
+    /// The same for a body that may be empty, because its end has been judged before or because
+    /// the caller asked for the rest of a stream.
+    pub fn or_empty(self) -> Self {
         Self {
             may_be_empty: true,
             ..self
@@ -74,6 +78,20 @@
         self.format == Format::EventStream && self.scanner.is_inside()
     }
 
+    /// The number of events that have ended.
+    pub fn events(&self) -> u64 {
+        self.earlier_events + self.scanner.events()
+    }
+
+    /// The tracker of the response that continues this one after its last whole event.
+    pub fn resumed(&self, method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+        Self {
+            earlier_events: self.events(),
+            may_be_empty: self.may_be_empty,
+            ..Self::new(method, status, headers)
+        }
+    }
+
     /// Reads bytes of the body. Returns how many of them end outside of an event.
     pub fn record(&mut self, bytes: &[u8]) -> usize {
         self.received += bytes.len() as u64;
@@ -83,6 +101,19 @@
         }
     }
 
+    /// Of bytes that have just been recorded, how many may be forwarded; `boundary` of them end
+    /// outside of an event.
+    ///
+    /// With all of its declared length, a response looks complete to its caller, even if it ends
+    /// inside an event.
+    pub fn forwardable(&self, bytes: usize, boundary: usize) -> usize {
+        if self.is_exhausted() && self.end().is_err() {
+            boundary
+        } else {
+            bytes
+        }
+    }
+
     /// Whether the declared length, if any, has been read: there will be no more bytes, and the
     /// end of the body need not be waited for.
     pub fn is_exhausted(&self) -> bool {
@@ -110,6 +141,7 @@
     }
 
     fn is_empty_stream(&self) -> bool {
-        self.format == Format::EventStream && self.received == 0 && !self.may_be_empty
+        let is_empty = self.received == 0 && self.events() == 0;
+        self.format == Format::EventStream && is_empty && !self.may_be_empty
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,11 @@
     response: Box<Response>,
     guard: Guard,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Error>> + Send {
-    let tracker = tracker(&exchange, &response);
+    let head = &response.head;
+    let mut tracker = Tracker::new(&exchange.plan().method, head.status, &head.headers);
+    if exchange.plan().head.last_event_id.is_some() {
+        tracker = tracker.or_empty();
+    }
     let is_resumable = exchange.plan().route.kind == Kind::Resumable
         && response.head.status.is_success()
         && tracker.format() == Format::EventStream
@@ -111,11 +115,6 @@
     })
 }
 
-fn tracker<P>(exchange: &Exchange<P>, response: &Response) -> Tracker {
-    let head = &response.head;
-    Tracker::new(&exchange.plan().method, head.status, &head.headers)
-}
-
 impl<P: Protocol> Relay<P> {
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, Error>> {
         if self.is_finished {
@@ -207,11 +206,7 @@
                 });
                 self.release_long_event(complete)
             }
-            // With all of the declared length, the response would look complete to the caller.
-            None if self.tracker.is_exhausted() && self.tracker.end().is_err() => {
-                bytes.slice(..boundary)
-            }
-            None => bytes,
+            None => bytes.slice(..self.tracker.forwardable(bytes.len(), boundary)),
         };
         (!forwarded.is_empty()).then_some(forwarded)
     }
@@ -277,15 +272,13 @@
         let Ok(response) = self.exchange.respond(last_id.as_deref()).await else {
             return false;
         };
-        let tracker = tracker(&self.exchange, &response);
+        let (method, head) = (&self.exchange.plan().method, &response.head);
+        let tracker = self.tracker.resumed(method, head.status, &head.headers);
         let is_continuation = tracker.format() == Format::EventStream;
         if !response.head.status.is_success() || !is_continuation {
             return false;
         }
-        self.tracker = match last_id {
-            Some(_) => tracker.continued(),
-            None => tracker,
-        };
+        self.tracker = tracker;
         self.body = Some(response.body);
         self.permit = response.permit;
         true
--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -1,8 +1,9 @@
 //! Streaming of a backend server's response to the caller.
 
 use bytes::Bytes;
+use framing::{Format, Tracker};
 use http_body_util::BodyExt as _;
-use hyper::{HeaderMap, Response, body::Incoming, header};
+use hyper::{HeaderMap, Method, Response, body::Incoming, header};
 use tokio::{sync::mpsc, time};
 use units::request;
 use verdict::{Code, Refusal};
@@ -14,7 +15,7 @@
 };
 use crate::{
     owner,
-    response::{self, Chunk, Format, Upstream},
+    response::{self, Chunk, Upstream},
 };
 
 /// The final event of a complete stream.
@@ -66,6 +67,7 @@
         connection,
         body,
         chunks,
+        tracker: Tracker::new(&method(open), head.status, &head.headers),
         watchdog: Watchdog {
             mode: if events { watchdog.mode } else { Mode::Wait },
             ..watchdog
@@ -82,6 +84,11 @@
     })
 }
 
+fn method(open: &hop::Open) -> Method {
+    // The request was sent with it, so it is valid.
+    open.method.parse().unwrap_or_default()
+}
+
 fn matches_attempt(headers: &HeaderMap, attempt: request::Attempt) -> bool {
     let Some(value) = headers.get(ATTEMPT_HEADER) else {
         return true;
@@ -97,12 +104,11 @@
     headers
 }
 
-/// The last bytes of a response body. They show whether a stream is complete,
-/// and contain the token usage that the engine reports.
+/// The last bytes of a response body. They show whether an engine has ended its
+/// stream, and contain the token usage that it reports.
 #[derive(Debug)]
 struct Tail {
     events: bool,
-    events_seen: u64,
     bytes: Vec<u8>,
 }
 
@@ -114,24 +120,19 @@
     fn new(events: bool) -> Self {
         Self {
             events,
-            events_seen: 0,
             bytes: Vec::with_capacity(2 * Self::LENGTH),
         }
     }
 
     fn push(&mut self, chunk: &Bytes) {
-        if self.events {
-            self.events_seen += count_events(&self.bytes, chunk);
-        }
         let start = chunk.len().saturating_sub(Self::LENGTH);
         self.bytes.extend_from_slice(&chunk[start..]);
         let excess = self.bytes.len().saturating_sub(Self::LENGTH);
         self.bytes.drain(..excess);
     }
 
-    /// Returns whether the response ended regularly: a stream of events must
-    /// contain its final event.
-    fn is_complete(&self) -> bool {
+    /// Returns whether the final event of a stream has been received, if there must be one.
+    fn has_final_event(&self) -> bool {
         !self.events
             || self
                 .bytes
@@ -149,11 +150,6 @@
             output: number(usage, "completion_tokens")?,
         })
     }
-
-    /// Returns whether the stream can be resumed without lost or duplicate data.
-    fn ends_at_event_boundary(&self) -> bool {
-        self.bytes.is_empty() || self.bytes.ends_with(b"\n\n")
-    }
 }
 
 /// Returns the number after the key `name` in the text of a JSON object.
@@ -164,14 +160,6 @@
     rest[..end].parse().ok()
 }
 
-/// Counts the events that end in `chunk`, given the bytes before it.
-fn count_events(before: &[u8], chunk: &Bytes) -> u64 {
-    let spans_boundary = before.last() == Some(&b'\n') && !before.ends_with(b"\n\n");
-    let at_start = spans_boundary && chunk.first() == Some(&b'\n');
-    let within = chunk.windows(2).filter(|pair| *pair == b"\n\n").count() as u64;
-    within + u64::from(at_start)
-}
-
 /// Forwards the body of one response.
 struct Forwarder {
     permit: owner::Permit,
@@ -179,6 +167,8 @@
     body: Incoming,
     chunks: mpsc::Sender<Chunk>,
     watchdog: Watchdog,
+    /// Decides whether the body is complete.
+    tracker: Tracker,
     tail: Tail,
     /// Whether the server responds that it does not process the request.
     is_failure: bool,
@@ -211,6 +201,8 @@
                     owner::Outcome::Completed
                 };
                 self.permit.finish(outcome, connection);
+                // The receiver is dropped if the caller disconnected.
+                let _ = self.chunks.send(Chunk::End).await;
             }
             End::Cancelled => self.permit.finish(owner::Outcome::Cancelled, None),
             End::Failed(refusal, outcome) => {
@@ -222,8 +214,8 @@
                     code = refusal.code
                 );
                 self.permit.finish(outcome, None);
-                // The receiver is dropped if the caller disconnected.
-                let _ = self.chunks.send(Err(refusal)).await;
+                // As above.
+                let _ = self.chunks.send(Chunk::Broken(refusal)).await;
             }
         }
     }
@@ -248,17 +240,33 @@
                     self.permit.record_first_byte();
                     self.healthy_checks = 0;
                     self.tail.push(&chunk);
-                    if self.chunks.send(Ok(chunk)).await.is_err() {
+                    let boundary = self.tracker.record(&chunk);
+                    let count = self.tracker.forwardable(chunk.len(), boundary);
+                    let data = Chunk::Data(chunk.slice(..count));
+                    if self.chunks.send(data).await.is_err() {
                         return End::Cancelled;
                     }
                 }
                 Some(Err(_)) => return self.resume_or_fail().await,
-                None if self.tail.is_complete() => return End::Complete,
+                None if self.is_complete() => return End::Complete,
                 None => return self.resume_or_fail().await,
             }
         }
     }
 
+    fn is_complete(&self) -> bool {
+        self.tracker.end().is_ok() && self.tail.has_final_event()
+    }
+
+    /// Continues with the response to a resumption of the stream.
+    fn resume(&mut self, response: Response<Incoming>) {
+        let (head, body) = response.into_parts();
+        self.tracker = self
+            .tracker
+            .resumed(&Method::GET, head.status, &head.headers);
+        self.body = body;
+    }
+
     /// Checks a stream without progress. Returns `None` if it continues.
     async fn check_stalled_stream(&mut self) -> Option<End> {
         if self.watchdog.is_expired() {
@@ -266,12 +274,12 @@
                 Refusal::may_have_run(Code::Deadline, "The answer did not end by the deadline.");
             return Some(End::Failed(refusal, owner::Outcome::DeadlineExceeded));
         }
-        if !self.tail.ends_at_event_boundary() {
+        if self.tracker.is_inside_event() {
             return None;
         }
-        match relay::check_backend(&self.permit, &self.watchdog, self.tail.events_seen).await {
+        match relay::check_backend(&self.permit, &self.watchdog, self.tracker.events()).await {
             Check::Resumed(response) => {
-                self.body = response.into_body();
+                self.resume(*response);
                 None
             }
             Check::Healthy => {
@@ -294,11 +302,11 @@
 
     /// Resumes an interrupted stream, or returns why it failed.
     async fn resume_or_fail(&mut self) -> End {
-        if self.watchdog.mode == Mode::Resume && self.tail.ends_at_event_boundary() {
-            let check =
-                relay::check_backend(&self.permit, &self.watchdog, self.tail.events_seen).await;
+        if self.watchdog.mode == Mode::Resume && !self.tracker.is_inside_event() {
+            let from = self.tracker.events();
+            let check = relay::check_backend(&self.permit, &self.watchdog, from).await;
             if let Check::Resumed(response) = check {
-                self.body = response.into_body();
+                self.resume(*response);
                 // Resume at most once after an interruption: a server that
                 // interrupts the stream at the same place again makes no progress.
                 self.watchdog.mode = Mode::Wait;
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{Request, Response, body::Incoming, header, server::conn::http1, service};
+use hyper::{Method, Request, Response, body::Incoming, header, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -121,6 +121,7 @@
 
 async fn serve_request(checked: Checked, entry: &Arc<Entry>) -> Response<Body> {
     let id = checked.id;
+    let method = checked.method.clone();
     let workspace = checked.workspace.clone();
     let route = checked.route.clone();
     let started = entry.clock.now();
@@ -147,7 +148,7 @@
                 status = served.upstream.status.as_u16(),
                 head_ms = head_ms
             );
-            stream(*served, id)
+            stream(*served, &method, id)
         }
         Err(refusal) => {
             log_refusal(id, &refusal);
@@ -157,11 +158,11 @@
     }
 }
 
-fn stream(served: Served, id: request::Id) -> Response<Body> {
+fn stream(served: Served, method: &Method, id: request::Id) -> Response<Body> {
     let Served { upstream, reporter } = served;
     let status = upstream.status;
     let headers = upstream.headers.clone();
-    let mut response = Response::new(Body::stream(upstream, id, reporter));
+    let mut response = Response::new(Body::stream(upstream, method, id, reporter));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/router/src/hop/client.rs
+++ b/crates/router/src/hop/client.rs
@@ -249,31 +249,33 @@
             };
             match frame {
                 Ok(Frame::Data(data)) => {
-                    if chunks.send(Ok(data)).await.is_err() {
+                    if chunks.send(Chunk::Data(data)).await.is_err() {
                         return;
                     }
                 }
                 Ok(Frame::Message(Reply::Alive)) => {}
                 Ok(Frame::Message(Reply::End)) => {
                     self.links.put(self.address, self.link);
+                    // The receiver is dropped if the caller disconnected.
+                    drop(chunks.send(Chunk::End).await);
                     return;
                 }
                 Ok(Frame::Message(Reply::Refused(refused))) => {
                     let refusal = from_wire(refused, &clock);
                     self.links.put(self.address, self.link);
-                    // The receiver is dropped if the caller disconnected.
-                    let _ = chunks.send(Err(refusal)).await;
+                    // As above.
+                    let _ = chunks.send(Chunk::Broken(refusal)).await;
                     return;
                 }
                 Ok(Frame::Message(_)) => {
                     let error = Error::Frame(wire::Error::Malformed);
                     // As above.
-                    let _ = chunks.send(Err(self.link_failure(&error))).await;
+                    let _ = chunks.send(Chunk::Broken(self.link_failure(&error))).await;
                     return;
                 }
                 Err(error) => {
                     // As above.
-                    let _ = chunks.send(Err(self.link_failure(&error))).await;
+                    let _ = chunks.send(Chunk::Broken(self.link_failure(&error))).await;
                     return;
                 }
             }
--- a/crates/router/src/hop/server.rs
+++ b/crates/router/src/hop/server.rs
@@ -27,7 +27,7 @@
     entry, follow,
     limits::MAX_BODY_BYTES,
     owner::{self, Offer, Rejected, Reply as OfferReply},
-    response::Upstream,
+    response::{Chunk, Upstream},
     tracker,
 };
 
@@ -232,12 +232,14 @@
         let chunk =
             with_keepalives(&mut link.reader, &mut link.writer, upstream.body.recv()).await?;
         match chunk {
-            Some(Ok(data)) => link.writer.send_data(&data).await?,
-            Some(Err(refusal)) => return Ok(Some(refusal)),
-            None => {
+            Some(Chunk::Data(data)) => link.writer.send_data(&data).await?,
+            Some(Chunk::Broken(refusal)) => return Ok(Some(refusal)),
+            Some(Chunk::End) => {
                 link.writer.send(&Reply::End).await?;
                 return Ok(None);
             }
+            // Closing the link tells the entry router that the response broke off.
+            None => return Err(Error::Closed),
         }
     }
 }
--- /dev/null
+++ b/crates/router/tests/fleet/framing.rs
@@ -0,0 +1,68 @@
+//! What callers take for complete, for responses of a plain service that break off.
+
+use standin::fixed;
+use yare::parameterized;
+
+use crate::{
+    client::Call,
+    cluster::{Cluster, Topology, wait_until},
+};
+
+const EVENTS: &str = "Content-Type: text/event-stream\r\n";
+const CHUNKED: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+const LENGTH: &str = "Content-Type: text/event-stream\r\nContent-Length: 17\r\n";
+const TEXT: &str = "Content-Type: text/plain\r\n";
+const TEXT_LENGTH: &str = "Content-Type: text/plain\r\nContent-Length: 17\r\n";
+
+/// A deployment whose service answers bookings with these fields and this body.
+async fn cluster(fields: &str, body: &str) -> Cluster {
+    let mut cluster = Cluster::start(Topology::one_zone()).await;
+    let service = &mut cluster.services[0];
+    let response = format!("HTTP/1.1 200 OK\r\n{fields}\r\n{body}");
+    let front = fixed::Server::start(service.handle.address(), response.as_bytes());
+    service.front = Some(front.await.expect("a port"));
+    cluster.list_hosts(&[]);
+    wait_until("the router has the new address", async || {
+        let call = Call::post("/bookings", "{}");
+        let response = cluster.send(0, &call).await;
+        response.status == 200 && !response.body.contains("confirmation")
+    })
+    .await;
+    cluster
+}
+
+/// Guards against responses that look complete although they broke off, and the other way round.
+#[parameterized(
+    inside_an_event = { EVENTS, "data: a\n\ndata: b", false },
+    whole_events = { EVENTS, "data: a\n\ndata: b\n\n", true },
+    whole_events_with_carriage_returns = { EVENTS, "data: a\r\n\r\n", true },
+    no_event = { EVENTS, "", false },
+    inside_an_event_in_chunks = { CHUNKED, "7\r\ndata: a\r\n0\r\n\r\n", false },
+    whole_events_in_chunks = { CHUNKED, "9\r\ndata: a\n\n\r\n0\r\n\r\n", true },
+    no_last_chunk = { CHUNKED, "9\r\ndata: a\n\n\r\n", false },
+    inside_an_event_of_known_length = { LENGTH, "data: a\n\ndata: bc", false },
+    text = { TEXT, "data: a\n\ndata: b", true },
+    text_of_known_length = { TEXT_LENGTH, "data: a\n\ndata: bc", true },
+    short_text = { TEXT_LENGTH, "data: a\n\n", false },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn the_caller_sees_whether_a_response_is_complete(
+    fields: &str,
+    body: &str,
+    is_complete: bool,
+) {
+    let cluster = cluster(fields, body).await;
+    let response = cluster.send(0, &Call::post("/bookings", "{}")).await;
+    assert_eq!(response.complete, is_complete, "{}", response.body);
+}
+
+/// Guards against an outcome that is kept for an idempotency key as if it were whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_broke_off_is_not_replayed() {
+    let cluster = cluster(EVENTS, "data: a\n\ndata: b").await;
+    let booking = Call::booking("k1");
+    assert!(!cluster.send(0, &booking).await.complete);
+    let again = cluster.send(0, &booking).await;
+    assert_ne!(again.status, 200, "{}", again.body);
+    assert_eq!(again.error("verdict"), "may_have_run");
+}
--- a/crates/router/tests/fleet/main.rs
+++ b/crates/router/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 
 mod claims;
 mod failures;
+mod framing;
 mod golden;
 mod input;
 mod serving;
--- /dev/null
+++ b/crates/standin/src/fixed.rs
@@ -0,0 +1,81 @@
+//! A server that answers with fixed bytes and then closes the connection.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _, copy_bidirectional},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// A server that answers each `POST` with the same bytes, so that a response may have any framing
+/// and break off anywhere. It forwards all other requests to another server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts a server that answers with `response` and forwards the rest to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error if no port can be bound.
+    pub async fn start(target: SocketAddr, response: &[u8]) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let response: Arc<[u8]> = response.into();
+        let task = tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                let response = Arc::clone(&response);
+                tokio::spawn(async move {
+                    // The client sees the broken connection.
+                    drop(serve(client, target, &response).await);
+                });
+            }
+        });
+        Ok(Self { address, task })
+    }
+
+    /// The address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(mut client: TcpStream, target: SocketAddr, response: &[u8]) -> io::Result<()> {
+    let mut request = Vec::new();
+    while !is_whole(&request) {
+        if client.read_buf(&mut request).await? == 0 {
+            return Ok(());
+        }
+    }
+    if request.starts_with(b"POST ") {
+        client.write_all(response).await?;
+        return client.shutdown().await;
+    }
+    let mut server = TcpStream::connect(target).await?;
+    server.write_all(&request).await?;
+    copy_bidirectional(&mut client, &mut server).await?;
+    Ok(())
+}
+
+/// Whether a request has been received with all of its body.
+fn is_whole(request: &[u8]) -> bool {
+    let Some(end) = request.windows(4).position(|bytes| bytes == b"\r\n\r\n") else {
+        return false;
+    };
+    let head = String::from_utf8_lossy(&request[..end]).to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"));
+    let length = length.and_then(|length| length.trim().parse().ok());
+    request.len() >= end + 4 + length.unwrap_or(0_usize)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,6 +18,7 @@
 //! `{"kind":"freeze"}`; `{"kind":"normal"}` clears all faults.
 
 pub mod engine;
+pub mod fixed;
 pub mod http;
 pub mod link;
 pub mod payload;
