Reset the connections of HTTP/1.0 callers of weir-router whose responses break off

What callers saw: the same as at weir-platform, a close as after a complete response. The new test's response that breaks off ended regularly before, and is reset now; the complete one is complete in both.

--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -3,9 +3,18 @@
 mod pages;
 mod parse;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
-use hyper::{Method, Request, Response, body::Incoming, header, server::conn::http1, service};
+use hyper::{
+    Method, Request, Response, Version, body::Incoming, header, server::conn::http1, service,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -62,26 +71,46 @@
     // Nagle's algorithm would delay small events of a stream until the previous
     // data is acknowledged.
     let _ = stream.set_nodelay(true);
-    let service = service::service_fn(move |request| {
+    let ends_with_connection = Arc::new(AtomicBool::new(false));
+    let is_marked = Arc::clone(&ends_with_connection);
+    let service = service::service_fn(move |request: Request<Incoming>| {
         let entry = Arc::clone(&entry);
-        async move { handle(request, entry).await }
+        let is_marked = Arc::clone(&is_marked);
+        async move {
+            let version = request.version();
+            let response = handle(request, entry).await?;
+            let has_length = response.headers().contains_key(header::CONTENT_LENGTH);
+            if version < Version::HTTP_11 && !has_length {
+                is_marked.store(true, Ordering::Relaxed);
+            }
+            Ok::<_, Refusal>(response)
+        }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits::HEAD_TIMEOUT)
         .max_headers(limits::MAX_HEADERS_READ)
         .max_buf_size(limits::MAX_HEAD_READ_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         () = Phase::reached(&mut phase, Phase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = result {
         logging::event!(debug, "connection_broken", error = error);
+        if ends_with_connection.load(Ordering::Relaxed) {
+            reset(&connection.into_parts().io.into_inner());
+        }
+    }
+}
+
+/// Lets the end of a connection, with which a response ends, not look like the end of the response.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        logging::event!(debug, "connection_broken", error = error);
     }
 }
 
--- a/crates/router/tests/fleet/framing.rs
+++ b/crates/router/tests/fleet/framing.rs
@@ -1,6 +1,10 @@
 //! What callers take for complete, for responses of a plain service that break off.
 
 use standin::fixed;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 use yare::parameterized;
 
 use crate::{
@@ -66,3 +70,27 @@
     assert_ne!(again.status, 200, "{}", again.body);
     assert_eq!(again.error("verdict"), "may_have_run");
 }
+
+/// Guards against callers of HTTP/1.0, for whom a response ends with its connection, that take a
+/// response for complete although it broke off.
+#[parameterized(
+    broken_off = { "data: a\n\ndata: b", false },
+    complete = { "data: a\n\n", true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_caller_of_http_1_0_sees_a_reset(body: &str, is_complete: bool) {
+    let cluster = cluster(EVENTS, body).await;
+    let mut stream = TcpStream::connect(cluster.routers[0].address)
+        .await
+        .expect("a connection");
+    let request =
+        "POST /bookings HTTP/1.0\r\nX-Weir-Workspace: acme\r\nContent-Length: 2\r\n\r\n{}";
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the request is sent");
+    let mut received = Vec::new();
+    let end = stream.read_to_end(&mut received).await;
+    assert!(received.starts_with(b"HTTP/1.0 200"), "{received:?}");
+    assert_eq!(end.is_ok(), is_complete, "{end:?}");
+}
