Do not count responses that broke off as served by a new version

What callers saw (by reading, and a test): a version that breaks each of its responses off after the first byte counted one success for each failure, so it never failed most of its requests, which is the limit at which it is rolled back when the version in service fails as well; one whose responses never end counted successes only. Cause: a response counts as served when it begins, which is right while it lasts, and nothing took that back.

Responses that began and ended unfinished are counted, and subtracted. The other way, to count at the end, was tried and reverted: while a load grows, failures would be known before the successes of the same moment. The counts still only grow, so reports merge as before; their form between routers has one more number.

--- a/crates/gateway/src/dispatch/failures.rs
+++ b/crates/gateway/src/dispatch/failures.rs
@@ -57,7 +57,7 @@
             Liveness::AcceptsOthers | Liveness::Unknown => return,
         }
         for failure in settled {
-            self.rollouts.ended(&failure.ticket, failure.outcome, now);
+            self.rollouts.settled(&failure.ticket, failure.outcome);
             let Some(queue) = self.queues.get_mut(&failure.ticket.pool) else {
                 continue;
             };
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -179,13 +179,15 @@
             let response_time = self.response_times.entry(ticket.pool.clone()).or_default();
             response_time.record(time, now);
         }
+        self.settled(ticket, outcome);
         let server = server_hash(ticket);
         let Some((trial, part)) = self.trial_of(ticket) else {
             return;
         };
         match outcome {
-            Outcome::Failed | Outcome::Broken => {
-                trial.record_failure(part.route, part.arm, server);
+            Outcome::Completed => {}
+            _ if ticket.has_first_byte && !ticket.has_failed => {
+                trial.record_unfinished(part.route, part.arm);
             }
             // The caller did not wait for the first byte, which took at least this long.
             Outcome::Cancelled if !ticket.has_first_byte && !part.is_cold => {
@@ -197,6 +199,16 @@
             _ => {}
         }
     }
+
+    /// Records what is known of a request that may have ended before.
+    pub fn settled(&mut self, ticket: &Ticket, outcome: Outcome) {
+        let server = server_hash(ticket);
+        if let (Outcome::Failed | Outcome::Broken, Some((trial, part))) =
+            (outcome, self.trial_of(ticket))
+        {
+            trial.record_failure(part.route, part.arm, server);
+        }
+    }
 }
 
 fn server_hash(ticket: &Ticket) -> u64 {
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -354,10 +354,34 @@
         }
     }
     let total = router.progress().counts.total();
-    assert_eq!(total.candidate.succeeded, 0);
+    assert_eq!(total.candidate.succeeded(), 0);
     assert!(total.candidate.failed >= 15, "{total:?}");
     assert_eq!(total.baseline.failed, 0);
-    assert_eq!(total.baseline.succeeded + total.candidate.failed, 200);
+    assert_eq!(total.baseline.succeeded() + total.candidate.failed, 200);
+}
+
+/// Guards against a version that is promoted although it breaks its responses off, or does not end
+/// them: each counted as served with its first byte.
+#[parameterized(
+    broken_off = { Outcome::Broken },
+    unending = { Outcome::Cancelled },
+)]
+fn a_response_that_has_only_begun_is_not_counted_as_served(outcome: Outcome) {
+    let mut router = Router::new();
+    for _ in 0..200 {
+        let mut permit = router.acquire(false);
+        permit.received(START);
+        let is_candidate = permit.placement().role == Role::Candidate;
+        permit.end(if is_candidate {
+            outcome
+        } else {
+            Outcome::Completed
+        });
+        drop(router.progress());
+    }
+    let total = router.progress().counts.total();
+    assert_eq!(total.candidate.succeeded(), 0);
+    assert!(total.baseline.succeeded() >= 180, "{total:?}");
 }
 
 /// A request that has failed is sent again. Neither the untried version nor the comparison
--- a/crates/rollout/src/counts.rs
+++ b/crates/rollout/src/counts.rs
@@ -71,17 +71,30 @@
     /// They are counted when they begin: a failure is known at once, a complete response
     /// only after its last byte, and the counts of a growing load would hold too many
     /// failures.
-    pub succeeded: u32,
-    /// Failures and broken responses. A response that breaks after it began counts as both.
+    pub begun: u32,
+    /// Responses of [`Tally::begun`] that ended before they were complete.
+    pub unfinished: u32,
+    /// Failures and broken responses.
     pub failed: u32,
     /// Responses by the class of their time to first byte.
     pub times: [u32; TIME_CLASSES],
 }
 
 impl Tally {
+    /// The number of responses that are complete or have not ended.
+    pub const fn succeeded(&self) -> u32 {
+        self.begun.saturating_sub(self.unfinished)
+    }
+
     /// The number of outcomes.
     pub const fn outcomes(&self) -> u32 {
-        self.succeeded.saturating_add(self.failed)
+        self.succeeded().saturating_add(self.failed)
+    }
+
+    /// The number of records behind the counts.
+    fn records(&self) -> u64 {
+        let ends = u64::from(self.unfinished) + u64::from(self.failed);
+        u64::from(self.begun) + ends + u64::from(self.timed())
     }
 
     /// The number of measured times.
@@ -95,7 +108,8 @@
     }
 
     fn add(&mut self, other: &Self) {
-        self.succeeded = self.succeeded.saturating_add(other.succeeded);
+        self.begun = self.begun.saturating_add(other.begun);
+        self.unfinished = self.unfinished.saturating_add(other.unfinished);
         self.failed = self.failed.saturating_add(other.failed);
         add_all(&mut self.times, &other.times);
     }
@@ -190,12 +204,18 @@
     pub fn record_success(&mut self, route: Route, arm: Arm, server: u64) {
         let counts = self.route_mut(route);
         let tally = counts.tally_mut(arm);
-        tally.succeeded = tally.succeeded.saturating_add(1);
+        tally.begun = tally.begun.saturating_add(1);
         if arm == Arm::Candidate {
             counts.spread.seen |= 1 << group(server);
         }
     }
 
+    /// Records the end of a response that has begun and is not complete.
+    pub fn record_unfinished(&mut self, route: Route, arm: Arm) {
+        let tally = self.route_mut(route).tally_mut(arm);
+        tally.unfinished = tally.unfinished.saturating_add(1);
+    }
+
     /// Records a time to first byte, and the time that is expected at a sound server.
     pub fn record_time(
         &mut self,
@@ -247,7 +267,7 @@
         let total = self.total();
         [total.baseline, total.candidate]
             .iter()
-            .map(|tally| u64::from(tally.outcomes()) + u64::from(tally.timed()))
+            .map(Tally::records)
             .sum()
     }
 
--- a/crates/rollout/src/trial.rs
+++ b/crates/rollout/src/trial.rs
@@ -103,6 +103,11 @@
         self.counts.record_success(route, arm, server);
     }
 
+    /// Records the end of a response that has begun and is not complete.
+    pub fn record_unfinished(&mut self, route: Route, arm: Arm) {
+        self.counts.record_unfinished(route, arm);
+    }
+
     /// Records a time to first byte, and the time that is expected at a sound server.
     pub fn record_time(
         &mut self,
--- a/crates/rollout/tests/model/counts.rs
+++ b/crates/rollout/tests/model/counts.rs
@@ -35,7 +35,7 @@
     let (reporters, total) = reports.total();
     assert_eq!(reporters, 42);
     assert_eq!(total.total().candidate.failed, 12);
-    assert_eq!(total.total().candidate.succeeded, 35);
+    assert_eq!(total.total().candidate.succeeded(), 35);
 }
 
 /// A router is killed after it has reported failures. They must not be forgotten, and the
