Read objects of the store whole or not at all

By reading, as the same class of fault: an object whose response has neither a length nor chunks was taken for whole when the store closed the connection, and would have been archived or shown as such. Lists are JSON, of which a part cannot be read. The client of the store asks framing::Tracker for the end of each response, and refuses objects that only the connection delimits. One of six new tests failed before, none after; the stand-in with fixed bytes answers any method.

--- a/crates/router/tests/fleet/framing.rs
+++ b/crates/router/tests/fleet/framing.rs
@@ -23,7 +23,7 @@
     let mut cluster = Cluster::start(Topology::one_zone()).await;
     let service = &mut cluster.services[0];
     let response = format!("HTTP/1.1 200 OK\r\n{fields}\r\n{body}");
-    let front = fixed::Server::start(service.handle.address(), response.as_bytes());
+    let front = fixed::Server::start(service.handle.address(), "POST", response.as_bytes());
     service.front = Some(front.await.expect("a port"));
     cluster.list_hosts(&[]);
     wait_until("the router has the new address", async || {
--- a/crates/standin/src/fixed.rs
+++ b/crates/standin/src/fixed.rs
@@ -8,8 +8,8 @@
     task::JoinHandle,
 };
 
-/// A server that answers each `POST` with the same bytes, so that a response may have any framing
-/// and break off anywhere. It forwards all other requests to another server.
+/// A server that answers each request of one method with the same bytes, so that a response may
+/// have any framing and break off anywhere. It forwards all other requests to another server.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
@@ -17,12 +17,17 @@
 }
 
 impl Server {
-    /// Starts a server that answers with `response` and forwards the rest to `target`.
+    /// Starts a server that answers requests of `method` with `response` and forwards the rest to
+    /// `target`.
     ///
     /// # Errors
     ///
     /// Returns the error if no port can be bound.
-    pub async fn start(target: SocketAddr, response: &[u8]) -> io::Result<Self> {
+    pub async fn start(
+        target: SocketAddr,
+        method: &'static str,
+        response: &[u8],
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let response: Arc<[u8]> = response.into();
@@ -31,7 +36,7 @@
                 let response = Arc::clone(&response);
                 tokio::spawn(async move {
                     // The client sees the broken connection.
-                    drop(serve(client, target, &response).await);
+                    drop(serve(client, target, method, &response).await);
                 });
             }
         });
@@ -50,14 +55,19 @@
     }
 }
 
-async fn serve(mut client: TcpStream, target: SocketAddr, response: &[u8]) -> io::Result<()> {
+async fn serve(
+    mut client: TcpStream,
+    target: SocketAddr,
+    method: &str,
+    response: &[u8],
+) -> io::Result<()> {
     let mut request = Vec::new();
     while !is_whole(&request) {
         if client.read_buf(&mut request).await? == 0 {
             return Ok(());
         }
     }
-    if request.starts_with(b"POST ") {
+    if request.starts_with(format!("{method} ").as_bytes()) {
         client.write_all(response).await?;
         return client.shutdown().await;
     }
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -6,6 +6,7 @@
 use std::{fmt, net, sync};
 
 use bytes::{Bytes, BytesMut};
+use framing::{Delimiter, Tracker};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request, StatusCode,
@@ -40,6 +41,8 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: header::HeaderMap,
+    /// What delimited the body.
+    pub delimiter: Delimiter,
     /// The complete body.
     pub body: Bytes,
     /// When the bytes of the body arrived.
@@ -247,6 +250,7 @@
     response_deadline: Deadline,
 ) -> Result<Response, Failure> {
     let progress = Progress::new(time::Instant::now());
+    let method = request.method().clone();
     let sending = time::timeout_at(
         response_deadline.first_byte_deadline(),
         sender.try_send_request(request),
@@ -266,9 +270,15 @@
         }
     };
     let (head, body) = response.into_parts();
+    let mut tracker = Tracker::new(&method, head.status, &head.headers);
     let (body, progress) = read_body(body, progress, response_deadline).await?;
+    tracker.record(&body);
+    tracker
+        .end()
+        .map_err(|truncation| Failure::Other(Error::MayHaveRun(truncation.to_string())))?;
     Ok(Response {
         status: head.status,
+        delimiter: tracker.delimiter(),
         headers: head.headers,
         body,
         progress,
--- a/crates/storage/src/objects.rs
+++ b/crates/storage/src/objects.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, net};
 
 use bytes::Bytes;
+use framing::Delimiter;
 use hyper::{
     Method, StatusCode,
     header::{self, HeaderName, HeaderValue},
@@ -39,7 +40,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotRun`] or [`Error::MayHaveRun`] when there is no response by `deadline`.
+    /// [`Error::NotRun`] or [`Error::MayHaveRun`] when there is no response by `deadline`, or when
+    /// it may be a part of the object.
     fn get(
         &self,
         key: &str,
@@ -100,6 +102,11 @@
             .read(http::request(Method::GET, &path, Bytes::new())?, deadline)
             .await?;
         match response.status {
+            // The object store may have ended while it sent the object.
+            StatusCode::OK if response.delimiter == Delimiter::Close => {
+                let reason = "the object has neither a length nor chunks, and may be a part of one";
+                Err(Error::MayHaveRun(String::from(reason)))
+            }
             StatusCode::OK => Ok(Some(Object {
                 tag: entity_tag(&response),
                 body: response.body,
--- a/crates/storage/tests/client.rs
+++ b/crates/storage/tests/client.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use standin::platform::{self as stand, Fault};
+use standin::{
+    fixed,
+    platform::{self as stand, Fault},
+};
 use storage::{
     Conflict, Error,
     objects::{self, Objects},
@@ -164,3 +167,35 @@
     );
     assert_eq!(Ok(None), table.read("a", deadline_in(5_000)).await);
 }
+
+/// Guards against a part of an object, or of a list, that is taken for all of it because the
+/// response broke off.
+#[yare::parameterized(
+    neither_length_nor_chunks = { "", "{\"keys\":[]}", false },
+    length = { "Content-Length: 11\r\n", "{\"keys\":[]}", true },
+    short = { "Content-Length: 11\r\n", "{\"keys\"", false },
+    chunks = { "Transfer-Encoding: chunked\r\n", "b\r\n{\"keys\":[]}\r\n0\r\n\r\n", true },
+    no_last_chunk = { "Transfer-Encoding: chunked\r\n", "b\r\n{\"keys\":[]}\r\n", false },
+)]
+#[test_macro(tokio::test)]
+async fn an_object_is_read_whole_or_not_at_all(fields: &str, body: &str, is_read: bool) {
+    let (platform, _) = start().await;
+    let response = format!("HTTP/1.1 200 OK\r\n{fields}Connection: close\r\n\r\n{body}");
+    let server = fixed::Server::start(platform.address(), "GET", response.as_bytes());
+    let server = server.await.expect("a port");
+    let objects = objects::Client::new(server.address());
+    let object = objects.get("x/1", deadline_in(10_000)).await;
+    assert_eq!(object.is_ok(), is_read, "{object:?}");
+}
+
+/// Guards against a list that ends early because its response broke off.
+#[tokio::test]
+async fn a_list_that_broke_off_is_no_list() {
+    let (platform, _) = start().await;
+    let response = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"keys\":[\"x/1\"";
+    let server = fixed::Server::start(platform.address(), "GET", response);
+    let server = server.await.expect("a port");
+    let objects = objects::Client::new(server.address());
+    let keys = objects.list("x/", deadline_in(10_000)).await;
+    assert!(keys.is_err(), "{keys:?}");
+}
