Let a roll-out's stage correct what a starting router assumed

Cause, by reading and by a test: without an order, the version in service is that of the oldest server. A router that starts after the old servers have started again, and hears of servers before the order, takes the new version for it, and kept it when the order and its stage said that it is on trial or has failed; so did one that starts while no old server is registered.

A version that is on trial, or failed, is not in service: it is chosen anew among the others, and after a rollback rather none than the faulty one. With only the ordered version registered, the canary serves as before.

Five of five new cases failed before, none after. Not mended: before any order, the oldest server is all that a starting router has to go by.

--- a/crates/rollout/src/serving.rs
+++ b/crates/rollout/src/serving.rs
@@ -48,20 +48,22 @@
             let mut registered = servers.iter();
             registered.any(|server| server.version == version)
         };
-        if self.baseline.as_ref().is_some_and(is_registered) {
-            return;
-        }
         let is_ordered = |server: &&Server<'a>| self.ordered() == Some(server.version);
         let is_rolled_back = self
             .stage
             .is_some_and(|stage| matches!(stage, Stage::RollingBack | Stage::RolledBack));
         let others = servers.iter().filter(|server| !is_ordered(server));
         let oldest = others.min_by_key(|server| (server.incarnation, server.version));
+        let is_refuted = self.has_untried_baseline() && (oldest.is_some() || is_rolled_back);
+        if !is_refuted && self.baseline.as_ref().is_some_and(is_registered) {
+            return;
+        }
         // If only servers of the ordered version are left, they serve, unless they are
         // known to be faulty.
         let ordered = || servers.iter().find(is_ordered).filter(|_| !is_rolled_back);
-        if let Some(server) = oldest.or_else(ordered) {
-            self.baseline = Some(server.version.clone());
+        let chosen = oldest.or_else(ordered).map(|server| server.version.clone());
+        if chosen.is_some() || is_refuted {
+            self.baseline = chosen;
         }
     }
 
@@ -104,6 +106,15 @@
         self.stage
     }
 
+    /// Whether the version taken for the one in service is on trial, or failed it.
+    ///
+    /// A router that starts knows neither the order nor how long the servers in service have run
+    /// if they have started again since.
+    fn has_untried_baseline(&self) -> bool {
+        let is_on_trial = self.stage.is_some_and(|stage| stage != Stage::Completed);
+        is_on_trial && self.baseline.as_ref() == self.ordered()
+    }
+
     fn ordered(&self) -> Option<&backend::Version> {
         self.order.as_ref().map(|order| &order.to)
     }
--- a/crates/rollout/tests/model/serving.rs
+++ b/crates/rollout/tests/model/serving.rs
@@ -136,3 +136,32 @@
     assert_eq!(serving.role(&version("v1")), Role::Serving);
     assert_eq!(serving.role(&version("v2")), Role::Idle);
 }
+
+/// Guards against a router that takes the version of an order for the one in service, because it
+/// started when the old servers had started again after the new ones, or were all gone.
+#[parameterized(
+    restarted_in_canary = { &[("v1", 300), ("v2", 200)], Stage::Canary, Role::Candidate },
+    restarted_in_rollback = { &[("v1", 300), ("v2", 200)], Stage::RollingBack, Role::Idle },
+    restarted_after_rollback = { &[("v1", 300), ("v2", 200)], Stage::RolledBack, Role::Idle },
+    gone_in_rollback = { &[("v2", 200)], Stage::RollingBack, Role::Idle },
+    gone_after_rollback = { &[("v2", 200)], Stage::RolledBack, Role::Idle },
+)]
+fn a_stage_corrects_what_a_starting_router_assumed(
+    servers: &[(&str, u64)],
+    stage: Stage,
+    expected: Role,
+) {
+    let mut serving = serving(servers);
+    assert_eq!(
+        serving.role(&version("v2")),
+        Role::Serving,
+        "nothing else is known"
+    );
+    serving.set_order(Some(&order("v2", 7)));
+    serving.set_stage(7, stage);
+    set_servers(&mut serving, servers);
+    assert_eq!(serving.role(&version("v2")), expected);
+    set_servers(&mut serving, &[("v1", 300), ("v2", 200)]);
+    assert_eq!(serving.role(&version("v1")), Role::Serving);
+    assert_eq!(serving.role(&version("v2")), expected);
+}
