Do not start streams without ids again

What callers saw: of a resumable stream whose events have no ids and that breaks off, all events twice (found while following a response through the relay). Cause: without an id to continue after, the request was sent again as it came, though events had been forwarded. Such a stream breaks off now, and is not given up early for a silence either, since no other server can continue it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -157,8 +157,7 @@
         let deadline = plan.deadline;
         let stall_timeout = plan.route.target.duration() * STALL_TIMEOUT_TARGETS;
         let stalled_at = clock.now() + stall_timeout.max(MIN_STALL_TIMEOUT);
-        let can_resume = self.splitter.is_some() && self.exchange.may_retry();
-        let until = if can_resume {
+        let until = if self.can_resume() {
             deadline.min(stalled_at)
         } else {
             deadline
@@ -245,11 +244,19 @@
         }
     }
 
+    /// Whether another server may continue the stream.
+    fn can_resume(&self) -> bool {
+        let events = self.tracker.events();
+        let splitter = self.splitter.as_ref();
+        let can_continue = splitter.is_some_and(|splitter| splitter.can_continue(events));
+        can_continue && self.exchange.may_retry()
+    }
+
     /// Continues the stream at another server, after the last complete event.
     ///
     /// The connection to the first server is closed first, so that it stops generating.
     async fn resume(&mut self, reason: &str) -> bool {
-        if !self.exchange.may_retry() {
+        if !self.can_resume() {
             return false;
         }
         let Some(splitter) = &mut self.splitter else {
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -84,6 +84,12 @@
         self.partial.freeze()
     }
 
+    /// Whether another server can continue the stream. Without an id to continue after, events
+    /// that have been forwarded would be sent again.
+    pub fn can_continue(&self, forwarded_events: u64) -> bool {
+        self.last_id.is_some() || forwarded_events == 0
+    }
+
     /// Discards the buffered part and returns the id of the last complete event.
     pub fn reset(&mut self) -> Option<String> {
         self.partial.clear();
