--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -276,8 +276,18 @@
             );
             permit.end(Outcome::Broken);
         }
-        let Ok(response) = self.exchange.respond(last_id.as_deref()).await else {
-            return false;
+        let response = match self.exchange.respond(last_id.as_deref()).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                logging::event!(
+                    info,
+                    "stream_not_resumed",
+                    request = self.exchange.plan().head.id,
+                    code = refusal.code,
+                    reason = refusal.message
+                );
+                return false;
+            }
         };
         let (method, head) = (&self.exchange.plan().method, &response.head);
         let tracker = self.tracker.resumed(method, head.status, &head.headers);
