--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -13,12 +13,12 @@
 };
 
 use gateway::{
-    ages::Ages,
     clock::Clock,
     dispatch, load,
     metrics::Metrics,
     outlier, peers, pool, prefixes, rollouts, roster,
     source::{self, Batch, Member, Secret, Source, Topic},
+    staleness::Staleness,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use rollout::{Counts, Order, counts, stage};
@@ -313,7 +313,7 @@
         }));
         let (rollout_events, event_receiver) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
-        let ages = Arc::new(Ages::default());
+        let ages = Arc::new(Staleness::default());
         let channels = rollouts::Channels {
             members: members_receiver.clone(),
             dispatch: dispatch.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,6 @@
 
 pub mod activity;
 pub mod advisory;
-pub mod ages;
 pub mod attempt;
 pub mod clock;
 pub mod connection;
@@ -49,6 +48,7 @@
 pub mod shutdown;
 pub mod slow_start;
 pub mod source;
+pub mod staleness;
 pub mod start;
 pub mod state;
 pub mod status;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,12 +3,14 @@
 //! Label values come only from fixed sets, so that callers cannot increase the number of
 //! series.
 
+mod labels;
+
 use std::{sync::atomic::AtomicU64, time::Duration};
 
 use framing::Tracker;
 use hyper::StatusCode;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text},
+    encoding::text,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
@@ -17,66 +19,14 @@
 use verdict::Refusal;
 
 use crate::{
-    ages::Ages,
     pool::{Outcome, Standing},
     source::Topic,
+    staleness::Staleness,
 };
 
 /// The upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 2.0, 5.0];
 
-/// The labels of a refusal.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct RefusalLabels {
-    code: String,
-    verdict: String,
-}
-
-/// The labels of a response.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ResponseLabels {
-    status: u16,
-}
-
-/// The labels of the end of a response's body.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct EndLabels {
-    delimiter: &'static str,
-    format: &'static str,
-    inside_event: String,
-    outcome: String,
-}
-
-/// The labels of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct AttemptLabels {
-    outcome: &'static str,
-}
-
-/// The labels of a server's standing.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StandingLabels {
-    standing: &'static str,
-}
-
-/// The labels of a stage of a roll-out.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StageLabels {
-    stage: &'static str,
-}
-
-/// The labels of a replicated view.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ViewLabels {
-    topic: &'static str,
-}
-
-/// The labels of gossip traffic between routers.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct DirectionLabels {
-    direction: &'static str,
-}
-
 /// Whether bytes between two routers stay within a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Distance {
@@ -104,38 +54,6 @@
     }
 }
 
-/// The labels of bytes between routers.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PeerLabels {
-    kind: &'static str,
-    zone: &'static str,
-}
-
-/// The labels of a store call.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CallLabels {
-    topic: &'static str,
-    result: &'static str,
-}
-
-/// The labels of a confirmed crash with a request in flight.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CrashLabels {
-    counted: &'static str,
-}
-
-/// The labels of a change of the paths to the servers of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PathLabels {
-    state: &'static str,
-}
-
-/// The labels of a connection that another router asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CarriedLabels {
-    result: &'static str,
-}
-
 /// The size of the UDP and IP headers of a datagram, in bytes.
 const DATAGRAM_HEADERS: u64 = 28;
 
@@ -143,25 +61,25 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    refusals: Family<RefusalLabels, Counter>,
-    responses: Family<ResponseLabels, Counter>,
-    response_ends: Family<EndLabels, Counter>,
-    calls: Family<CallLabels, Counter>,
+    refusals: Family<labels::Refusal, Counter>,
+    responses: Family<labels::Response, Counter>,
+    response_ends: Family<labels::End, Counter>,
+    calls: Family<labels::Call, Counter>,
     head_seconds: Histogram,
     first_byte_seconds: Histogram,
     wait_seconds: Histogram,
     gap_seconds: Histogram,
-    attempts: Family<AttemptLabels, Counter>,
+    attempts: Family<labels::Attempt, Counter>,
     throttled_attempts: Counter,
-    crashes: Family<CrashLabels, Counter>,
-    path_changes: Family<PathLabels, Counter>,
+    crashes: Family<labels::Crash, Counter>,
+    path_changes: Family<labels::Path, Counter>,
     tunnelled_attempts: Counter,
-    carried_tunnels: Family<CarriedLabels, Counter>,
-    standings: Family<StandingLabels, Counter>,
-    rollout_stages: Family<StageLabels, Counter>,
-    ages: Family<ViewLabels, Gauge<f64, AtomicU64>>,
-    control_bytes: Family<DirectionLabels, Counter>,
-    peer_bytes: Family<PeerLabels, Counter>,
+    carried_tunnels: Family<labels::Carried, Counter>,
+    standings: Family<labels::Standing, Counter>,
+    rollout_stages: Family<labels::Stage, Counter>,
+    ages: Family<labels::View, Gauge<f64, AtomicU64>>,
+    control_bytes: Family<labels::Direction, Counter>,
+    peer_bytes: Family<labels::Peer, Counter>,
     config: Gauge,
     config_bytes: Gauge,
     servers: Gauge,
@@ -329,7 +247,7 @@
 impl Metrics {
     /// Counts a final refusal.
     pub fn refused(&self, refusal: &Refusal) {
-        let labels = RefusalLabels {
+        let labels = labels::Refusal {
             code: refusal.code.to_string(),
             verdict: refusal.verdict.to_string(),
         };
@@ -338,7 +256,7 @@
 
     /// Records that the head of a response was sent after `waited`.
     pub fn response_started(&self, status: StatusCode, waited: Duration) {
-        let labels = ResponseLabels {
+        let labels = labels::Response {
             status: status.as_u16(),
         };
         self.responses.get_or_create(&labels).inc();
@@ -352,7 +270,7 @@
 
     /// Counts the end of the body that `tracker` has followed.
     pub fn response_ended(&self, tracker: &Tracker, outcome: Outcome) {
-        let labels = EndLabels {
+        let labels = labels::End {
             delimiter: tracker.delimiter().name(),
             format: tracker.format().name(),
             inside_event: tracker.is_inside_event().to_string(),
@@ -374,7 +292,7 @@
     /// Counts an attempt that ended with `outcome`.
     pub fn attempt_ended(&self, outcome: &'static str) {
         self.attempts
-            .get_or_create(&AttemptLabels { outcome })
+            .get_or_create(&labels::Attempt { outcome })
             .inc();
     }
 
@@ -387,14 +305,16 @@
     /// adds a strike against it.
     pub fn crash_confirmed(&self, is_counted: bool) {
         let counted = if is_counted { "yes" } else { "no" };
-        self.crashes.get_or_create(&CrashLabels { counted }).inc();
+        self.crashes.get_or_create(&labels::Crash { counted }).inc();
     }
 
     /// Counts that this router has lost its paths to the servers of a service, or has reached
     /// them again.
     pub fn path_changed(&self, is_restored: bool) {
         let state = if is_restored { "restored" } else { "lost" };
-        self.path_changes.get_or_create(&PathLabels { state }).inc();
+        self.path_changes
+            .get_or_create(&labels::Path { state })
+            .inc();
     }
 
     /// Counts an attempt that is sent through another router.
@@ -404,13 +324,13 @@
 
     /// Counts a connection to a server that another router asked for.
     pub fn tunnel_carried(&self, result: &'static str) {
-        let labels = CarriedLabels { result };
+        let labels = labels::Carried { result };
         self.carried_tunnels.get_or_create(&labels).inc();
     }
 
     /// Counts a change of a server to `standing`.
     pub fn standing_changed(&self, standing: Standing) {
-        let labels = StandingLabels {
+        let labels = labels::Standing {
             standing: standing.name(),
         };
         self.standings.get_or_create(&labels).inc();
@@ -418,20 +338,20 @@
 
     /// Counts a stage of a roll-out that this router enters.
     pub fn rollout_stage_reached(&self, stage: Stage) {
-        let labels = StageLabels {
+        let labels = labels::Stage {
             stage: stage.name(),
         };
         self.rollout_stages.get_or_create(&labels).inc();
     }
 
     /// Sets the ages of the replicated views at `now`.
-    pub fn set_ages(&self, ages: &Ages, now: Instant) {
+    pub fn set_ages(&self, ages: &Staleness, now: Instant) {
         let views = [
             (Topic::Configuration, ages.configuration(now)),
             (Topic::Servers, ages.servers(now)),
         ];
         for (topic, age) in views {
-            let labels = ViewLabels {
+            let labels = labels::View {
                 topic: topic.name(),
             };
             self.ages.get_or_create(&labels).set(age.as_secs_f64());
@@ -446,7 +366,7 @@
 
     /// Counts bytes between this router and another, without headers.
     pub fn peer_bytes(&self, kind: &'static str, distance: Distance, bytes: u64) {
-        let labels = PeerLabels {
+        let labels = labels::Peer {
             kind,
             zone: distance.name(),
         };
@@ -460,14 +380,14 @@
 
     fn add_control_bytes(&self, direction: &'static str, length: usize) {
         let bytes = DATAGRAM_HEADERS + length as u64;
-        let labels = DirectionLabels { direction };
+        let labels = labels::Direction { direction };
         self.control_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
     /// The bytes of datagrams sent to and received from other routers so far.
     pub fn control_bytes(&self) -> (u64, u64) {
         let total = |direction| {
-            let labels = DirectionLabels { direction };
+            let labels = labels::Direction { direction };
             self.control_bytes.get_or_create(&labels).get()
         };
         (total("sent"), total("received"))
@@ -475,7 +395,7 @@
 
     /// Counts a store call that ended with `result`.
     pub fn store_called(&self, topic: &'static str, result: &'static str) {
-        let labels = CallLabels { topic, result };
+        let labels = labels::Call { topic, result };
         self.calls.get_or_create(&labels).inc();
     }
 
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -14,8 +14,8 @@
 use units::host;
 
 use crate::{
-    ages::Ages, clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, route::Table,
-    shutdown::Phase, status,
+    clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, route::Table, shutdown::Phase,
+    staleness::Staleness, status,
 };
 
 /// The data that the endpoints report.
@@ -32,7 +32,7 @@
     /// The clock of the process.
     pub clock: Clock,
     /// The ages of the replicated views.
-    pub ages: Arc<Ages>,
+    pub ages: Arc<Staleness>,
     /// The dispatch task.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// The roll-outs.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,7 +37,6 @@
 pub use watchers::{WATCHERS, Watcher, Watchers};
 
 use crate::{
-    ages::Ages,
     clock::Clock,
     dispatch,
     follow::Event,
@@ -45,6 +44,7 @@
     replica::Replicas,
     rollouts,
     source::{Member, Secret, Source},
+    staleness::Staleness,
 };
 use introduction::Introducer;
 use task::Task;
@@ -101,7 +101,7 @@
     /// The task that controls roll-outs.
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The ages of the replicated views.
-    pub ages: Arc<Ages>,
+    pub ages: Arc<Staleness>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -14,12 +14,12 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    ages::Ages,
     clock::Clock,
     dispatch::{self, Progress},
     metrics::Metrics,
     peers::sums,
     source::{Error, Member, Source},
+    staleness::Staleness,
     status,
 };
 
@@ -55,7 +55,7 @@
     /// The state of the roll-outs, for the status page.
     pub status: watch::Sender<Vec<status::Rollout>>,
     /// The ages of the replicated views.
-    pub ages: Arc<Ages>,
+    pub ages: Arc<Staleness>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -24,8 +24,8 @@
 pub use intake::BODY_UNIT;
 
 use crate::{
-    activity, ages::Ages, clock::Clock, connector::Connector, dispatch, metrics::Metrics,
-    protocol::Protocol, readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
+    activity, clock::Clock, connector::Connector, dispatch, metrics::Metrics, protocol::Protocol,
+    readiness::Readiness, refusal, relay, route::Table, shutdown::Phase, staleness::Staleness,
 };
 
 /// The state that all requests share.
@@ -50,7 +50,7 @@
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The ages of the replicated views.
-    pub ages: Arc<Ages>,
+    pub ages: Arc<Staleness>,
     /// Whether the router can serve.
     pub readiness: watch::Receiver<Readiness>,
     /// Whether the stages of all roll-outs are known.
--- a/crates/gateway/src/ages.rs
+++ b/crates/gateway/src/staleness.rs
@@ -11,12 +11,12 @@
 
 /// When each view was last confirmed to be up to date.
 #[derive(Debug, Default)]
-pub struct Ages {
+pub struct Staleness {
     configuration_us: AtomicU64,
     servers_us: AtomicU64,
 }
 
-impl Ages {
+impl Staleness {
     /// Records that the view of a topic is up to date at `now`.
     pub fn confirm(&self, topic: Topic, now: Instant) {
         let confirmed = match topic {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -13,7 +13,6 @@
 use wire::seal::Key;
 
 use crate::{
-    ages::Ages,
     clock::Clock,
     connector::Connector,
     dispatch::{self, Dispatch},
@@ -33,6 +32,7 @@
     settings::Settings,
     shutdown::Phase,
     source::{self, Batch, Member, Secret, Source, Topic},
+    staleness::Staleness,
     state::{self, State},
     tunnel,
 };
@@ -135,7 +135,7 @@
             tunnels: tunnel::Client::new(key.clone()),
         };
         tokio::spawn(dispatch.run(connector.clone(), messages));
-        let ages = Arc::new(Ages::default());
+        let ages = Arc::new(Staleness::default());
         let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
         let (stages_sender, stages_known) = watch::channel(false);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,6 @@
 use units::{backend, time::Instant};
 
 use crate::{
-    ages::Ages,
     clock::Clock,
     dispatch,
     follow::Event,
@@ -21,13 +20,14 @@
     roster::{Change, Roster},
     route::Table,
     source::{Directive, Member, Row, Source, Topic},
+    staleness::Staleness,
 };
 
 /// The receivers of the task's updates.
 #[derive(Debug)]
 pub struct Outputs {
     /// The ages of the views.
-    pub ages: Arc<Ages>,
+    pub ages: Arc<Staleness>,
     /// The configuration in force.
     pub table: watch::Sender<Option<Arc<Table>>>,
     /// Whether requests can be served.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -5,10 +5,10 @@
 use units::{availability, backend, host, pool, time::Instant};
 
 use crate::{
-    ages::Ages,
     pool::{Server, Standing},
     readiness::Readiness,
     shutdown::Phase,
+    staleness::Staleness,
 };
 
 /// A router's view of one backend server.
@@ -164,7 +164,7 @@
     /// The shutdown phase of the process.
     pub phase: Phase,
     /// The ages of the replicated views.
-    pub ages: &'a Ages,
+    pub ages: &'a Staleness,
     /// The present instant.
     pub now: Instant,
 }
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -72,16 +72,16 @@
     // data is acknowledged.
     let _ = stream.set_nodelay(true);
     let ends_with_connection = Arc::new(AtomicBool::new(false));
-    let is_marked = Arc::clone(&ends_with_connection);
+    let shared_flag = Arc::clone(&ends_with_connection);
     let service = service::service_fn(move |request: Request<Incoming>| {
         let entry = Arc::clone(&entry);
-        let is_marked = Arc::clone(&is_marked);
+        let ends_with_connection = Arc::clone(&shared_flag);
         async move {
             let version = request.version();
             let response = handle(request, entry).await?;
             let has_length = response.headers().contains_key(header::CONTENT_LENGTH);
             if version < Version::HTTP_11 && !has_length {
-                is_marked.store(true, Ordering::Relaxed);
+                ends_with_connection.store(true, Ordering::Relaxed);
             }
             Ok::<_, Refusal>(response)
         }
@@ -107,7 +107,7 @@
     }
 }
 
-/// Lets the end of a connection, with which a response ends, not look like the end of the response.
+/// Closes a connection so that the response on it does not look complete.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
         logging::event!(debug, "connection_broken", error = error);
