Log the version of each server that a request is sent to

No line named the software version of a server or the stream that a request takes up, so that the hypotheses of the incident could not be told apart. `request_done` has `resumes` and `version`, `attempt_failed` and `stream_resumed` have `version`, and `stream_continued` names the server that goes on. No decision changes.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -80,6 +80,8 @@
     pub address: SocketAddr,
     /// The incarnation of the server for which the request is meant.
     pub incarnation: u64,
+    /// The version of the server's software.
+    pub version: backend::Version,
     /// The role of the server's version.
     pub role: Role,
     /// Whether the server was cold.
@@ -269,6 +271,7 @@
             zone: server.zone().clone(),
             address: server.address(),
             incarnation: server.incarnation(),
+            version: server.version().clone(),
             role: server.role(),
             is_cold: server.is_cold(now),
             is_throttled: server.is_throttled(now),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -32,6 +32,8 @@
     pub cost: Cost,
     /// The id of the event after which a stream is resumed.
     pub last_event_id: Option<String>,
+    /// The id of the caller's request that began the stream which this one takes up.
+    pub resumes: Option<String>,
 }
 
 /// The content of the head that is sent to a backend server with one attempt.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -271,6 +271,7 @@
                 "stream_resumed",
                 request = self.exchange.plan().head.id,
                 server = permit.placement().server,
+                version = permit.placement().version,
                 after = last_id.as_deref().unwrap_or("none"),
                 reason = reason
             );
@@ -298,11 +299,26 @@
         self.tracker = tracker;
         self.body = Some(response.body);
         self.permit = response.permit;
+        self.log_continuation();
         true
     }
 }
 
 impl<P> Relay<P> {
+    /// Logs the server that continues the stream.
+    fn log_continuation(&self) {
+        let Some(placement) = self.permit.as_ref().map(Permit::placement) else {
+            return;
+        };
+        logging::event!(
+            info,
+            "stream_continued",
+            request = self.exchange.plan().head.id,
+            server = placement.server,
+            version = placement.version
+        );
+    }
+
     fn finish(&mut self, outcome: Outcome, ending: &str) {
         self.is_finished = true;
         let context = self.exchange.context();
@@ -318,7 +334,9 @@
             kind = plan.route.kind,
             pool = plan.pool,
             workspace = self.exchange.workspace(),
+            resumes = plan.head.resumes.as_deref().unwrap_or("none"),
             server = placement.map_or("none", |placement| placement.server.as_str()),
+            version = placement.map_or("none", |placement| placement.version.as_str()),
             zone = placement.map_or("none", |placement| placement.zone.as_str()),
             path = placement.map_or(&Path::Direct, |placement| &placement.path),
             load = placement.map_or(0, |placement| placement.load),
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -57,6 +57,7 @@
             workspace = self.workspace(),
             fingerprint = self.plan.fingerprint,
             server = placement.server,
+            version = placement.version,
             zone = placement.zone,
             path = placement.path,
             load = placement.load,
