--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -335,6 +335,7 @@
             pool = plan.pool,
             workspace = self.exchange.workspace(),
             resumes = plan.head.resumes.as_deref().unwrap_or("none"),
+            after = plan.head.last_event_id.as_deref().unwrap_or("none"),
             server = placement.map_or("none", |placement| placement.server.as_str()),
             version = placement.map_or("none", |placement| placement.version.as_str()),
             zone = placement.map_or("none", |placement| placement.zone.as_str()),
