Continue a stream within its response only at the version that began it

Callers saw responses with events of two software versions of a service.

Cause: the next server of a stream that broke off was chosen as for a new request. The choice left out the servers that were tried, but knew nothing of the version whose events had been forwarded.

From the first forwarded byte on, the version is a condition on the server: through the queue, the tiers of a roll-out, retries and the last resort. Streams that wait for a full version have a queue of their own, so that requests of their workspace for any version do not wait behind them. A version without servers is refused at once (version_gone), with its own cause in weirctl losses.

The decision tests cover the stages of a roll-out and, as a property, any series of requests and outcomes.

--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -136,7 +136,7 @@
             demand: demand.clone(),
         };
         match self.queues[router].submit(queue_request, &self.fleets[router], now) {
-            Admission::Placed(place) => self.send_placed(core, request, place, now),
+            Admission::Placed(place) => self.send_placed(core, request, *place, now),
             Admission::Queued => self.schedule_wake(core, router, now),
             Admission::Refused(_) => self.give_up(core, request),
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -284,7 +284,7 @@
         let attempt = queue_request.attempt;
         match queue.submit(queue_request, &self.fleet, now) {
             Admission::Placed(placement) => {
-                let permit = self.permit(request, placement, now);
+                let permit = self.permit(request, *placement, now);
                 send_reply(reply, Ok(permit));
             }
             Admission::Refused(refusal) => send_reply(reply, Err(Refusal::Denied(refusal))),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -58,6 +58,9 @@
     pub leaves_reserve: bool,
     /// The version that the request goes to during a roll-out.
     pub preference: Preference,
+    /// The version that has to process the request, because the caller has received events
+    /// from it. Versions do not continue each other's streams.
+    pub version: Option<backend::Version>,
 }
 
 /// The routers that share the limits of a service.
@@ -142,6 +145,8 @@
 pub enum Denial {
     /// The service has no known server, or all of them have been tried.
     NoServer,
+    /// The service has no server of the version that has to process the request.
+    VersionGone,
     /// All servers are in unreachable zones; the first of these zones is probed at this
     /// instant.
     ZonesUnreachable(Instant),
@@ -455,7 +460,7 @@
 
     /// Total slots of the servers that may receive requests without a preference.
     pub fn slots(&self) -> u32 {
-        let tiers = self.tiers(Preference::Baseline);
+        let tiers = self.tiers(&Demand::default());
         let servers = tiers.iter().flat_map(|tier| self.tier(*tier));
         servers.map(Server::slots).sum()
     }
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -11,7 +11,10 @@
         fleet: &Fleet,
         now: Instant,
     ) -> Result<backend::Server, Denial> {
-        let tiers = self.tiers(demand.preference);
+        if !self.has_version(demand) {
+            return Err(Denial::VersionGone);
+        }
+        let tiers = self.tiers(demand);
         let mut denial = Denial::NoServer;
         for (position, tier) in tiers.iter().enumerate() {
             let is_last = position + 1 == tiers.len();
@@ -36,7 +39,7 @@
         now: Instant,
     ) -> Result<backend::Server, Denial> {
         let untried = || {
-            let servers = self.tier(tier);
+            let servers = self.eligible(tier, demand);
             servers.filter(|server| !demand.tried.contains(server.name()))
         };
         let unthrottled = || untried().filter(|server| !server.is_throttled(now));
@@ -114,7 +117,7 @@
         demand: &Demand,
         now: Instant,
     ) -> Option<backend::Server> {
-        let ranking = cost::Ranking::new(&demand.parts, self.tier(tier));
+        let ranking = cost::Ranking::new(&demand.parts, self.eligible(tier, demand));
         let cost = |server: &&Server| {
             let position = ranking.as_ref().map(|ranking| ranking.position(server));
             cost::time_us(server, &self.zone, &demand.parts, position, now)
--- a/crates/gateway/src/pool/versions.rs
+++ b/crates/gateway/src/pool/versions.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 use units::{backend, chat};
 
-use super::{Pool, Server};
+use super::{Demand, Pool, Server};
 
 /// The version that a request goes to during a roll-out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     Canary,
     /// All servers of the new version.
     Candidates,
+    /// The servers of all versions that may receive requests.
+    Open,
 }
 
 /// The fewest servers that receive the requests of the canary, so that a fault of one
@@ -135,11 +137,14 @@
     }
 
     /// The tiers that a request may go to, in the order in which they are tried.
-    pub(super) fn tiers(&self, preference: Preference) -> SmallVec<[Tier; 3]> {
+    pub(super) fn tiers(&self, demand: &Demand) -> SmallVec<[Tier; 3]> {
+        if demand.version.is_some() {
+            return SmallVec::from_slice(&[Tier::Open]);
+        }
         let stage = self.serving.stage();
         let is_promoting = stage.is_some_and(Stage::is_promoted);
         let is_cut_off = stage == Some(Stage::Canary) && !self.is_up_to_date;
-        let tiers: &[Tier] = match preference {
+        let tiers: &[Tier] = match demand.preference {
             Preference::Candidate if is_promoting => &[Tier::Candidates, Tier::Serving],
             Preference::Candidate => &[Tier::Canary, Tier::Candidates, Tier::Serving],
             Preference::Baseline if is_promoting => &[Tier::Serving, Tier::Candidates],
@@ -157,6 +162,23 @@
             Tier::Serving => server.role() == Role::Serving,
             Tier::Canary => server.is_in_canary(),
             Tier::Candidates => server.role() == Role::Candidate,
+            Tier::Open => server.role() != Role::Idle,
         })
     }
+
+    /// The servers of a tier that may process a request.
+    pub(super) fn eligible<'a>(
+        &'a self,
+        tier: Tier,
+        demand: &'a Demand,
+    ) -> impl Iterator<Item = &'a Server> {
+        let version = demand.version.as_ref();
+        let servers = self.tier(tier);
+        servers.filter(move |server| version.is_none_or(|version| server.version() == version))
+    }
+
+    /// Whether there is a server of the version that has to process a request.
+    pub(super) fn has_version(&self, demand: &Demand) -> bool {
+        demand.version.is_none() || self.eligible(Tier::Open, demand).next().is_some()
+    }
 }
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -1,7 +1,10 @@
 //! The queue of requests that wait for a server of one service, served fairly across
 //! workspaces.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use admission::{Queue as FairQueue, Shares, Standing, Ticket, Waiting};
 use units::{backend, cost::Cost, request, time::Instant, workspace};
@@ -22,6 +25,8 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The longest such time: overloads of all servers last for seconds.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
+/// The time in which a server of a version that has none left may start again.
+const RESTART_TIME: Duration = Duration::from_secs(1);
 /// The delay added per rank below the most urgent, in the order among requests of one
 /// workspace.
 const RANK_STEP: Duration = Duration::from_millis(200);
@@ -56,7 +61,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Admission {
     /// The request is sent to a server now.
-    Placed(Placement),
+    Placed(Box<Placement>),
     /// The request is queued; [`Queue::dequeue`] returns its result.
     Queued,
     /// The request is refused.
@@ -79,6 +84,11 @@
     shares: Shares,
     settings: admission::Settings,
     waiting: HashMap<request::Attempt, Request>,
+    /// The requests that wait for servers of one version, oldest first.
+    ///
+    /// In the fair queue, they would delay requests of their workspace that servers of other
+    /// versions have room for.
+    bound: VecDeque<request::Attempt>,
     rate: PlacementRate,
     /// When a server may take a request although no other request ends.
     capacity_at: Option<Instant>,
@@ -95,6 +105,7 @@
             shares: Shares::default(),
             settings: admission::Settings::default(),
             waiting: HashMap::new(),
+            bound: VecDeque::new(),
             rate: PlacementRate::default(),
             capacity_at: None,
             displaced: Vec::new(),
@@ -128,12 +139,15 @@
         self.shares
             .offered(&request.workspace, 1, &self.settings, now);
         let denial = match self.try_place(&request, fleet, now) {
-            Ok(placement) => return Admission::Placed(placement),
+            Ok(placement) => return Admission::Placed(Box::new(placement)),
             Err(denial) if is_hopeless(denial, &request) => {
                 return Admission::Refused(self.refusal(denial, &request, now));
             }
             Err(denial) => denial,
         };
+        if request.demand.version.is_some() {
+            return self.push_bound(request, denial, now);
+        }
         if self.would_miss_deadline(&request, now) || !self.make_room(&request, now) {
             return Admission::Refused(self.refusal(denial, &request, now));
         }
@@ -152,7 +166,8 @@
         fleet: &Fleet,
         now: Instant,
     ) -> Result<Placement, Denial> {
-        if self.queue.len_of(&request.workspace) > 0 {
+        let is_bound = request.demand.version.is_some();
+        if self.queue.len_of(&request.workspace) > 0 && !is_bound {
             return Err(Denial::Full);
         }
         let placement = self.place(request, fleet, now)?;
@@ -168,8 +183,10 @@
     ) -> Result<Placement, Denial> {
         let slot_share = self.pool.slots() / u32::try_from(fleet.members.len().max(1)).unwrap_or(1);
         let mut demand = request.demand.clone();
-        demand.leaves_reserve =
-            self.shares
+        // The workspace had a slot for the stream before it broke off.
+        demand.leaves_reserve = demand.version.is_none()
+            && self
+                .shares
                 .is_over_share(&request.workspace, slot_share, &self.settings, now);
         let placement = self.pool.admit(&demand, fleet, now)?;
         self.shares
@@ -178,6 +195,43 @@
         Ok(placement)
     }
 
+    /// Queues a request that only servers of one version can process.
+    fn push_bound(&mut self, request: Request, denial: Denial, now: Instant) -> Admission {
+        if now >= request.latest_start || self.bound.len() >= MAX_QUEUED {
+            return Admission::Refused(self.refusal(denial, &request, now));
+        }
+        self.note_wake(denial, now);
+        self.bound.push_back(request.attempt);
+        self.waiting.insert(request.attempt, request);
+        Admission::Queued
+    }
+
+    /// Places the requests that wait for servers of one version, and refuses those that have
+    /// reached their latest start.
+    fn dequeue_bound(&mut self, fleet: &Fleet, now: Instant) -> Vec<Dequeued> {
+        let mut dequeued = Vec::new();
+        for attempt in std::mem::take(&mut self.bound) {
+            let Some(request) = self.waiting.get(&attempt).cloned() else {
+                continue;
+            };
+            match self.place(&request, fleet, now) {
+                Ok(placement) => {
+                    self.queue.charge(&request.workspace, request.cost);
+                    self.waiting.remove(&attempt);
+                    dequeued.push((attempt, Ok(placement)));
+                }
+                Err(denial) if now >= request.latest_start || is_hopeless(denial, &request) => {
+                    dequeued.extend(self.refuse(attempt, denial, now));
+                }
+                Err(denial) => {
+                    self.note_wake(denial, now);
+                    self.bound.push_back(attempt);
+                }
+            }
+        }
+        dequeued
+    }
+
     /// Whether the request would wait beyond its latest start.
     fn would_miss_deadline(&self, request: &Request, now: Instant) -> bool {
         if now >= request.latest_start {
@@ -231,6 +285,7 @@
     pub fn dequeue(&mut self, fleet: &Fleet, now: Instant) -> Vec<Dequeued> {
         let mut dequeued = std::mem::take(&mut self.displaced);
         self.capacity_at = None;
+        dequeued.extend(self.dequeue_bound(fleet, now));
         while let Some(expired) = self.queue.pop_expired(now) {
             dequeued.extend(self.refuse(expired.ticket.attempt, Denial::Full, now));
         }
@@ -274,6 +329,7 @@
     /// Removes a request whose caller has disconnected.
     pub fn cancel(&mut self, attempt: request::Attempt) {
         self.queue.remove(attempt);
+        self.bound.retain(|bound| *bound != attempt);
         self.waiting.remove(&attempt);
     }
 
@@ -297,8 +353,12 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let expiry = self.queue.next_expiry();
-        expiry.into_iter().chain(self.capacity_at).min()
+        let bound = self.bound.iter().filter_map(|attempt| {
+            let request = self.waiting.get(attempt)?;
+            Some(request.latest_start)
+        });
+        let expiry = self.queue.next_expiry().into_iter().chain(bound);
+        expiry.chain(self.capacity_at).min()
     }
 
     /// Records when a request that was denied a server may get one although no other request
@@ -322,6 +382,7 @@
         let queueing = self.rate.time_to_place(self.queue.cost(), now);
         let wait = match denial {
             Denial::ZonesUnreachable(at) => at.since(now).min(MAX_RETRY_DELAY),
+            Denial::VersionGone => RESTART_TIME,
             Denial::Throttled(at) => at.since(now),
             Denial::NoServer => match self.pool.throttled_until(now) {
                 Some(at) => at.since(now),
@@ -341,7 +402,7 @@
 /// Whether waiting in the queue cannot get the request a server in time.
 fn is_hopeless(denial: Denial, request: &Request) -> bool {
     match denial {
-        Denial::NoServer | Denial::ZonesUnreachable(_) => true,
+        Denial::NoServer | Denial::VersionGone | Denial::ZonesUnreachable(_) => true,
         Denial::Throttled(until) => until > request.latest_start,
         Denial::Full | Denial::SlowStart(_) => false,
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time;
 use units::{cost::Cost, time::Instant};
+use verdict::Code;
 
 pub use events::Splitter;
 
@@ -143,8 +144,8 @@
                 Next::Stalled => String::from("silent"),
                 Next::Broken(reason) => reason,
             };
-            if !self.resume(&failure).await {
-                self.finish(Outcome::Broken, &failure);
+            if let Err(reason) = self.resume(&failure).await {
+                self.finish(Outcome::Broken, reason.unwrap_or(&failure));
                 return Some(Err(Error::Server));
             }
         }
@@ -207,7 +208,13 @@
             }
             None => bytes.slice(..self.tracker.forwardable(bytes.len(), boundary)),
         };
-        (!forwarded.is_empty()).then_some(forwarded)
+        if forwarded.is_empty() {
+            return None;
+        }
+        if let Some(permit) = &self.permit {
+            self.exchange.bind(&permit.placement().version);
+        }
+        Some(forwarded)
     }
 
     /// Stops holding events back if the buffered one is too long. Returns what can be forwarded
@@ -255,12 +262,17 @@
     /// Continues the stream at another server, after the last complete event.
     ///
     /// The connection to the first server is closed first, so that it stops generating.
-    async fn resume(&mut self, reason: &str) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// If the stream ends here: why no server continues it, unless that follows from what is
+    /// known of the stream or of the server that left it.
+    async fn resume(&mut self, reason: &str) -> Result<(), Option<&'static str>> {
         if !self.can_resume() {
-            return false;
+            return Err(None);
         }
         let Some(splitter) = &mut self.splitter else {
-            return false;
+            return Err(None);
         };
         let last_id = splitter.reset();
         // Dropping the body closes the connection.
@@ -287,20 +299,20 @@
                     code = refusal.code,
                     reason = refusal.message
                 );
-                return false;
+                return Err((refusal.code == Code::VersionGone).then_some("version_gone"));
             }
         };
         let (method, head) = (&self.exchange.plan().method, &response.head);
         let tracker = self.tracker.resumed(method, head.status, &head.headers);
         let is_continuation = tracker.format() == Format::EventStream;
         if !response.head.status.is_success() || !is_continuation {
-            return false;
+            return Err(None);
         }
         self.tracker = tracker;
         self.body = Some(response.body);
         self.permit = response.permit;
         self.log_continuation();
-        true
+        Ok(())
     }
 }
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -165,6 +165,13 @@
         self.plan.route.kind.is_idempotent() && self.sent_attempts < self.plan.route.max_attempts
     }
 
+    /// Binds the request to the version whose events the caller receives.
+    pub fn bind(&mut self, version: &backend::Version) {
+        if self.plan.demand.version.is_none() {
+            self.plan.demand.version = Some(version.clone());
+        }
+    }
+
     /// Sends attempts until a server responds or no further attempt is possible.
     ///
     /// # Errors
@@ -274,7 +281,11 @@
             route: counts::Route::named(&self.plan.route.name),
             workspace: self.workspace(),
             cost: self.plan.head.cost,
-            rank: self.rank(),
+            // A stream that has begun precedes new ones: only servers of its version can go on.
+            rank: match self.plan.demand.version {
+                Some(_) => 0,
+                None => self.rank(),
+            },
             latest_start: self.latest_start(now),
             demand: self.plan.demand.clone(),
             unreached: self.unreached.clone(),
@@ -321,6 +332,10 @@
             dispatch::Refusal::Denied(refusal) => {
                 let (code, message) = match refusal.denial {
                     Denial::NoServer => (Code::NoServer, "No server takes the request."),
+                    Denial::VersionGone => (
+                        Code::VersionGone,
+                        "No server of the version that began the stream is left.",
+                    ),
                     Denial::ZonesUnreachable(_) => (Code::NoServer, "No server can be reached."),
                     Denial::Full => (Code::Busy, "All servers are at their limit."),
                     Denial::Throttled(_) => (Code::Busy, "All servers have asked for a pause."),
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod advisories;
 mod aggregation;
+mod bound_streams;
 mod brittle;
 mod configurations;
 mod connect;
--- a/crates/losses/src/cause.rs
+++ b/crates/losses/src/cause.rs
@@ -31,6 +31,10 @@
     ServerSilent,
     /// Servers crashed while running the request, so the request is suspected of crashing them.
     Suspect,
+    /// No server of the version that began the stream was left.
+    VersionGone,
+    /// It was not known which version began the stream.
+    VersionUnknown,
     /// The router was starting or shutting down, or failed internally.
     Router,
     /// The caller disconnected.
@@ -39,7 +43,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::NoServer,
         Self::Unreachable,
         Self::Full,
@@ -50,6 +54,8 @@
         Self::ServerBroke,
         Self::ServerSilent,
         Self::Suspect,
+        Self::VersionGone,
+        Self::VersionUnknown,
         Self::Router,
         Self::CallerLeft,
     ];
@@ -67,6 +73,8 @@
             Self::ServerBroke => "server_broke",
             Self::ServerSilent => "server_silent",
             Self::Suspect => "suspect",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
             Self::Router => "router",
             Self::CallerLeft => "caller_left",
         }
@@ -107,6 +115,7 @@
         Some("complete") if is_server_error => Outcome::Lost(Cause::ServerFailed),
         Some("complete") => Outcome::Served,
         Some("caller left") => Outcome::Lost(Cause::CallerLeft),
+        Some("version_gone") => Outcome::Lost(Cause::VersionGone),
         Some("late" | "silent") => Outcome::Lost(Cause::ServerSilent),
         _ => Outcome::Lost(Cause::ServerBroke),
     }
@@ -124,6 +133,8 @@
         Some("deadline") if may_have_run => Cause::ServerSilent,
         Some("deadline") => Cause::Deadline,
         Some("suspect") => Cause::Suspect,
+        Some("version_gone") => Cause::VersionGone,
+        Some("version_unknown") => Cause::VersionUnknown,
         Some("backend_died" | "bad_answer") => Cause::ServerBroke,
         Some("backend_failed") => Cause::ServerFailed,
         _ => Cause::Router,
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -294,6 +294,8 @@
         Code::Busy | Code::Cold | Code::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         Code::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Code::NoServer
+        | Code::VersionGone
+        | Code::VersionUnknown
         | Code::NotReady
         | Code::ClaimUnavailable
         | Code::RetryBudget
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -82,11 +82,15 @@
     Moved,
     /// Another internal error occurred.
     Internal,
+    /// No backend server of the version that began the stream is left.
+    VersionGone,
+    /// It is not known which version began the stream.
+    VersionUnknown,
 }
 
 impl Code {
     /// All codes.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::Malformed,
         Self::TooLarge,
         Self::SlowCaller,
@@ -108,6 +112,8 @@
         Self::RetryBudget,
         Self::Moved,
         Self::Internal,
+        Self::VersionGone,
+        Self::VersionUnknown,
     ];
 }
 
@@ -126,6 +132,8 @@
             Self::WorkspaceLimit => "workspace_limit",
             Self::Deadline => "deadline",
             Self::NoServer => "no_server",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
             Self::NotReady => "not_ready",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::ClaimTaken => "claim_taken",
