Take a stream up only at the version that began it

Callers that came back to another router (or to the same one) got the rest of their stream from a server of any version.

Cause: a request that takes a stream up was placed like a new one. The router read the id of the last event, but not which request began the stream, and could not have known its version: the ids are the caller's.

The router that forwards the first event of a stream tells its version to three keepers, chosen by rendezvous hashing of workspace, service and id, in different zones. The router to which the caller comes back asks four, and binds the request to the version found, for all of its attempts. The first event waits for nothing. A version that nobody knows is refused (version_unknown, not run, with a time to come back), except where the service has had one version only for as long as a stream can last and this router has seen all of that time. Callers that name only the last event, as before, are served while this router has seen one version. Attempts of one stream also keep to one service of a split route.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -1,8 +1,8 @@
 //! Measures the gossip traffic of fleets of several sizes over the loopback interface.
 //!
 //! The gossip tasks are real. Requests are simulated at random, and the store is a stub
-//! without changes. Prints two lines for each size: without a roll-out, and during one whose
-//! new version is sound.
+//! without changes. Prints three lines for each size: requests only, also streams whose versions
+//! are kept, and requests during a roll-out whose new version is sound.
 
 use std::{
     collections::VecDeque,
@@ -16,7 +16,7 @@
     clock::Clock,
     dispatch, load,
     metrics::Metrics,
-    outlier, peers, pool, prefixes, rollouts, roster,
+    origins, outlier, peers, pool, prefixes, rollouts, roster,
     source::{self, Batch, Member, Secret, Source, Topic},
     staleness::Staleness,
 };
@@ -42,11 +42,21 @@
 const NEW_PROMPT_RATIO: f64 = 0.1;
 /// The fraction of requests at the new version during a roll-out.
 const CANARY_RATIO: f64 = 0.09;
+/// The fraction of requests that begin a stream which callers may take up.
+const STREAM_RATIO: f64 = 0.25;
 /// The number of routes of the service that is rolled out.
 const ROUTES: u16 = 3;
 /// The length of such a prompt, in tokens.
 const PROMPT_TOKENS: u32 = 10_000;
 
+/// What happens beside requests that only have to be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Traffic {
+    Requests,
+    Streams,
+    Rollout,
+}
+
 /// The size of a fleet.
 struct Size {
     routers: usize,
@@ -282,7 +292,22 @@
     }
 }
 
-async fn measure(size: &Size, has_rollout: bool) -> io::Result<()> {
+/// Begins streams at a rate of `per_second`.
+async fn begin_streams(messages: mpsc::UnboundedSender<origins::Message>, per_second: f64) {
+    let mut pause = time::interval(Duration::from_secs_f64(1.0 / per_second));
+    loop {
+        pause.tick().await;
+        let record = origins::Record {
+            key: origins::Key(rand::random()),
+            version: "v1.2".parse().expect("a version"),
+        };
+        if messages.send(origins::Message::Began(record)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn measure(size: &Size, traffic: Traffic) -> io::Result<()> {
     let clock = Clock::start();
     let mut members = Vec::new();
     let mut sockets = Vec::new();
@@ -327,11 +352,17 @@
         let (task, completions) =
             rollouts::Task::new(clock, StaticSource, &own, settings, channels);
         tasks.push(tokio::spawn(task.run(event_receiver, completions)));
-        if has_rollout {
+        if traffic == Traffic::Rollout {
             let event = rollouts::Event::Orders(vec![order()]);
             rollout_events.send(event).expect("the task runs");
         }
+        let (origins_sender, origins) = mpsc::unbounded_channel();
+        if traffic == Traffic::Streams {
+            let rate = size.rate * STREAM_RATIO;
+            tasks.push(tokio::spawn(begin_streams(origins_sender, rate)));
+        }
         let inputs = peers::Inputs {
+            origins,
             crash_news: watch::channel(()).1,
             rollouts: rollout_receiver,
             own,
@@ -387,7 +418,7 @@
     let median = rates[rates.len() / 2];
     let busiest = rates[rates.len() - 1];
     println!(
-        "routers={} servers={} rate={} rollout={has_rollout} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
+        "routers={} servers={} rate={} traffic={traffic:?} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
         size.routers, size.servers, size.rate, median.0, median.1, busiest.0, busiest.1
     );
     Ok(())
@@ -396,8 +427,9 @@
 #[tokio::main]
 async fn main() -> io::Result<()> {
     for size in &SIZES {
-        measure(size, false).await?;
-        measure(size, true).await?;
+        for traffic in [Traffic::Requests, Traffic::Streams, Traffic::Rollout] {
+            measure(size, traffic).await?;
+        }
     }
     Ok(())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod load;
 pub mod metrics;
 pub mod observer;
+pub mod origins;
 pub mod outlier;
 pub mod pause;
 pub mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     pool::{Outcome, Standing},
+    serve::Finding,
     source::Topic,
     staleness::Staleness,
 };
@@ -74,6 +75,7 @@
     crashes: Family<labels::Crash, Counter>,
     path_changes: Family<labels::Path, Counter>,
     tunnelled_attempts: Counter,
+    streams_taken_up: Family<labels::TakenUp, Counter>,
     carried_tunnels: Family<labels::Carried, Counter>,
     standings: Family<labels::Standing, Counter>,
     rollout_stages: Family<labels::Stage, Counter>,
@@ -102,6 +104,7 @@
         let crashes = Family::default();
         let path_changes = Family::default();
         let tunnelled_attempts = Counter::default();
+        let streams_taken_up = Family::default();
         let carried_tunnels = Family::default();
         let standings = Family::default();
         let rollout_stages = Family::default();
@@ -173,6 +176,11 @@
             "Attempts that were sent through another router",
             tunnelled_attempts.clone(),
         );
+        registry.register(
+            "weir_streams_taken_up",
+            "Streams that callers took up, by how the version that began them was found",
+            Family::clone(&streams_taken_up),
+        );
         registry.register(
             "weir_carried_tunnels",
             "Connections to servers that other routers asked for",
@@ -230,6 +238,7 @@
             crashes,
             path_changes,
             tunnelled_attempts,
+            streams_taken_up,
             carried_tunnels,
             standings,
             rollout_stages,
@@ -322,6 +331,14 @@
         self.tunnelled_attempts.inc();
     }
 
+    /// Counts a stream that its caller takes up.
+    pub fn stream_taken_up(&self, finding: Finding) {
+        let labels = labels::TakenUp {
+            finding: finding.name(),
+        };
+        self.streams_taken_up.get_or_create(&labels).inc();
+    }
+
     /// Counts a connection to a server that another router asked for.
     pub fn tunnel_carried(&self, result: &'static str) {
         let labels = labels::Carried { result };
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -85,3 +85,9 @@
 pub(super) struct Carried {
     pub(super) result: &'static str,
 }
+
+/// The labels of a stream that its caller took up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct TakenUp {
+    pub(super) finding: &'static str,
+}
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,87 @@
+//! The software versions that began streams, kept for callers that take a stream up at another
+//! router.
+//!
+//! Versions do not continue each other's streams, and neither the id that the caller names nor
+//! that of the last event tells the version. The router that forwards the first event of a
+//! stream therefore tells it to some routers, the keepers, which follow from a hash of the
+//! stream; the router to which the caller comes back asks these. A version is never assumed: if
+//! no keeper knows it, the stream is refused.
+
+mod history;
+mod keepers;
+mod lookups;
+mod table;
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use units::{backend, chat, pool, workspace};
+use xxhash_rust::xxh3;
+
+pub use history::{Entry, History};
+pub use keepers::keepers;
+pub use lookups::Lookups;
+pub use table::Table;
+
+/// The number of keepers of a stream. They are in different zones if there are as many, so that
+/// a zone that loses power takes one copy, and three routers that end at once take all copies
+/// of few streams.
+pub const COPIES: usize = 3;
+/// The number of routers that are asked. One more than [`COPIES`], since a router that has joined
+/// since may have displaced a keeper.
+pub const ASKED: usize = COPIES + 1;
+/// How long the version of a stream is kept. Longer than a stream and its caller's attempts.
+pub const RETENTION: Duration = Duration::from_secs(60);
+
+/// Identifies a stream over all attempts of its caller.
+///
+/// It covers the workspace, so that the ids of one workspace say nothing about the streams of
+/// another, and the service, whose versions are meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key(pub u64);
+
+impl Key {
+    /// The key of the stream that the request `id` began.
+    pub fn new(workspace: &workspace::Id, pool: &pool::Id, id: &str) -> Self {
+        let mut hasher = xxh3::Xxh3Default::new();
+        for part in [workspace.as_str(), pool.as_str(), id] {
+            hasher.update(part.as_bytes());
+            hasher.update(&[0]);
+        }
+        Self(hasher.digest())
+    }
+
+    const fn as_chat(self) -> chat::Key {
+        chat::Key(self.0)
+    }
+}
+
+/// The version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The stream.
+    pub key: Key,
+    /// The version of the server whose event was the first to be forwarded.
+    pub version: backend::Version,
+}
+
+/// What a router knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Nothing.
+    Unknown,
+    /// The version that began it.
+    Version(backend::Version),
+    /// Requests with the same id began streams at several versions.
+    Ambiguous,
+}
+
+/// A message to the task that exchanges records with other routers.
+#[derive(Debug)]
+pub enum Message {
+    /// The first event of a stream was forwarded.
+    Began(Record),
+    /// Asks for the version that began a stream.
+    Find(Key, oneshot::Sender<Answer>),
+}
--- /dev/null
+++ b/crates/gateway/src/origins/history.rs
@@ -0,0 +1,58 @@
+//! Which versions of each service a router has seen.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use units::{backend, pool, time::Instant};
+
+/// How long a version without servers is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// A registered server, as far as its version is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry<'a> {
+    /// The service.
+    pub pool: &'a pool::Id,
+    /// The version of the server's software.
+    pub version: &'a backend::Version,
+}
+
+/// The versions of each service, and when their last server was registered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct History {
+    seen: BTreeMap<pool::Id, BTreeMap<backend::Version, Instant>>,
+}
+
+impl History {
+    /// Applies the registered servers.
+    pub fn observe<'a>(&mut self, servers: impl Iterator<Item = Entry<'a>>, now: Instant) {
+        for versions in self.seen.values_mut() {
+            for last_seen in versions.values_mut() {
+                // The server may have been registered until now.
+                *last_seen = now.min(*last_seen);
+            }
+            versions.retain(|_, last_seen| now < *last_seen + MEMORY);
+        }
+        for server in servers {
+            let versions = self.seen.entry(server.pool.clone()).or_default();
+            versions.insert(server.version.clone(), Instant::NEVER);
+        }
+    }
+
+    /// The only version of a service that this router has seen in the last `span`; `None` if
+    /// there were several, or none.
+    pub fn only_version(
+        &self,
+        pool: &pool::Id,
+        span: Duration,
+        now: Instant,
+    ) -> Option<&backend::Version> {
+        let versions = self.seen.get(pool)?;
+        let mut recent = versions
+            .iter()
+            .filter(|(_, last_seen)| **last_seen == Instant::NEVER || now < **last_seen + span);
+        match (recent.next(), recent.next()) {
+            (Some((version, _)), None) => Some(version),
+            _ => None,
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 mod directory;
 pub mod fetch;
 pub mod introduction;
+mod origins;
 mod relays;
 mod store_fallback;
 pub mod sums;
@@ -85,6 +86,8 @@
     pub is_store_reachable: watch::Receiver<bool>,
     /// Changes when there is news of requests that crash servers.
     pub crash_news: watch::Receiver<()>,
+    /// Messages about the versions that began streams.
+    pub origins: mpsc::UnboundedReceiver<crate::origins::Message>,
     /// Messages about roll-outs, and whom they are for.
     pub rollouts: mpsc::UnboundedReceiver<(Audience, rollout::Message)>,
 }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -7,6 +7,7 @@
 use crate::{
     dispatch,
     load::{self, Load, Report},
+    origins,
     prefixes::CachedPrefix,
     source::Topic,
 };
@@ -106,6 +107,12 @@
     FleetTotal(FleetTotal),
     /// The progress of a roll-out.
     Rollout(rollout::Message),
+    /// The versions that began streams, for a router that keeps them.
+    Origins(Vec<origins::Record>),
+    /// Asks for the version that began a stream.
+    OriginQuery(origins::Key),
+    /// The answer to [`Frame::OriginQuery`].
+    OriginAnswer(origins::Key, origins::Answer),
 }
 
 /// The loads of the whole fleet.
@@ -184,6 +191,9 @@
             Self::ZoneSum { .. } => "zone_sum",
             Self::FleetTotal(_) => "fleet_total",
             Self::Rollout(_) => "rollout",
+            Self::Origins(_) => "origins",
+            Self::OriginQuery(_) => "origin_query",
+            Self::OriginAnswer(..) => "origin_answer",
         }
     }
 
@@ -221,7 +231,9 @@
             | Self::FleetTotal(FleetTotal {
                 cached_prefixes, ..
             }) => Some(cached_prefixes),
-            Self::Rollout(_) => None,
+            Self::Rollout(_) | Self::Origins(_) | Self::OriginQuery(_) | Self::OriginAnswer(..) => {
+                None
+            }
         }
     }
 
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -14,7 +14,9 @@
     Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSums,
     MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, StoreFallback, Table, Versions, Watchers,
     catch_up::{Completion, InFlight},
-    digest, gossip_targets, sums,
+    digest, gossip_targets,
+    origins::Origins,
+    sums,
 };
 use crate::{
     clock::Clock,
@@ -80,6 +82,8 @@
     gossip_offset: usize,
     /// The same for messages about roll-outs.
     pub(super) rollout_offset: usize,
+    /// The versions that began streams.
+    pub(super) origins: Origins,
 }
 
 /// The keys that authenticate datagrams.
@@ -134,6 +138,7 @@
             push_at: Instant::ZERO,
             gossip_offset: 0,
             rollout_offset: 0,
+            origins: Origins::default(),
         };
         (task, completions)
     }
@@ -155,6 +160,7 @@
                 Some((audience, message)) = self.inputs.rollouts.recv() => {
                     self.send_rollout(audience, message).await;
                 }
+                Some(message) = self.inputs.origins.recv() => self.handle_origin(message).await,
                 Some(completion) = completions.recv() => self.complete(completion),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from).await,
@@ -191,6 +197,7 @@
         if self.is_large() {
             self.send_sums().await;
         }
+        self.repeat_origins().await;
     }
 
     /// The number of peers to contact in a round.
@@ -209,6 +216,12 @@
         }
     }
 
+    /// Whether a peer accepts datagrams of this process: it may have restarted unnoticed, but
+    /// then it has lost its state as well.
+    pub(super) fn is_introduced(&self, member: &Member) -> bool {
+        self.boots.contains_key(&Tag::new(&member.host))
+    }
+
     pub(super) async fn send_to(&mut self, frame: &Frame, member: &Member) {
         let payload = frame.encode();
         let payload = payload.or_else(|_| frame.clone().encode_truncated());
@@ -401,6 +414,11 @@
                 // The receiver lives as long as the process.
                 drop(self.outputs.rollouts.send(rollouts::Event::Peer(message)));
             }
+            Ok(Frame::Origins(records)) => self.keep_origins(&records),
+            Ok(Frame::OriginQuery(key)) => self.answer_origin(key, opened.tag).await,
+            Ok(Frame::OriginAnswer(key, answer)) => {
+                self.receive_origin(key, opened.tag, &answer);
+            }
             Err(_) => logging::event!(debug, "digest_malformed"),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -76,6 +76,8 @@
     longest_gap: Duration,
     status: u16,
     is_failure: bool,
+    /// Whether a part of the body was forwarded.
+    is_begun: bool,
     is_finished: bool,
     _guard: Guard,
 }
@@ -105,6 +107,7 @@
         first_byte_at: None,
         last_byte_at: None,
         longest_gap: Duration::ZERO,
+        is_begun: false,
         is_finished: false,
         exchange,
         _guard: guard,
@@ -211,10 +214,19 @@
         if forwarded.is_empty() {
             return None;
         }
+        self.begin();
+        Some(forwarded)
+    }
+
+    /// Records the version of a response of which a part is forwarded for the first time.
+    fn begin(&mut self) {
+        if self.is_begun || self.is_failure {
+            return;
+        }
         if let Some(permit) = &self.permit {
-            self.exchange.bind(&permit.placement().version);
+            self.exchange.begin(&permit.placement().version);
+            self.is_begun = true;
         }
-        Some(forwarded)
     }
 
     /// Stops holding events back if the buffered one is too long. Returns what can be forwarded
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod intake;
+mod origin;
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,10 +23,12 @@
 
 pub use exchange::Exchange;
 pub use intake::BODY_UNIT;
+pub use origin::Finding;
 
 use crate::{
-    activity, clock::Clock, connector::Connector, dispatch, metrics::Metrics, protocol::Protocol,
-    readiness::Readiness, refusal, relay, route::Table, shutdown::Phase, staleness::Staleness,
+    activity, clock::Clock, connector::Connector, dispatch, metrics::Metrics, origins,
+    protocol::Protocol, readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
+    staleness::Staleness,
 };
 
 /// The state that all requests share.
@@ -51,6 +54,10 @@
     pub metrics: Arc<Metrics>,
     /// The ages of the replicated views.
     pub ages: Arc<Staleness>,
+    /// The task that exchanges the versions that began streams with other routers.
+    pub origins: mpsc::UnboundedSender<origins::Message>,
+    /// The versions of each service that were seen.
+    pub history: watch::Receiver<origins::History>,
     /// Whether the router can serve.
     pub readiness: watch::Receiver<Readiness>,
     /// Whether the stages of all roll-outs are known.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -23,6 +23,7 @@
     attempt::{self, End, Response},
     connector::Path,
     dispatch::{self, AcquireRequest, Message, Permit},
+    origins,
     pool::{Demand, Denial, Outcome},
     protocol::{Attempt, Head, Protocol},
     route::{KeyOwner, Route},
@@ -81,6 +82,8 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
+    /// The key of the stream, if it can be taken up.
+    pub stream: Option<origins::Key>,
     /// The permit for the body's share of the memory for request bodies.
     pub _memory_permit: Option<Arc<OwnedSemaphorePermit>>,
     /// The fingerprint that the request shares with its retries by the caller.
@@ -165,10 +168,17 @@
         self.plan.route.kind.is_idempotent() && self.sent_attempts < self.plan.route.max_attempts
     }
 
-    /// Binds the request to the version whose events the caller receives.
-    pub fn bind(&mut self, version: &backend::Version) {
-        if self.plan.demand.version.is_none() {
-            self.plan.demand.version = Some(version.clone());
+    /// Records that the first event of a response is forwarded to the caller. From now on, only
+    /// `version` can continue the stream.
+    pub fn begin(&mut self, version: &backend::Version) {
+        let version = self.plan.demand.version.get_or_insert(version.clone());
+        if let Some(key) = self.plan.stream {
+            let record = origins::Record {
+                key,
+                version: version.clone(),
+            };
+            // The task lives as long as the process.
+            drop(self.context.origins.send(origins::Message::Began(record)));
         }
     }
 
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -13,7 +13,7 @@
 use verdict::{Code, Refusal};
 use xxhash_rust::xxh3;
 
-use super::{Context, Exchange, exchange};
+use super::{Context, Exchange, exchange, origin};
 use crate::{
     headers,
     pool::Demand,
@@ -47,9 +47,17 @@
     let (body, reserved) = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
     headers::strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
-    let hash = xxh3::xxh3_64(head.id.as_bytes());
+    // All attempts of a stream go to the service that began it.
+    let begun = head.resumes.as_ref().unwrap_or(&head.id);
+    let hash = xxh3::xxh3_64(begun.as_bytes());
     let pool = route.pool(hash).cloned();
     let pool = pool.ok_or_else(|| Refusal::not_run(Code::NoServer, "The route has no service."))?;
+    let workspace = key_owner
+        .as_ref()
+        .map_or(&context.anonymous, |key_owner| &key_owner.workspace);
+    let stream = origin::key(&head, &route, &pool, workspace);
+    let version = origin::find(context, &head, &route, &pool, stream).await;
+    let version = version.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
     let is_engine = table
         .services
         .get(&pool)
@@ -70,9 +78,11 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            stream,
             _memory_permit: reserved.map(Arc::new),
             demand: Demand {
                 parts: head.parts.clone(),
+                version,
                 ..Demand::default()
             },
             head,
--- /dev/null
+++ b/crates/gateway/src/serve/origin.rs
@@ -0,0 +1,161 @@
+//! The version that began the stream which a request takes up.
+
+use std::{fmt, time::Duration};
+
+use tokio::{sync::oneshot, time};
+use units::{backend, pool, workspace};
+use verdict::{Code, Refusal};
+
+use super::Context;
+use crate::{
+    origins::{Answer, Key, Message, RETENTION},
+    protocol::Head,
+    route::{Kind, Route},
+};
+
+/// How long other routers have to answer, and how often they are asked. A datagram may be lost, or
+/// be discarded by a router that does not know this process yet.
+const TIMEOUT: Duration = Duration::from_millis(80);
+/// See [`TIMEOUT`].
+const MAX_QUERIES: u32 = 3;
+/// A stream and its caller's attempts take less than this many times the route's timeout.
+const MAX_ROUTE_TIMEOUTS: u32 = 4;
+/// The retry delay given to a caller whose stream's version is not known.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(500);
+
+/// How the version that began a stream was found, or why it was not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// A router has recorded it.
+    Recorded,
+    /// No router has recorded the stream, but the service has had only one version.
+    OnlyVersion,
+    /// No router has recorded the stream.
+    Unrecorded,
+    /// Some of the routers that may have recorded the stream have not answered.
+    Unanswered,
+    /// Streams of several versions began under the same id.
+    Ambiguous,
+    /// The caller does not name the request that began the stream.
+    Unnamed,
+    /// Streams of the route cannot be taken up.
+    NotResumable,
+}
+
+impl Finding {
+    /// The name used in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Recorded => "recorded",
+            Self::OnlyVersion => "only_version",
+            Self::Unrecorded => "unrecorded",
+            Self::Unanswered => "unanswered",
+            Self::Ambiguous => "ambiguous",
+            Self::Unnamed => "unnamed",
+            Self::NotResumable => "not_resumable",
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// The key under which the version of a request's stream is recorded; `None` if its stream cannot
+/// be taken up.
+pub fn key(head: &Head, route: &Route, pool: &pool::Id, workspace: &workspace::Id) -> Option<Key> {
+    let begun = head.resumes.as_ref().unwrap_or(&head.id);
+    (route.kind == Kind::Resumable).then(|| Key::new(workspace, pool, begun))
+}
+
+/// The version that has to serve a request; `None` if any may.
+///
+/// # Errors
+///
+/// When the request takes up a stream whose version is not known. It has not run.
+pub async fn find<P>(
+    context: &Context<P>,
+    head: &Head,
+    route: &Route,
+    pool: &pool::Id,
+    key: Option<Key>,
+) -> Result<Option<backend::Version>, Refusal> {
+    let started = context.clock.now();
+    let (finding, version) = match (route.kind, key, &head.resumes, &head.last_event_id) {
+        (Kind::Resumable, Some(key), Some(_), _) => named(context, route, pool, key).await,
+        (Kind::Resumable, _, None, Some(_)) => unnamed(context, pool),
+        (Kind::Stream, _, Some(_), _) => (Finding::NotResumable, None),
+        _ => return Ok(None),
+    };
+    let now = context.clock.now();
+    context.metrics.stream_taken_up(finding);
+    logging::event!(
+        info,
+        "stream_taken_up",
+        request = head.id,
+        resumes = head.resumes.as_deref().unwrap_or("none"),
+        after = head.last_event_id.as_deref().unwrap_or("none"),
+        route = route.name,
+        pool = pool,
+        finding = finding,
+        version = version.as_ref().map_or("none", backend::Version::as_str),
+        waited_ms = now.since(started).as_millis(),
+        servers_age_ms = context.ages.servers(now).as_millis()
+    );
+    match version {
+        Some(version) => Ok(Some(version)),
+        None => Err(refusal(context)),
+    }
+}
+
+fn refusal<P>(context: &Context<P>) -> Refusal {
+    let message = "It is not known which version began the stream. Begin it anew.";
+    let refusal = Refusal::not_run(Code::VersionUnknown, message);
+    refusal.retry_at(context.clock.now() + RETRY_AFTER_UNKNOWN)
+}
+
+type Found = (Finding, Option<backend::Version>);
+
+/// The version of a stream whose first request the caller names.
+async fn named<P>(context: &Context<P>, route: &Route, pool: &pool::Id, key: Key) -> Found {
+    match ask(context, key).await {
+        Some(Answer::Version(version)) => (Finding::Recorded, Some(version)),
+        Some(Answer::Ambiguous) => (Finding::Ambiguous, None),
+        None => (Finding::Unanswered, None),
+        Some(Answer::Unknown) => {
+            let span = RETENTION.max(route.timeout.duration() * MAX_ROUTE_TIMEOUTS);
+            let now = context.clock.now();
+            let history = context.history.borrow();
+            let only = history.only_version(pool, span, now).cloned();
+            match only.filter(|_| context.ages.covers_servers(span, now)) {
+                Some(version) => (Finding::OnlyVersion, Some(version)),
+                None => (Finding::Unrecorded, None),
+            }
+        }
+    }
+}
+
+/// The version of a stream of a caller that does not name its first request: the only one that
+/// this router has seen.
+fn unnamed<P>(context: &Context<P>, pool: &pool::Id) -> Found {
+    let history = context.history.borrow();
+    match history.only_version(pool, RETENTION, context.clock.now()) {
+        Some(version) => (Finding::OnlyVersion, Some(version.clone())),
+        None => (Finding::Unnamed, None),
+    }
+}
+
+/// Asks the routers that may know the stream; `None` if some do not answer and no other knows it.
+async fn ask<P>(context: &Context<P>, key: Key) -> Option<Answer> {
+    for _ in 0..MAX_QUERIES {
+        let (reply, answer) = oneshot::channel();
+        // The task lives as long as the process.
+        drop(context.origins.send(Message::Find(key, reply)));
+        if let Ok(Ok(answer)) = time::timeout(TIMEOUT, answer).await {
+            return Some(answer);
+        }
+    }
+    None
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,7 +20,7 @@
     gate::Gates,
     listener,
     metrics::Metrics,
-    observer,
+    observer, origins,
     peers::{
         self,
         introduction::{self, Introduced},
@@ -140,7 +140,10 @@
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
         let (stages_sender, stages_known) = watch::channel(false);
         let (rollout_status_sender, rollout_status) = watch::channel(Vec::new());
+        let (history_sender, history) = watch::channel(origins::History::default());
+        let (origins_sender, origins_receiver) = mpsc::unbounded_channel();
         let outputs = state::Outputs {
+            history: history_sender,
             rollouts: rollouts_sender.clone(),
             ages: Arc::clone(&ages),
             table: table_sender,
@@ -188,6 +191,7 @@
         let event_sender = events.clone();
         let inputs = peers::Inputs {
             crash_news,
+            origins: origins_receiver,
             rollouts: rollout_receiver,
             own: own.clone(),
             members: members.clone(),
@@ -245,6 +249,8 @@
             max_event_bytes: settings.max_event_bytes,
             metrics,
             ages,
+            origins: origins_sender,
+            history,
             readiness: readiness_receiver,
             stages_known,
             start_deadline: clock.now() + serve::START_TIMEOUT,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
     dispatch,
     follow::Event,
     metrics::Metrics,
+    origins,
     readiness::Readiness,
     replica::{Replica, Replicas},
     rollouts,
@@ -40,6 +41,8 @@
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// The task that controls roll-outs.
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
+    /// The versions of each service that were seen.
+    pub history: watch::Sender<origins::History>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -290,6 +293,14 @@
             registered = self.roster.len(),
             usable = self.roster.usable().count()
         );
+        let servers = self.roster.all().map(|(entry, _)| origins::Entry {
+            pool: &entry.pool,
+            version: &entry.version,
+        });
+        let now = self.clock.now();
+        self.outputs
+            .history
+            .send_modify(|history| history.observe(servers, now));
         let message = dispatch::Message::Roster(Arc::new(self.roster.clone()));
         notify_dispatch(&self.outputs.dispatch, message);
         self.publish_readiness();
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod failures;
 mod isolation;
 mod leaving;
+mod origins;
 mod outlier;
 mod peers;
 mod placing;
--- a/crates/losses/src/cause.rs
+++ b/crates/losses/src/cause.rs
@@ -146,6 +146,7 @@
         Some("not_ready" | "internal") => Outcome::Lost(Cause::Router),
         Some("no_server") => Outcome::Lost(Cause::NoServer),
         Some("busy") => Outcome::Lost(Cause::Full),
+        Some("version_unknown") => Outcome::Lost(Cause::VersionUnknown),
         _ => Outcome::Rejected,
     }
 }
