--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -24,10 +24,9 @@
 pub use lookups::Lookups;
 pub use table::Table;
 
-/// The number of keepers of a stream. They are in different zones if there are as many, so that
-/// a zone that loses power takes one copy, and three routers that end at once take all copies
-/// of few streams.
-pub const COPIES: usize = 3;
+/// The number of keepers of a stream. There is one in each zone if there are not more zones, so
+/// that copies are left when a zone loses power, or a third of the routers end at once.
+pub const COPIES: usize = 4;
 /// The number of routers that are asked. One more than [`COPIES`], since a router that has joined
 /// since may have displaced a keeper.
 pub const ASKED: usize = COPIES + 1;
--- a/crates/gateway/tests/decisions/origins.rs
+++ b/crates/gateway/tests/decisions/origins.rs
@@ -116,7 +116,7 @@
     two_zones = { 6, 2, 2 },
     three_zones = { 6, 3, 3 },
     a_large_fleet = { 300, 3, 3 },
-    more_zones_than_copies = { 300, 22, 3 },
+    more_zones_than_copies = { 300, 22, 4 },
 )]
 fn keepers_are_spread_over_zones(routers: usize, zones: usize, expected: usize) {
     let members = members(routers, zones);
