Read responses without a content type as events on routes of streams

Callers of a streaming route saw a stream that ended inside an event as complete if its server declared no content type.

Cause: only the header decided whether a body consists of events. The operators' declaration of the route says so as well; a header that names another type still goes first.

--- a/crates/framing/src/tracker.rs
+++ b/crates/framing/src/tracker.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt};
 
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode, header};
 
 use crate::{Delimiter, Format, events::Scanner};
 
@@ -37,6 +37,10 @@
     scanner: Scanner,
     received: u64,
     may_be_empty: bool,
+    /// Whether the head declares a content type.
+    is_typed: bool,
+    /// Whether a body without a content type consists of events.
+    expects_events: bool,
     /// The events of the responses that this one continues.
     earlier_events: u64,
 }
@@ -50,6 +54,8 @@
             scanner: Scanner::default(),
             received: 0,
             may_be_empty: false,
+            is_typed: headers.contains_key(header::CONTENT_TYPE),
+            expects_events: false,
             earlier_events: 0,
         }
     }
@@ -63,6 +69,20 @@
         }
     }
 
+    /// The same for a route whose responses are event streams, also where a server declares no
+    /// content type.
+    pub fn expecting_events(self) -> Self {
+        Self {
+            format: if self.is_typed {
+                self.format
+            } else {
+                Format::EventStream
+            },
+            expects_events: true,
+            ..self
+        }
+    }
+
     /// What delimits the body.
     pub fn delimiter(&self) -> Delimiter {
         self.delimiter
@@ -85,10 +105,15 @@
 
     /// The tracker of the response that continues this one after its last whole event.
     pub fn resumed(&self, method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
-        Self {
+        let next = Self {
             earlier_events: self.events(),
             may_be_empty: self.may_be_empty,
             ..Self::new(method, status, headers)
+        };
+        if self.expects_events {
+            next.expecting_events()
+        } else {
+            next
         }
     }
 
--- a/crates/framing/tests/tracker.rs
+++ b/crates/framing/tests/tracker.rs
@@ -120,3 +120,22 @@
     let boundary = tracker.record(body);
     assert_eq!(tracker.forwardable(body.len(), boundary), expected);
 }
+
+/// Guards against a stream whose end inside an event looks complete because its server declares no
+/// content type.
+#[parameterized(
+    untyped = { &[], Err(Truncation::InsideEvent) },
+    typed = { &[EVENTS], Err(Truncation::InsideEvent) },
+    of_another_type = { &[("content-type", "text/plain")], Ok(()) },
+)]
+fn a_stream_without_a_content_type_is_read_as_events(
+    fields: &[(&str, &str)],
+    expected: Result<(), Truncation>,
+) {
+    let mut stream = tracker(fields, b"").expecting_events();
+    stream.record(b"data: a\n\ndata: b");
+    assert_eq!(stream.end(), expected);
+    let mut next = stream.resumed(&Method::GET, StatusCode::OK, &headers(fields));
+    next.record(b"data: b");
+    assert_eq!(next.end(), expected);
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -90,10 +90,14 @@
 ) -> impl Stream<Item = Result<Frame<Bytes>, Error>> + Send {
     let head = &response.head;
     let mut tracker = Tracker::new(&exchange.plan().method, head.status, &head.headers);
+    let kind = exchange.plan().route.kind;
+    if matches!(kind, Kind::Stream | Kind::Resumable) && head.status.is_success() {
+        tracker = tracker.expecting_events();
+    }
     if exchange.plan().head.last_event_id.is_some() {
         tracker = tracker.or_empty();
     }
-    let is_resumable = exchange.plan().route.kind == Kind::Resumable
+    let is_resumable = kind == Kind::Resumable
         && response.head.status.is_success()
         && tracker.format() == Format::EventStream
         && !matches!(tracker.delimiter(), Delimiter::Length(_));
