--- a/crates/framing/src/tracker.rs
+++ b/crates/framing/src/tracker.rs
@@ -69,14 +69,15 @@
         }
     }
 
-    /// The same for a route whose responses are event streams, also where a server declares no
-    /// content type.
+    /// The same for a route whose responses are event streams. Where a server declares no content
+    /// type, and only the connection delimits the body, its events tell whether it is complete.
     pub fn expecting_events(self) -> Self {
+        let is_undeclared = !self.is_typed && self.delimiter == Delimiter::Close;
         Self {
-            format: if self.is_typed {
-                self.format
-            } else {
+            format: if is_undeclared {
                 Format::EventStream
+            } else {
+                self.format
             },
             expects_events: true,
             ..self
--- a/crates/framing/tests/tracker.rs
+++ b/crates/framing/tests/tracker.rs
@@ -127,6 +127,7 @@
     untyped = { &[], Err(Truncation::InsideEvent) },
     typed = { &[EVENTS], Err(Truncation::InsideEvent) },
     of_another_type = { &[("content-type", "text/plain")], Ok(()) },
+    whole_by_chunks = { &[CHUNKED], Ok(()) },
 )]
 fn a_stream_without_a_content_type_is_read_as_events(
     fields: &[(&str, &str)],
