Split the handling of datagrams and of requests off their tasks' files

What is done with a received datagram is in peers/receive.rs now, and what happens to a request between its placement and its end in dispatch/requests.rs. Functions are moved, with the visibility that this needs; nothing else changes.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 mod paths;
 mod peers;
 mod permit;
+mod requests;
 mod rollouts;
 
 use std::{
@@ -36,11 +37,11 @@
     load,
     metrics::Metrics,
     pause,
-    pool::{Fleet, Outcome, Part, Placement, Pool, Standing},
-    prefixes::{self, PrefixUpdates},
+    pool::{Fleet, Pool},
+    prefixes::PrefixUpdates,
     probe::{self, Probe},
     protocol::Protocol,
-    queue::{self, Admission, Queue},
+    queue::Queue,
     reach, retry_budget,
     roster::Roster,
     route::Table,
@@ -253,213 +254,6 @@
         self.apply_crash_news(now);
     }
 
-    fn acquire(&mut self, mut request: AcquireRequest, reply: Reply, now: Instant) {
-        if self.crashes.is_refused(request.fingerprint, now) {
-            send_reply(reply, Err(Refusal::Suspect));
-            return;
-        }
-        if request.is_retry && !self.withdraw_retry(&request.pool, now) {
-            send_reply(reply, Err(Refusal::RetryBudget));
-            return;
-        }
-        if let Some(retry_at) = self.no_path_until(&request, now) {
-            send_reply(reply, Err(Refusal::NoPath(retry_at)));
-            return;
-        }
-        self.exclude_unreached(&mut request);
-        request.demand.preference = self.rollouts.preference(&request, now);
-        let Some(queue) = self.queues.get_mut(&request.pool) else {
-            send_reply(reply, Err(Refusal::Unknown));
-            return;
-        };
-        self.attempts += 1;
-        let queue_request = queue::Request {
-            attempt: request::Attempt(self.attempts),
-            workspace: request.workspace.clone(),
-            cost: request.cost,
-            rank: request.rank,
-            latest_start: request.latest_start,
-            demand: request.demand.clone(),
-        };
-        let attempt = queue_request.attempt;
-        match queue.submit(queue_request, &self.fleet, now) {
-            Admission::Placed(placement) => {
-                let permit = self.permit(request, *placement, now);
-                send_reply(reply, Ok(permit));
-            }
-            Admission::Refused(refusal) => send_reply(reply, Err(Refusal::Denied(refusal))),
-            Admission::Queued => {
-                self.pending.insert(attempt, (request, reply));
-            }
-        }
-    }
-
-    /// Takes a retry from this router's share of the retry budget.
-    fn withdraw_retry(&mut self, pool: &pool::Id, now: Instant) -> bool {
-        let members = self.fleet.members.len();
-        // A router that has not registered does not know its share.
-        members > 0 && self.retry_budget(pool, now).withdraw(members, now)
-    }
-
-    fn retry_budget(&mut self, pool: &pool::Id, now: Instant) -> &mut retry_budget::Budget {
-        let members = self.fleet.members.len();
-        let allowance = self.settings.bounds.retries;
-        let retry_budget = || retry_budget::Budget::new(allowance, members, now);
-        self.retry_budgets
-            .entry(pool.clone())
-            .or_insert_with(retry_budget)
-    }
-
-    fn permit(
-        &mut self,
-        request: AcquireRequest,
-        mut placement: Placement,
-        now: Instant,
-    ) -> Permit {
-        self.choose_path(&request.pool, &mut placement, now);
-        if !request.is_retry {
-            let members = self.fleet.members.len();
-            self.retry_budget(&request.pool, now).deposit(members);
-        }
-        if placement.is_throttled {
-            self.metrics.sent_while_throttled();
-        }
-        let trial = self.rollouts.admitted(&request, &placement, now);
-        let ticket = Ticket {
-            trial,
-            has_failed: false,
-            pool: request.pool,
-            server: placement.server.clone(),
-            incarnation: placement.incarnation,
-            uncached: placement.uncached,
-            parts: request.demand.parts,
-            workspace: request.workspace,
-            fingerprint: request.fingerprint,
-            sent_at: now,
-            connected_at: None,
-            connect_deadline: placement.connect_deadline,
-            egress: placement.path.egress().map(|egress| egress.host.clone()),
-            provider: None,
-            has_first_byte: false,
-            last_byte_at: None,
-        };
-        let withdrawals = self.withdrawals(&ticket, now);
-        Permit::new(ticket, placement, withdrawals, self.sender.clone())
-    }
-
-    fn dequeue_all(&mut self) {
-        let names: Vec<pool::Id> = self.queues.keys().cloned().collect();
-        for name in names {
-            self.dequeue(&name);
-        }
-    }
-
-    /// Places queued requests of one service at servers with free slots.
-    fn dequeue(&mut self, name: &pool::Id) {
-        let now = self.clock.now();
-        let Some(queue) = self.queues.get_mut(name) else {
-            return;
-        };
-        if queue.is_empty() {
-            return;
-        }
-        // Callers that disconnected while queued get no slot.
-        let disconnected = self.pending.extract_if(|_, (_, reply)| reply.is_closed());
-        for (attempt, _) in disconnected {
-            queue.cancel(attempt);
-        }
-        for (attempt, result) in queue.dequeue(&self.fleet, now) {
-            let Some((request, reply)) = self.pending.remove(&attempt) else {
-                continue;
-            };
-            let result = match result {
-                Ok(placement) => Ok(self.permit(request, placement, now)),
-                Err(refusal) => Err(Refusal::Denied(refusal)),
-            };
-            send_reply(reply, result);
-        }
-    }
-
-    fn first_byte(&mut self, ticket: &Ticket, now: Instant) {
-        self.rollouts.first_byte(ticket, now);
-        if let Some(at) = ticket.connected_at {
-            self.record_connected(ticket, at);
-        }
-        let Some(queue) = self.queues.get_mut(&ticket.pool) else {
-            return;
-        };
-        queue.pool_mut().record_response(&ticket.server);
-        let is_direct = ticket.egress.is_none();
-        if let Some(at) = ticket.connected_at.filter(|_| is_direct) {
-            let time = at.since(ticket.sent_at);
-            queue.pool_mut().record_connect_time(&ticket.server, time);
-        }
-        let Some(server) = queue.pool_mut().server_mut(&ticket.server) else {
-            return;
-        };
-        server.end_prefill(ticket.uncached);
-        if server.incarnation() == ticket.incarnation {
-            if let Some(part) = prefixes::shared_part(&ticket.parts)
-                && !server.has_cached(part, now)
-            {
-                self.prefixes.record(server.hash(), part, now);
-            }
-            server.record_cached(&ticket.parts, now);
-            server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
-        }
-    }
-
-    fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
-        self.record_path(ticket, outcome, now);
-        let outcome = self.attribute(ticket, outcome);
-        self.record_crash(ticket, outcome, now);
-        let outcome = self.hold_failure(ticket, outcome);
-        self.rollouts.ended(ticket, outcome, now);
-        let Some(queue) = self.queues.get_mut(&ticket.pool) else {
-            return;
-        };
-        if let Some(server) = queue.pool_mut().server_mut(&ticket.server)
-            && !ticket.has_first_byte
-        {
-            server.end_prefill(ticket.uncached);
-            // A request that got no byte has waited at least this long.
-            if outcome == Outcome::Cancelled {
-                server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
-            }
-        }
-        if outcome == Outcome::Unreachable
-            && ticket.egress.is_none()
-            && now >= ticket.connect_deadline
-        {
-            queue
-                .pool_mut()
-                .record_connect_timeout(&ticket.server, ticket.sent_at, now);
-        }
-        if outcome == Outcome::Full {
-            let routers = self.fleet.members.len();
-            let pool = queue.pool_mut();
-            pool.record_rejection(&ticket.server, routers, now);
-        }
-        let standing = queue.ended(&ticket.server, &ticket.workspace, outcome, now);
-        self.log_standing(ticket, standing, outcome);
-        self.dequeue(&ticket.pool);
-    }
-
-    fn log_standing(&self, ticket: &Ticket, standing: Option<Standing>, outcome: Outcome) {
-        let Some(standing) = standing else {
-            return;
-        };
-        self.metrics.standing_changed(standing);
-        logging::event!(
-            info,
-            "server_standing",
-            server = ticket.server,
-            pool = ticket.pool,
-            standing = standing,
-            outcome = outcome
-        );
-    }
-
     fn set_roster(&mut self, roster: &Roster) {
         self.record_ended_incarnations(roster);
         let mut names: Vec<pool::Id> = self.queues.keys().cloned().collect();
@@ -520,19 +314,3 @@
         }
     }
 }
-
-fn send_reply(reply: Reply, result: Result<Permit, Refusal>) {
-    // If the caller has disconnected, the permit is dropped, which frees the slot.
-    drop(reply.send(result));
-}
-
-/// The time to first byte that the prompt of a request explains.
-fn expected(ticket: &Ticket) -> Duration {
-    // Half the usual prefill rate, so that a server that is up to twice as slow has no lag.
-    const TOKENS_PER_MS: u64 = 30;
-    /// An engine needs one or two steps for the first token; a plain service takes some
-    /// tens of milliseconds.
-    const BASE: Duration = Duration::from_millis(40);
-    let prompt_tokens: u64 = ticket.parts.iter().map(Part::length).sum();
-    BASE + Duration::from_millis(ticket.uncached.0.max(prompt_tokens / 8) / TOKENS_PER_MS)
-}
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -4,7 +4,7 @@
 
 use units::{backend, time::Instant};
 
-use super::{AcquireRequest, Dispatch, Refusal, Ticket, Withdrawals, send_reply};
+use super::{AcquireRequest, Dispatch, Refusal, Ticket, Withdrawals, requests::send_reply};
 use crate::{
     crashes::Sign,
     pool::{Outcome, Server},
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -9,7 +9,7 @@
 };
 use xxhash_rust::xxh3;
 
-use super::{AcquireRequest, Dispatch, Progress, Ticket, TrialTicket, expected};
+use super::{AcquireRequest, Dispatch, Progress, Ticket, TrialTicket, requests::expected};
 use crate::pool::{Outcome, Placement, Pool, Preference};
 
 /// The period after which a long response is forgotten, at least.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 pub mod fetch;
 pub mod introduction;
 mod origins;
+mod receive;
 mod relays;
 mod store_fallback;
 pub mod sums;
