Resolve the service, the stream and its version of a request in one place

The intake of requests had grown by what a take-up needs. serve::origin chooses the service of a split route now as well, since that follows the same request. A route without a service is logged as rejected like other refusals; nothing else changes.

--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -13,7 +13,10 @@
 use verdict::{Code, Refusal};
 use xxhash_rust::xxh3;
 
-use super::{Context, Exchange, exchange, origin};
+use super::{
+    Context, Exchange, exchange,
+    origin::{self, Origin},
+};
 use crate::{
     headers,
     pool::Demand,
@@ -47,17 +50,13 @@
     let (body, reserved) = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
     headers::strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
-    // All attempts of a stream go to the service that began it.
-    let begun = head.resumes.as_ref().unwrap_or(&head.id);
-    let hash = xxh3::xxh3_64(begun.as_bytes());
-    let pool = route.pool(hash).cloned();
-    let pool = pool.ok_or_else(|| Refusal::not_run(Code::NoServer, "The route has no service."))?;
-    let workspace = key_owner
-        .as_ref()
-        .map_or(&context.anonymous, |key_owner| &key_owner.workspace);
-    let stream = origin::key(&head, &route, &pool, workspace);
-    let version = origin::find(context, &head, &route, &pool, stream).await;
-    let version = version.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    let origin = origin::resolve(context, &head, &route, key_owner.as_deref()).await;
+    let origin = origin.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    let Origin {
+        pool,
+        stream,
+        version,
+    } = origin;
     let is_engine = table
         .services
         .get(&pool)
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -3,14 +3,15 @@
 use std::{fmt, time::Duration};
 
 use tokio::{sync::oneshot, time};
-use units::{backend, pool, workspace};
+use units::{backend, pool};
 use verdict::{Code, Refusal};
+use xxhash_rust::xxh3;
 
 use super::Context;
 use crate::{
     origins::{Answer, Key, Message, RETENTION},
     protocol::Head,
-    route::{Kind, Route},
+    route::{KeyOwner, Kind, Route},
 };
 
 /// How long other routers have to answer, and how often they are asked. A datagram may be lost, or
@@ -63,11 +64,42 @@
     }
 }
 
-/// The key under which the version of a request's stream is recorded; `None` if its stream cannot
-/// be taken up.
-pub fn key(head: &Head, route: &Route, pool: &pool::Id, workspace: &workspace::Id) -> Option<Key> {
+/// Where a request belongs because of the stream that it begins or takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// The service: that of the request which began the stream.
+    pub pool: pool::Id,
+    /// The key under which the version of the stream is recorded; `None` if the stream cannot be
+    /// taken up.
+    pub stream: Option<Key>,
+    /// The version that has to serve the request; `None` if any may.
+    pub version: Option<backend::Version>,
+}
+
+/// Finds out where a request belongs.
+///
+/// # Errors
+///
+/// When the route has no service, or the request takes up a stream whose version is not known. It
+/// has not run.
+pub async fn resolve<P>(
+    context: &Context<P>,
+    head: &Head,
+    route: &Route,
+    key_owner: Option<&KeyOwner>,
+) -> Result<Origin, Refusal> {
     let begun = head.resumes.as_ref().unwrap_or(&head.id);
-    (route.kind == Kind::Resumable).then(|| Key::new(workspace, pool, begun))
+    let pool = route.pool(xxh3::xxh3_64(begun.as_bytes())).cloned();
+    let pool = pool.ok_or_else(|| Refusal::not_run(Code::NoServer, "The route has no service."))?;
+    let workspace = key_owner.map_or(&context.anonymous, |key_owner| &key_owner.workspace);
+    let is_resumable = route.kind == Kind::Resumable;
+    let stream = is_resumable.then(|| Key::new(workspace, &pool, begun));
+    let version = find(context, head, route, &pool, stream).await?;
+    Ok(Origin {
+        pool,
+        stream,
+        version,
+    })
 }
 
 /// The version that has to serve a request; `None` if any may.
@@ -75,7 +107,7 @@
 /// # Errors
 ///
 /// When the request takes up a stream whose version is not known. It has not run.
-pub async fn find<P>(
+async fn find<P>(
     context: &Context<P>,
     head: &Head,
     route: &Route,
