Name the parts of requests in log lines, and the control server of probes

The lines of the incident told neither which parts were in flight at the crashes nor with which server a probe was compared. request_done, request_refused, attempt_failed and request_suspected now name the parts that other requests may share; server_probed names its control.

Nothing is decided by them yet.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,6 +6,8 @@
 use smallvec::SmallVec;
 use units::{backend, request::Fingerprint, time::Instant};
 
+use crate::parts;
+
 /// How long after the sign of a crash it may be confirmed.
 ///
 /// A crashed server refuses connections immediately, and its entry in the store changes
@@ -45,10 +47,28 @@
     Silent,
 }
 
+/// A request as far as its like may crash servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    /// The fingerprint that the request shares with its retries by the caller.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: parts::Chain,
+}
+
+impl From<Fingerprint> for Request {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Self {
+            fingerprint,
+            parts: parts::Chain::new(),
+        }
+    }
+}
+
 /// A request that may have crashed its server.
 #[derive(Clone, Debug)]
 struct Candidate {
-    fingerprint: Fingerprint,
+    request: Request,
     server: backend::Server,
     incarnation: u64,
     sign: Sign,
@@ -57,10 +77,10 @@
 }
 
 /// A request that was in flight at a server that crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspicion {
-    /// The fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// The request.
+    pub request: Request,
     /// The time from the sign of a crash to its confirmation.
     pub confirmed_after: Duration,
     /// Whether the crash adds a strike.
@@ -124,7 +144,7 @@
     pub fn record_sign(
         &mut self,
         sign: Sign,
-        fingerprint: Fingerprint,
+        request: impl Into<Request>,
         server: &backend::Server,
         incarnation: u64,
         alive_at: Instant,
@@ -136,7 +156,7 @@
             self.candidates.remove(0);
         }
         self.candidates.push(Candidate {
-            fingerprint,
+            request: request.into(),
             server: server.clone(),
             incarnation,
             sign,
@@ -189,19 +209,19 @@
             .collect()
     }
 
-    fn suspect(&mut self, request: &Candidate, crash: Crash, now: Instant) -> Suspicion {
-        let fingerprint = request.fingerprint;
+    fn suspect(&mut self, candidate: &Candidate, crash: Crash, now: Instant) -> Suspicion {
+        let fingerprint = candidate.request.fingerprint;
         let before = self.suspects.strike_count(fingerprint, now);
         let strike = Strike {
             fingerprint,
             crash,
-            interval: request.interval,
+            interval: candidate.interval,
         };
         self.apply(Evidence::Strike(strike), now);
         let strikes = self.suspects.strike_count(fingerprint, now);
         Suspicion {
-            fingerprint,
-            confirmed_after: now.since(request.seen_at),
+            request: candidate.request.clone(),
+            confirmed_after: now.since(candidate.seen_at),
             is_counted: strikes > before,
             strikes,
         }
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -6,7 +6,8 @@
 
 use super::{AcquireRequest, Dispatch, Refusal, Ticket, Withdrawals, requests::send_reply};
 use crate::{
-    crashes::Sign,
+    crashes::{Request, Sign},
+    parts,
     pool::{Outcome, Server},
     probe::{Liveness, Probe, Purpose},
     roster::Roster,
@@ -45,7 +46,7 @@
     pub(super) fn record_sign(&mut self, sign: Sign, ticket: &Ticket, now: Instant) {
         self.crashes.record_sign(
             sign,
-            ticket.fingerprint,
+            request_of(ticket),
             &ticket.server,
             ticket.incarnation,
             alive_at(ticket),
@@ -95,6 +96,9 @@
             "server_probed",
             server = probe.server,
             incarnation = probe.incarnation,
+            control = probe
+                .control
+                .map_or(String::from("none"), |address| address.to_string()),
             result = liveness
         );
         self.settle_failures(probe, liveness, now);
@@ -123,7 +127,8 @@
             logging::event!(
                 info,
                 "request_suspected",
-                fingerprint = suspicion.fingerprint,
+                fingerprint = suspicion.request.fingerprint,
+                parts = parts::List(&suspicion.request.parts),
                 server = server,
                 incarnation = incarnation,
                 confirmed_after_ms = suspicion.confirmed_after.as_millis(),
@@ -208,6 +213,14 @@
     }
 }
 
+/// The request of a ticket, as far as its like may crash servers.
+fn request_of(ticket: &Ticket) -> Request {
+    Request {
+        fingerprint: ticket.fingerprint,
+        parts: ticket.shared_parts.clone(),
+    }
+}
+
 /// The last sign of life of a request's server, or when the request was sent.
 fn alive_at(ticket: &Ticket) -> Instant {
     let last_byte_at = ticket.last_byte_at.unwrap_or(Instant::ZERO);
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -18,6 +18,7 @@
     advisory::Advisory,
     load,
     outlier::OutcomeCounts,
+    parts,
     pool::{Demand, Outcome, Parts, VersionLoads},
     prefixes,
     probe::{Liveness, Probe},
@@ -226,6 +227,8 @@
     pub uncached: Cost,
     /// The prompt.
     pub parts: Parts,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: parts::Chain,
     /// The workspace to which the request is charged.
     pub workspace: workspace::Id,
     /// The fingerprint that the request shares with its retries by the caller.
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -6,6 +6,7 @@
 
 use super::{AcquireRequest, Dispatch, Permit, Refusal, Reply, Ticket};
 use crate::{
+    parts,
     pool::{Outcome, Part, Placement, Standing},
     prefixes,
     queue::{self, Admission},
@@ -88,11 +89,12 @@
         let ticket = Ticket {
             trial,
             has_failed: false,
-            pool: request.pool,
             server: placement.server.clone(),
             incarnation: placement.incarnation,
             uncached: placement.uncached,
+            shared_parts: parts::shared(&request.pool, &request.demand.parts),
             parts: request.demand.parts,
+            pool: request.pool,
             workspace: request.workspace,
             fingerprint: request.fingerprint,
             sent_at: now,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod observer;
 pub mod origins;
 pub mod outlier;
+pub mod parts;
 pub mod pause;
 pub mod peers;
 pub mod pool;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 pub use events::Splitter;
 
 use crate::{
-    activity::Guard, attempt::Response, connector::Path, dispatch::Permit, pool::Outcome,
+    activity::Guard, attempt::Response, connector::Path, dispatch::Permit, parts, pool::Outcome,
     protocol::Protocol, route::Kind, serve::Exchange,
 };
 
@@ -362,6 +362,7 @@
             kind = plan.route.kind,
             pool = plan.pool,
             workspace = self.exchange.workspace(),
+            parts = parts::List(&self.exchange.shared_parts()),
             resumes = plan.head.resumes.as_deref().unwrap_or("none"),
             after = plan.head.last_event_id.as_deref().unwrap_or("none"),
             server = placement.map_or("none", |placement| placement.server.as_str()),
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -3,9 +3,14 @@
 use verdict::Refusal;
 
 use super::Exchange;
-use crate::{attempt::End, pool::Placement, protocol::Protocol};
+use crate::{attempt::End, parts, pool::Placement, protocol::Protocol};
 
 impl<P> Exchange<P> {
+    /// The parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> parts::Chain {
+        parts::shared(&self.plan.pool, &self.plan.demand.parts)
+    }
+
     /// Logs that the caller disconnected before a response began.
     pub(super) fn log_abandoned(&self) {
         let now = self.context.clock.now();
@@ -56,6 +61,7 @@
             pool = self.plan.pool,
             workspace = self.workspace(),
             fingerprint = self.plan.fingerprint,
+            parts = parts::List(&self.shared_parts()),
             server = placement.server,
             version = placement.version,
             zone = placement.zone,
@@ -82,6 +88,7 @@
             pool = self.plan.pool,
             workspace = self.workspace(),
             fingerprint = self.plan.fingerprint,
+            parts = parts::List(&self.shared_parts()),
             code = refusal.code,
             verdict = refusal.verdict,
             sends = self.sent_attempts,
--- a/crates/recovery/src/evidence.rs
+++ b/crates/recovery/src/evidence.rs
@@ -70,7 +70,7 @@
     }
 
     /// The time within both intervals, if they overlap. Otherwise `self`.
-    fn intersection(self, other: Self) -> Self {
+    pub(crate) fn intersection(self, other: Self) -> Self {
         let both = Self {
             start: self.start.max(other.start),
             end: self.end.min(other.end),
--- a/crates/units/src/request.rs
+++ b/crates/units/src/request.rs
@@ -7,7 +7,19 @@
 macro_rules! hex_id {
     ($(#[$meta:meta])* $name:ident) => {
         $(#[$meta])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            PartialEq,
+            Eq,
+            PartialOrd,
+            Ord,
+            Hash,
+            Serialize,
+            Deserialize,
+        )]
         pub struct $name(pub u64);
 
         impl fmt::Display for $name {
@@ -41,6 +53,11 @@
     Fingerprint
 }
 
+hex_id! {
+    /// The hash of a part of a prompt and of the service that reads it. Requests share parts.
+    Part
+}
+
 /// The priority of a request; a higher one is served first.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
