Derive the list of codes, so that no code lacks its series

verdict::Code::ALL was written by hand and lacked Cold: weir-router had no series for it, and its status page never counted these refusals. The enum, the list and the names now come from one table.

--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -259,8 +259,8 @@
     pub fn refusals(&self) -> Vec<status::Refusals> {
         let verdicts = [Verdict::NotRun, Verdict::MayHaveRun];
         let pairs = Code::ALL
-            .into_iter()
-            .flat_map(|code| verdicts.map(|verdict| (code, verdict)));
+            .iter()
+            .flat_map(|&code| verdicts.map(|verdict| (code, verdict)));
         pairs
             .filter_map(|(code, verdict)| {
                 let counter = self.refusals.get(&refusal_labels(code, verdict))?;
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -290,7 +290,7 @@
         Code::SlowCaller => StatusCode::REQUEST_TIMEOUT,
         Code::ClaimTaken => StatusCode::CONFLICT,
         Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        Code::Suspect => StatusCode::UNPROCESSABLE_ENTITY,
+        Code::Suspect | Code::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         Code::Busy | Code::Cold | Code::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         Code::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Code::NoServer
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -34,118 +34,81 @@
     }
 }
 
-/// Why a request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Code {
+macro_rules! codes {
+    ($($(#[$meta:meta])* $code:ident => $name:literal,)*) => {
+        /// Why a request was refused.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum Code {
+            $($(#[$meta])* $code,)*
+        }
+
+        impl Code {
+            /// All codes.
+            pub const ALL: &[Self] = &[$(Self::$code,)*];
+        }
+
+        impl fmt::Display for Code {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(match self {
+                    $(Self::$code => $name,)*
+                })
+            }
+        }
+    };
+}
+
+codes! {
     /// The body, a header or a parameter is malformed.
-    Malformed,
+    Malformed => "malformed",
     /// A header or the body is over its limit.
-    TooLarge,
+    TooLarge => "too_large",
     /// The caller took too long to send its request.
-    SlowCaller,
+    SlowCaller => "slow_caller",
     /// The workspace is not declared.
-    UnknownWorkspace,
+    UnknownWorkspace => "unknown_workspace",
     /// The caller's key does not belong to the workspace.
-    BadKey,
+    BadKey => "bad_key",
     /// A chat route was called without a chat.
-    MissingChat,
+    MissingChat => "missing_chat",
     /// No route matches.
-    UnknownRoute,
+    UnknownRoute => "unknown_route",
     /// Every backend server or queue that could accept the request is at its limit.
-    Busy,
+    Busy => "busy",
     /// The backend servers with free capacity are in slow start and at its limit.
-    Cold,
+    Cold => "cold",
     /// The workspace is at its own limit of concurrent requests.
-    WorkspaceLimit,
+    WorkspaceLimit => "workspace_limit",
     /// The request could not have been finished by its deadline.
-    Deadline,
+    Deadline => "deadline",
     /// No backend server is available.
-    NoServer,
+    NoServer => "no_server",
     /// The router has no configuration yet, or is shutting down.
-    NotReady,
+    NotReady => "not_ready",
     /// The platform is down and the request needs a claim.
-    ClaimUnavailable,
+    ClaimUnavailable => "claim_unavailable",
     /// A request with this idempotency key is running, or its outcome is unknown.
-    ClaimTaken,
+    ClaimTaken => "claim_taken",
     /// The request is suspected of crashing backend servers.
-    Suspect,
+    Suspect => "suspect",
     /// The backend server failed while it processed the request.
-    BackendFailed,
+    BackendFailed => "backend_failed",
     /// The backend server crashed while it processed the request.
-    BackendDied,
+    BackendDied => "backend_died",
     /// The response of the backend server belonged to another request or was truncated.
-    BadAnswer,
+    BadAnswer => "bad_answer",
     /// The retry budget is exhausted.
-    RetryBudget,
+    RetryBudget => "retry_budget",
     /// This router does not own the backend server, or the server is leaving or ejected.
-    Moved,
+    Moved => "moved",
     /// Another internal error occurred.
-    Internal,
+    Internal => "internal",
     /// No backend server of the version that began the stream is left.
-    VersionGone,
+    VersionGone => "version_gone",
     /// It is not known which version began the stream.
-    VersionUnknown,
-}
-
-impl Code {
-    /// All codes.
-    pub const ALL: [Self; 23] = [
-        Self::Malformed,
-        Self::TooLarge,
-        Self::SlowCaller,
-        Self::UnknownWorkspace,
-        Self::BadKey,
-        Self::MissingChat,
-        Self::UnknownRoute,
-        Self::Busy,
-        Self::WorkspaceLimit,
-        Self::Deadline,
-        Self::NoServer,
-        Self::NotReady,
-        Self::ClaimUnavailable,
-        Self::ClaimTaken,
-        Self::Suspect,
-        Self::BackendFailed,
-        Self::BackendDied,
-        Self::BadAnswer,
-        Self::RetryBudget,
-        Self::Moved,
-        Self::Internal,
-        Self::VersionGone,
-        Self::VersionUnknown,
-    ];
-}
-
-impl fmt::Display for Code {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Malformed => "malformed",
-            Self::TooLarge => "too_large",
-            Self::SlowCaller => "slow_caller",
-            Self::UnknownWorkspace => "unknown_workspace",
-            Self::BadKey => "bad_key",
-            Self::MissingChat => "missing_chat",
-            Self::UnknownRoute => "unknown_route",
-            Self::Busy => "busy",
-            Self::Cold => "cold",
-            Self::WorkspaceLimit => "workspace_limit",
-            Self::Deadline => "deadline",
-            Self::NoServer => "no_server",
-            Self::VersionGone => "version_gone",
-            Self::VersionUnknown => "version_unknown",
-            Self::NotReady => "not_ready",
-            Self::ClaimUnavailable => "claim_unavailable",
-            Self::ClaimTaken => "claim_taken",
-            Self::Suspect => "suspect",
-            Self::BackendFailed => "backend_failed",
-            Self::BackendDied => "backend_died",
-            Self::BadAnswer => "bad_answer",
-            Self::RetryBudget => "retry_budget",
-            Self::Moved => "moved",
-            Self::Internal => "internal",
-        })
-    }
+    VersionUnknown => "version_unknown",
+    /// Servers crashed under a part of the prompt.
+    Quarantined => "quarantined",
 }
 
 /// The final response to a request that the system refuses.
