Refuse the prompt part under which servers crash

What callers saw: requests that share one part of their prompts, no two of them alike, crashed one server after the other, with up to 38 servers ended by one part in the incident, and each crash broke all requests in flight.

Cause: a crash was booked to the whole request only, by the hash of path, key and body. The class: evidence is booked to one key, and the cause lies under another that this key does not show.

Change: each router tells which parts were in flight at a crash. A part counts crashes after its last complete response, one after the other. The parts that explain three crashes, or five if something unrelated explains as many, are refused everywhere, 0.3 s after the crash became known. Parts that were only seen together are refused together, so that a harmless one is served alone and thereby cleared. The request's fingerprint takes part as if it were a part, which tells a single repeated request from the parts that it shares. Crashes under refused parts count against no other request. Waiting, connecting and continued requests are withdrawn. The refusal says so at once (code quarantined, not run).

Ruled out: strikes for each part of each request in flight without the exclusion by explanation, since rare parts that share a server with the deadly one would be refused with it.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -210,6 +210,7 @@
         let loads = loads.filter(|load| load.running > 0 || !load.outcomes.is_empty());
         dispatch::PeerUpdate {
             loads: loads.collect(),
+            parts: Vec::new(),
             reports: Vec::new(),
             prefixes: self.prefixes.updates(now),
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -145,6 +145,8 @@
             let is_failure = classification == Classification::Failure;
             if is_failure {
                 permit.failed();
+            } else if head.status.is_success() {
+                permit.succeeded();
             }
             End::Responded(Box::new(Response {
                 head,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 mod paths;
 mod peers;
 mod permit;
+mod quarantine;
 mod requests;
 mod rollouts;
 
@@ -17,6 +18,7 @@
     time::Duration,
 };
 
+use recovery::quarantine::Combination;
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -27,7 +29,7 @@
     AcquireRequest, Announcement, Dial, Load, Location, Message, PeerUpdate, Progress, Refusal,
     Reply, Ticket, TrialTicket,
 };
-pub use permit::{Permit, Withdrawals};
+pub use permit::{Permit, Refused, Withdrawals};
 
 use crate::{
     clock::Clock,
@@ -80,7 +82,9 @@
     /// Signals that there is news of requests that crash servers.
     crash_news: watch::Sender<()>,
     /// The requests that are refused, for those that are connecting to a server.
-    refused: watch::Sender<Arc<BTreeSet<request::Fingerprint>>>,
+    refused: watch::Sender<Arc<Refused>>,
+    /// The prompt parts that are refused according to the store.
+    recorded_parts: BTreeSet<Combination>,
     /// The servers that are being probed, by name and incarnation.
     probed: BTreeSet<(backend::Server, u64)>,
     probes: mpsc::UnboundedSender<Probe>,
@@ -130,6 +134,7 @@
             crashes: Tracker::default(),
             crash_news: watch::channel(()).0,
             refused: watch::Sender::default(),
+            recorded_parts: BTreeSet::new(),
             probed: BTreeSet::new(),
             probes,
             probe_receiver: Some(probe_receiver),
@@ -167,7 +172,10 @@
                     Some(message) => self.handle_message(message),
                     None => return,
                 },
-                () = time::sleep_until(at), if wake.is_some() => self.dequeue_all(),
+                () = time::sleep_until(at), if wake.is_some() => {
+                    self.dequeue_all();
+                    self.decide_parts(self.clock.now());
+                }
                 _ = pause_checks.tick() => {
                     let now = self.clock.now();
                     self.detect_pause(now);
@@ -192,7 +200,8 @@
     }
 
     fn next_wake(&self) -> Option<Instant> {
-        self.queues.values().filter_map(Queue::next_wake).min()
+        let queues = self.queues.values().filter_map(Queue::next_wake);
+        queues.chain(self.crashes.next_decision()).min()
     }
 
     /// Processes one message.
@@ -239,11 +248,17 @@
             // The receiver may have been dropped.
             Message::Progress(reply) => drop(reply.send(self.progress())),
             Message::Reports(reports) => self.merge_reports(&reports, now),
+            Message::PartReports(reports) => self.merge_part_reports(reports, now),
+            Message::Quarantine(recorded) => self.set_quarantine(&recorded, now),
+            // The receivers may have been dropped.
+            Message::RefusedParts(reply) => drop(reply.send(self.refused_parts())),
+            Message::LiftParts(parts, reply) => drop(reply.send(self.lift_parts(&parts, now))),
             Message::CachedPrefixes(prefixes) => self.add_peer_prefixes(&prefixes, now),
             Message::PeerUpdate(reply) => {
                 let update = PeerUpdate {
                     loads: self.loads(),
                     reports: self.crashes.reports(now),
+                    parts: self.crashes.part_reports(now),
                     prefixes: self.prefixes.updates(now),
                 };
                 drop(reply.send(update));
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -4,7 +4,9 @@
 
 use units::{backend, time::Instant};
 
-use super::{AcquireRequest, Dispatch, Refusal, Ticket, Withdrawals, requests::send_reply};
+use super::{
+    AcquireRequest, Dispatch, Refusal, Refused, Ticket, Withdrawals, requests::send_reply,
+};
 use crate::{
     crashes::{Request, Sign},
     parts,
@@ -30,6 +32,11 @@
             Outcome::Refused => self.probe(ticket, now),
             Outcome::Completed => {
                 self.crashes.record_completed(ticket.fingerprint, now);
+                // A server that rejects a request, or has nothing to continue, has not begun to
+                // write.
+                if ticket.has_succeeded && ticket.has_first_byte {
+                    self.crashes.record_written(&request_of(ticket), now);
+                }
             }
             // A server with too many connections resets new ones, and packets may be lost.
             Outcome::Unreachable
@@ -153,6 +160,7 @@
     /// Applies news of requests that crash servers: they are sent to other routers, and
     /// requests that are refused by now leave the queues.
     pub(super) fn apply_crash_news(&mut self, now: Instant) {
+        self.decide_parts(now);
         if !self.crashes.take_news() {
             return;
         }
@@ -160,22 +168,38 @@
         if !self.update_refused(now) {
             return;
         }
-        let crashes = &self.crashes;
-        let is_refused = |request: &AcquireRequest| crashes.is_refused(request.fingerprint, now);
-        let queued = self
-            .pending
-            .extract_if(|_, (request, _)| is_refused(request));
-        for (attempt, (request, reply)) in queued {
+        let pending = self.pending.iter();
+        let refused = pending.filter_map(|(attempt, (request, _))| {
+            let refusal = self.refusal_of(request, now)?;
+            Some((*attempt, refusal))
+        });
+        let refused: Vec<_> = refused.collect();
+        for (attempt, refusal) in refused {
+            let Some((request, reply)) = self.pending.remove(&attempt) else {
+                continue;
+            };
             if let Some(queue) = self.queues.get_mut(&request.pool) {
                 queue.cancel(attempt);
             }
-            send_reply(reply, Err(Refusal::Suspect));
+            send_reply(reply, Err(refusal));
         }
     }
 
+    /// Why a request is refused, if it or its like crash servers.
+    fn refusal_of(&self, request: &AcquireRequest, now: Instant) -> Option<Refusal> {
+        if self.crashes.is_refused(request.fingerprint, now) {
+            return Some(Refusal::Suspect);
+        }
+        self.is_quarantined(request).then_some(Refusal::Quarantined)
+    }
+
     /// Publishes which requests are refused. Returns whether that has changed.
     fn update_refused(&mut self, now: Instant) -> bool {
-        let refused = self.crashes.refused(now);
+        let parts = self.crashes.quarantine();
+        let refused = Refused {
+            requests: self.crashes.refused(now),
+            parts: parts.map(|(parts, _)| parts.clone()).collect(),
+        };
         let has_changed = **self.refused.borrow() != refused;
         if has_changed {
             self.refused.send_replace(Arc::new(refused));
@@ -185,8 +209,8 @@
 
     /// What may withdraw the request of a ticket before it is sent.
     pub(super) fn withdrawals(&mut self, ticket: &Ticket, now: Instant) -> Withdrawals {
-        if self.refused.borrow().contains(&ticket.fingerprint) {
-            // Its strikes have expired.
+        if self.refused.borrow().contains(ticket) {
+            // What counted against it has expired.
             self.update_refused(now);
         }
         Withdrawals {
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -1,7 +1,8 @@
 //! Messages to and from the dispatch task.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
+use recovery::quarantine::Combination;
 use rollout::{Counts, Order, Stage, counts};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -66,6 +67,8 @@
     RetryBudget,
     /// The request is suspected of having crashed servers.
     Suspect,
+    /// Parts of its prompt have crashed servers.
+    Quarantined,
     /// This router has lost its paths, and no other router provides one; the next request may
     /// try at this instant.
     NoPath(Instant),
@@ -93,6 +96,8 @@
     pub loads: Vec<Load>,
     /// What is known of requests that may crash servers.
     pub reports: Vec<recovery::Report>,
+    /// What is known of prompt parts that may crash servers.
+    pub parts: Vec<recovery::quarantine::Report>,
     /// Prefixes that servers have cached recently.
     pub prefixes: Vec<prefixes::CachedPrefix>,
 }
@@ -206,6 +211,14 @@
     Progress(oneshot::Sender<Vec<Progress>>),
     /// What another router knows of requests that may crash servers.
     Reports(Vec<recovery::Report>),
+    /// What another router knows of prompt parts that may crash servers.
+    PartReports(Vec<recovery::quarantine::Report>),
+    /// The prompt parts that are refused according to the store, with the number of crashes.
+    Quarantine(BTreeMap<Combination, u32>),
+    /// Asks for the prompt parts that are refused.
+    RefusedParts(oneshot::Sender<Vec<(Combination, u32)>>),
+    /// Refuses prompt parts no longer, and answers whether they were refused.
+    LiftParts(Combination, oneshot::Sender<bool>),
     /// Cached prefixes reported by another router.
     CachedPrefixes(Vec<prefixes::CachedPrefix>),
     /// Asks for the state to send to peers.
@@ -249,6 +262,8 @@
     pub last_byte_at: Option<Instant>,
     /// Whether the server has responded that it failed.
     pub has_failed: bool,
+    /// Whether the server has responded with success.
+    pub has_succeeded: bool,
     /// The request's part in a roll-out.
     pub trial: Option<TrialTicket>,
 }
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use recovery::quarantine::Combination;
+
 use tokio::sync::{mpsc, watch};
 use units::{host, request::Fingerprint, time::Instant};
 
@@ -11,13 +13,31 @@
     pool::{Outcome, Placement},
 };
 
+/// The requests that are refused because they crash servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Refused {
+    /// The fingerprints of single requests.
+    pub requests: BTreeSet<Fingerprint>,
+    /// Prompt parts. A request is refused if it holds all of one combination.
+    pub parts: BTreeSet<Combination>,
+}
+
+impl Refused {
+    /// Whether the request of `ticket` is refused.
+    pub fn contains(&self, ticket: &Ticket) -> bool {
+        let mut parts = self.parts.iter();
+        self.requests.contains(&ticket.fingerprint)
+            || parts.any(|parts| parts.is_held_by(&ticket.shared_parts))
+    }
+}
+
 /// What may show, until a request is sent, that it must not be sent any more.
 #[derive(Debug)]
 pub struct Withdrawals {
     /// What the server announces.
     pub announcements: watch::Receiver<Advisory>,
     /// The requests that are refused because they crash servers.
-    pub refused: watch::Receiver<Arc<BTreeSet<Fingerprint>>>,
+    pub refused: watch::Receiver<Arc<Refused>>,
 }
 
 /// A slot at a backend server. If it is dropped without an outcome, the request counts
@@ -51,8 +71,8 @@
     pub fn is_withdrawn(&self, now: Instant) -> bool {
         let advisory = *self.withdrawals.announcements.borrow();
         let refused = self.withdrawals.refused.borrow();
-        let fingerprint = self.ticket.as_ref().map(|ticket| ticket.fingerprint);
-        let is_refused = fingerprint.is_some_and(|fingerprint| refused.contains(&fingerprint));
+        let ticket = self.ticket.as_ref();
+        let is_refused = ticket.is_some_and(|ticket| refused.contains(ticket));
         is_refused || advisory.is_leaving || advisory.is_throttled(now)
     }
 
@@ -114,6 +134,13 @@
         }
     }
 
+    /// Records that the server has responded with success.
+    pub fn succeeded(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.has_succeeded = true;
+        }
+    }
+
     /// Records that the server has responded that it failed.
     pub fn failed(&mut self) {
         if let Some(ticket) = &mut self.ticket {
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -19,6 +19,10 @@
             send_reply(reply, Err(Refusal::Suspect));
             return;
         }
+        if self.is_quarantined(&request) {
+            send_reply(reply, Err(Refusal::Quarantined));
+            return;
+        }
         if request.is_retry && !self.withdraw_retry(&request.pool, now) {
             send_reply(reply, Err(Refusal::RetryBudget));
             return;
@@ -89,6 +93,7 @@
         let ticket = Ticket {
             trial,
             has_failed: false,
+            has_succeeded: false,
             server: placement.server.clone(),
             incarnation: placement.incarnation,
             uncached: placement.uncached,
--- a/crates/gateway/src/parts.rs
+++ b/crates/gateway/src/parts.rs
@@ -2,15 +2,12 @@
 
 use std::{collections::BTreeSet, fmt};
 
-use smallvec::SmallVec;
+pub use recovery::quarantine::Chain;
 use units::{pool, request};
 use xxhash_rust::xxh3;
 
 use crate::pool::Part;
 
-/// The parts of a request that others may share.
-pub type Chain = SmallVec<[request::Part; 4]>;
-
 /// The most parts that a log line names.
 const MAX_LOGGED: usize = 4;
 
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -113,6 +113,8 @@
     OriginQuery(origins::Key),
     /// The answer to [`Frame::OriginQuery`].
     OriginAnswer(origins::Key, origins::Answer),
+    /// What is known of prompt parts that may crash servers.
+    PartReports(Vec<recovery::quarantine::Report>),
 }
 
 /// The loads of the whole fleet.
@@ -194,6 +196,7 @@
             Self::Origins(_) => "origins",
             Self::OriginQuery(_) => "origin_query",
             Self::OriginAnswer(..) => "origin_answer",
+            Self::PartReports(_) => "part_reports",
         }
     }
 
@@ -231,9 +234,11 @@
             | Self::FleetTotal(FleetTotal {
                 cached_prefixes, ..
             }) => Some(cached_prefixes),
-            Self::Rollout(_) | Self::Origins(_) | Self::OriginQuery(_) | Self::OriginAnswer(..) => {
-                None
-            }
+            Self::Rollout(_)
+            | Self::Origins(_)
+            | Self::OriginQuery(_)
+            | Self::OriginAnswer(..)
+            | Self::PartReports(_) => None,
         }
     }
 
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -74,6 +74,9 @@
             Ok(Frame::OriginAnswer(key, answer)) => {
                 self.receive_origin(key, opened.tag, &answer);
             }
+            Ok(Frame::PartReports(reports)) => {
+                self.notify_dispatch(dispatch::Message::PartReports(reports));
+            }
             Err(_) => logging::event!(debug, "digest_malformed"),
         }
     }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -303,6 +303,10 @@
         };
         for member in self.targets(count) {
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
+            if !state.parts.is_empty() {
+                self.send_to(&Frame::PartReports(state.parts.clone()), &member)
+                    .await;
+            }
         }
         if !self.is_large() {
             return;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -46,6 +46,9 @@
 /// The retry delay given to a caller when neither this router nor another one that it knows
 /// reaches a server: the caller's next attempt may get to a router that does.
 const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(100);
+/// The retry delay given to a caller whose prompt holds parts that crash servers: an operator has
+/// to lift the refusal.
+const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(600);
 /// The minimum time before the deadline for an attempt to be worthwhile.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// The attempt timeout of an idempotent request, as a multiple of the route's target.
@@ -333,6 +336,12 @@
             dispatch::Refusal::Suspect => {
                 self.refusal(Code::Suspect, "Servers died while they ran this request.")
             }
+            dispatch::Refusal::Quarantined => self
+                .refusal(
+                    Code::Quarantined,
+                    "Servers crashed under a part of this prompt.",
+                )
+                .retry_at(now + RETRY_AFTER_QUARANTINED),
             dispatch::Refusal::NoPath(retry_at) => self
                 .refusal(Code::NoServer, "This router reaches no server.")
                 .retry_at(retry_at.max(now + RETRY_AFTER_NO_PATH)),
--- a/crates/losses/src/cause.rs
+++ b/crates/losses/src/cause.rs
@@ -31,6 +31,8 @@
     ServerSilent,
     /// Servers crashed while running the request, so the request is suspected of crashing them.
     Suspect,
+    /// Servers crashed under a part of the prompt, so requests with it are refused.
+    Quarantined,
     /// No server of the version that began the stream was left.
     VersionGone,
     /// It was not known which version began the stream.
@@ -43,7 +45,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NoServer,
         Self::Unreachable,
         Self::Full,
@@ -54,6 +56,7 @@
         Self::ServerBroke,
         Self::ServerSilent,
         Self::Suspect,
+        Self::Quarantined,
         Self::VersionGone,
         Self::VersionUnknown,
         Self::Router,
@@ -73,6 +76,7 @@
             Self::ServerBroke => "server_broke",
             Self::ServerSilent => "server_silent",
             Self::Suspect => "suspect",
+            Self::Quarantined => "quarantined",
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
             Self::Router => "router",
@@ -133,6 +137,7 @@
         Some("deadline") if may_have_run => Cause::ServerSilent,
         Some("deadline") => Cause::Deadline,
         Some("suspect") => Cause::Suspect,
+        Some("quarantined") => Cause::Quarantined,
         Some("version_gone") => Cause::VersionGone,
         Some("version_unknown") => Cause::VersionUnknown,
         Some("backend_died" | "bad_answer") => Cause::ServerBroke,
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -3,8 +3,9 @@
 //! Each module implements one decision: whether a failed request is retried
 //! ([`Retry`], within its workspace's [`RetryBudget`]), which failing backend
 //! servers are ejected ([`OutlierDetector`]), which requests are refused because
-//! backend servers crashed while running them ([`Suspects`]), and whether a
-//! connection or its server stopped responding ([`Connection`]).
+//! backend servers crashed while running them ([`Suspects`]) or others with the same
+//! part of their prompt ([`Quarantine`]), and whether a connection or its server
+//! stopped responding ([`Connection`]).
 //!
 //! The crate performs no I/O and reads no clock: callers pass in the current time.
 
@@ -12,6 +13,7 @@
 mod connection;
 pub mod evidence;
 mod outlier;
+pub mod quarantine;
 mod retry;
 mod settings;
 mod suspects;
@@ -20,6 +22,7 @@
 pub use connection::{Action, Connection, ProbeResult};
 pub use evidence::{Completion, Crash, Evidence, Interval, Moment, Report, Strike};
 pub use outlier::OutlierDetector;
+pub use quarantine::Quarantine;
 pub use retry::{Cause, Failure, Retry};
 pub use settings::Settings;
 pub use suspects::{Standing, Suspects};
--- a/crates/recovery/src/suspects.rs
+++ b/crates/recovery/src/suspects.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Settings,
-    evidence::{Completion, Evidence, Moment, Strike},
+    evidence::{Completion, Crash, Evidence, Moment, Strike},
 };
 
 /// How a request may run, given its strikes.
@@ -40,10 +40,12 @@
 impl Record {
     /// The strikes that count: as many as possible of which no two may have happened at
     /// the same moment.
-    fn counted(&self) -> impl Iterator<Item = &Strike> {
+    fn counted(&self, excused: &BTreeSet<Crash>) -> impl Iterator<Item = &Strike> {
         let mut last_end = Moment::EARLIEST;
         let strikes = self.strikes.iter();
-        let live = strikes.filter(|strike| strike.interval.end > self.completed_at);
+        let live = strikes.filter(move |strike| {
+            strike.interval.end > self.completed_at && !excused.contains(&strike.crash)
+        });
         live.filter(move |strike| {
             let is_independent = strike.interval.start > last_end;
             if is_independent {
@@ -53,12 +55,12 @@
         })
     }
 
-    fn count(&self) -> usize {
-        self.counted().count()
+    fn count(&self, excused: &BTreeSet<Crash>) -> usize {
+        self.counted(excused).count()
     }
 
     /// Adds a strike. Returns whether it is new and kept.
-    fn insert(&mut self, strike: Strike) -> bool {
+    fn insert(&mut self, strike: Strike, excused: &BTreeSet<Crash>) -> bool {
         let known = self
             .strikes
             .iter_mut()
@@ -69,16 +71,17 @@
             None => self.strikes.push(strike),
         }
         self.strikes.sort_by_key(|strike| strike.interval.end);
-        is_new && !self.evict(&strike)
+        is_new && !self.evict(&strike, excused)
     }
 
     /// Removes the last strike that does not count, if there are too many. Returns whether
     /// it is `strike`.
-    fn evict(&mut self, strike: &Strike) -> bool {
+    fn evict(&mut self, strike: &Strike, excused: &BTreeSet<Crash>) -> bool {
         if self.strikes.len() <= MAX_STRIKES {
             return false;
         }
-        let counted: SmallVec<[_; 4]> = self.counted().map(|strike| strike.crash).collect();
+        let counted = self.counted(excused).map(|strike| strike.crash);
+        let counted: SmallVec<[_; 4]> = counted.collect();
         let is_spare = |strike: &Strike| !counted.contains(&strike.crash);
         let spare = self.strikes.iter().rposition(is_spare);
         let evicted = self.strikes.remove(spare.unwrap_or(MAX_STRIKES));
@@ -110,6 +113,8 @@
     settings: Settings,
     records: BTreeMap<request::Fingerprint, Record>,
     expiry: BTreeSet<(Moment, request::Fingerprint)>,
+    /// Crashes that have another cause, and count against no request.
+    excused: BTreeSet<Crash>,
     /// The number of requests that have a strike but are not refused.
     suspected: usize,
 }
@@ -121,6 +126,7 @@
             settings,
             records: BTreeMap::new(),
             expiry: BTreeSet::new(),
+            excused: BTreeSet::new(),
             suspected: 0,
         }
     }
@@ -140,9 +146,9 @@
         if expires_at <= now.into() {
             return false;
         }
-        self.update(strike.fingerprint, |record| {
+        self.update(strike.fingerprint, |record, excused| {
             record.expires_at = record.expires_at.max(expires_at);
-            record.insert(strike)
+            record.insert(strike, excused)
         })
     }
 
@@ -171,7 +177,7 @@
         if expires_at <= now.into() {
             return false;
         }
-        self.update(completion.fingerprint, |record| {
+        self.update(completion.fingerprint, |record, _| {
             let is_new = completion.at > record.completed_at;
             record.completed_at = record.completed_at.max(completion.at);
             record.expires_at = record.expires_at.max(expires_at);
@@ -199,7 +205,7 @@
         let record = self.records.get(&fingerprint);
         record
             .filter(|record| record.expires_at > now.into())
-            .map_or(0, Record::count)
+            .map_or(0, |record| record.count(&self.excused))
     }
 
     /// The strikes against a request that count, as many as lead to its refusal.
@@ -208,7 +214,8 @@
         fingerprint: request::Fingerprint,
     ) -> impl Iterator<Item = Strike> {
         let record = self.records.get(&fingerprint);
-        let strikes = record.into_iter().flat_map(Record::counted);
+        let strikes = record.into_iter();
+        let strikes = strikes.flat_map(|record| record.counted(&self.excused));
         strikes.copied().take(self.settings.refuse_at_strikes)
     }
 
@@ -217,7 +224,7 @@
         let limit = self.settings.refuse_at_strikes;
         let records = self.records.iter();
         let live = records.filter(move |(_, record)| record.expires_at > now.into());
-        let refused = live.filter(move |(_, record)| record.count() >= limit);
+        let refused = live.filter(move |(_, record)| record.count(&self.excused) >= limit);
         refused.map(|(&fingerprint, _)| fingerprint)
     }
 
@@ -230,6 +237,17 @@
         }
     }
 
+    /// Sets the crashes that have another cause, and count against no request.
+    pub fn excuse(&mut self, crashes: BTreeSet<Crash>) {
+        if self.excused == crashes {
+            return;
+        }
+        self.excused = crashes;
+        let records = self.records.values();
+        let suspected = records.filter(|record| self.is_suspected(record));
+        self.suspected = suspected.count();
+    }
+
     /// The number of requests with a record.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -252,14 +270,14 @@
     fn update(
         &mut self,
         fingerprint: request::Fingerprint,
-        update: impl FnOnce(&mut Record) -> bool,
+        update: impl FnOnce(&mut Record, &BTreeSet<Crash>) -> bool,
     ) -> bool {
         let mut record = self.remove_record(fingerprint).unwrap_or(Record {
             strikes: SmallVec::new(),
             completed_at: Moment::EARLIEST,
             expires_at: Moment::EARLIEST,
         });
-        let changed = update(&mut record);
+        let changed = update(&mut record, &self.excused);
         self.insert_record(fingerprint, record);
         while self.records.len() > self.settings.max_suspects {
             self.evict_oldest();
@@ -281,7 +299,7 @@
     }
 
     fn is_suspected(&self, record: &Record) -> bool {
-        (1..self.settings.refuse_at_strikes).contains(&record.count())
+        (1..self.settings.refuse_at_strikes).contains(&record.count(&self.excused))
     }
 
     fn evict_oldest(&mut self) {
