Tell crashed servers from lost paths while several servers are down

Cause: all probes of all routers were compared with the same server, the first by name. Once that one had ended, no crash could be told from a lost path, and the second probe of a round went to the next server by name, which was down as well. A zone with failed servers then counted as unreachable, and the fallback chose the failed servers first.

Evidence: probes with result=unknown at all routers from 5.8 s on; the lines of the test ("This router reaches no server").

Change: a connection is compared with up to three other servers, those that responded within a second first, the others in an order that differs for each server. Probes for lost paths leave out what has failed, and four rounds follow each other at once. Among servers of a zone in backoff those that did not fail themselves come first.

Ruled out: the last server by name in place of the first, since any single one may be down.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
+use futures_util::future;
+use smallvec::SmallVec;
 use tokio::{net::TcpStream, time};
 
 use crate::protocol::Protocol;
@@ -27,16 +29,22 @@
     }
 }
 
-/// Connects to the server at `address`, and to the one at `control` if that fails: only a router
+/// The most other servers that a connection is compared with: any of them may be down as well.
+pub const MAX_CONTROLS: usize = 3;
+
+/// The addresses of other servers of a service.
+pub type Controls = SmallVec<[SocketAddr; MAX_CONTROLS]>;
+
+/// Connects to the server at `address`, and to those at `controls` if that fails: only a router
 /// that reaches another server can tell that the first one is the reason.
 ///
 /// # Errors
 ///
-/// The reason for the failure; [`Failure::Unsure`] without a control.
+/// The reason for the failure; [`Failure::Unsure`] if no control accepts a connection.
 pub async fn connect<P: Protocol>(
     protocol: &P,
     address: SocketAddr,
-    control: Option<SocketAddr>,
+    controls: &[SocketAddr],
     timeout: Duration,
 ) -> Result<TcpStream, Failure> {
     let failure = match connect_once(protocol, address, timeout).await {
@@ -44,13 +52,27 @@
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Failure::Refused,
         Err(_) => Failure::Silent,
     };
-    let Some(control) = control else {
-        return Err(Failure::Unsure);
-    };
-    match connect_once(protocol, control, timeout).await {
-        Ok(_) => Err(failure),
-        Err(_) => Err(Failure::Unsure),
+    if accepts_any(protocol, controls, timeout).await {
+        Err(failure)
+    } else {
+        Err(Failure::Unsure)
+    }
+}
+
+/// Whether any server accepts a connection.
+async fn accepts_any<P: Protocol>(
+    protocol: &P,
+    addresses: &[SocketAddr],
+    timeout: Duration,
+) -> bool {
+    let attempts = addresses
+        .iter()
+        .map(|&address| Box::pin(connect_once(protocol, address, timeout)));
+    let attempts: Vec<_> = attempts.collect();
+    if attempts.is_empty() {
+        return false;
     }
+    future::select_ok(attempts).await.is_ok()
 }
 
 async fn connect_once<P: Protocol>(
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -1,6 +1,6 @@
 //! Crashes of servers, for the detection of requests that cause them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use units::{backend, time::Instant};
 
@@ -71,8 +71,7 @@
         let Some(address) = server.map(Server::address) else {
             return;
         };
-        let control = queue.and_then(|queue| queue.pool().another(&ticket.server, now));
-        let control = control.map(Server::address);
+        let controls = queue.map(|queue| queue.pool().controls(&ticket.server, now));
         if self.probed.insert(key) {
             let egress = self.egresses.choose(now);
             // The receiver lives as long as this task runs.
@@ -81,7 +80,7 @@
                 server: ticket.server.clone(),
                 incarnation: ticket.incarnation,
                 address,
-                control,
+                controls: controls.unwrap_or_default(),
                 is_alone: self.fleet.members.len() < 2,
                 egress,
             }));
@@ -93,6 +92,9 @@
         if let Purpose::Path(pool) = &probe.purpose {
             if matches!(liveness, Liveness::Accepts | Liveness::Resumed) {
                 self.record_reached(pool, now);
+            } else if let Some(reach) = self.reach.get_mut(pool) {
+                reach.record_probe_failure(&probe.server);
+                self.probe_paths(now);
             }
             return;
         }
@@ -103,14 +105,15 @@
             "server_probed",
             server = probe.server,
             incarnation = probe.incarnation,
-            control = probe
-                .control
-                .map_or(String::from("none"), |address| address.to_string()),
+            controls = list(&probe.controls),
             result = liveness
         );
         self.settle_failures(probe, liveness, now);
         match liveness {
-            Liveness::Ended => self.record_death(&probe.server, probe.incarnation, now),
+            Liveness::Ended => {
+                self.leave_out(probe, now);
+                self.record_death(&probe.server, probe.incarnation, now);
+            }
             Liveness::Accepts | Liveness::Resumed => {
                 self.crashes.record_alive(&probe.server, probe.incarnation)
             }
@@ -122,6 +125,17 @@
         }
     }
 
+    /// Sends nothing to a server that has ended, until its entry shows its next process.
+    fn leave_out(&mut self, probe: &Probe, now: Instant) {
+        for queue in self.queues.values_mut() {
+            if let Some(server) = queue.pool_mut().server_mut(&probe.server)
+                && server.incarnation() == probe.incarnation
+            {
+                server.record_end(now);
+            }
+        }
+    }
+
     fn record_death(&mut self, server: &backend::Server, incarnation: u64, now: Instant) {
         let suspicions = self.crashes.record_death(server, incarnation, now);
         if suspicions.is_empty() {
@@ -237,6 +251,15 @@
     }
 }
 
+/// A list of addresses for a log line.
+fn list(addresses: &[SocketAddr]) -> String {
+    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    if addresses.is_empty() {
+        return String::from("none");
+    }
+    addresses.join(",")
+}
+
 /// The request of a ticket, as far as its like may crash servers.
 fn request_of(ticket: &Ticket) -> Request {
     Request {
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -17,7 +17,7 @@
 use super::Permit;
 use crate::{
     advisory::Advisory,
-    load,
+    dial, load,
     outlier::OutcomeCounts,
     parts,
     pool::{Demand, Outcome, Parts, VersionLoads},
@@ -143,9 +143,8 @@
     pub slots: u32,
     /// The timeout for connecting to it.
     pub connect_timeout: Millis,
-    /// The address of another server of the service, to tell whether a failure is due to the
-    /// server.
-    pub control: Option<SocketAddr>,
+    /// Other servers of the service, to tell whether a failure is due to the server.
+    pub controls: dial::Controls,
 }
 
 /// A connection to a server that was attempted for another router.
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -8,6 +8,7 @@
 use super::{AcquireRequest, Dial, Dispatch, Location, Ticket};
 use crate::{
     connector::Path,
+    dial,
     pool::{Outcome, Placement, Server},
     probe::{Probe, Purpose},
     reach,
@@ -189,14 +190,14 @@
             let Some(queue) = self.queues.get(name) else {
                 continue;
             };
-            for server in queue.pool().one_per_zone(round) {
+            for server in queue.pool().one_per_zone(round, reach.failed()) {
                 // The receiver lives as long as this task runs.
                 drop(self.probes.send(Probe {
                     purpose: Purpose::Path(name.clone()),
                     server: server.name().clone(),
                     incarnation: server.incarnation(),
                     address: server.address(),
-                    control: None,
+                    controls: dial::Controls::new(),
                     is_alone: false,
                     egress: None,
                 }));
@@ -231,7 +232,7 @@
             address: server.address(),
             slots: server.slots(),
             connect_timeout: Millis::from(queue.pool().connect_timeout(server)),
-            control: queue.pool().another(name, now).map(Server::address),
+            controls: queue.pool().controls(name, now),
         })
     }
 
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -51,9 +51,13 @@
         };
         let mut candidates: Vec<&Server> = unthrottled().filter(is_available).collect();
         if candidates.is_empty() && is_last {
-            // A server that failed recently is preferable to refusing the request.
+            // A server that failed recently is preferable to refusing the request, and one that
+            // did not fail itself to that.
             let reachable = unthrottled().filter(|server| !self.is_cut_off(server, now));
             candidates = reachable.collect();
+            if candidates.iter().any(|server| server.is_reachable(now)) {
+                candidates.retain(|server| server.is_reachable(now));
+            }
         }
         if candidates.is_empty() {
             return Err(self.no_candidate(untried(), now));
--- a/crates/gateway/src/pool/paths.rs
+++ b/crates/gateway/src/pool/paths.rs
@@ -1,10 +1,16 @@
 //! What finding out about the paths to servers needs of a pool.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use units::{availability, backend, time::Instant};
 
+use xxhash_rust::xxh3;
+
 use super::{Pool, Server};
+use crate::dial;
+
+/// How long after a response a server is expected to accept connections.
+const RESPONSIVE_FOR: Duration = Duration::from_secs(1);
 
 impl Pool {
     /// The timeout for connecting to `server`.
@@ -21,18 +27,36 @@
         }
     }
 
-    /// A server other than `name` that connections are not known to fail to.
-    pub fn another(&self, name: &backend::Server, now: Instant) -> Option<&Server> {
-        let mut servers = self.servers.values();
-        servers.find(|server| server.name() != name && server.is_reachable(now))
+    /// Servers other than `name` that connections are not known to fail to, to compare it with.
+    ///
+    /// Those that have responded a moment ago come first. The rest differs for each `name`, since
+    /// the same few would mislead all routers about all servers while they are down.
+    pub fn controls(&self, name: &backend::Server, now: Instant) -> dial::Controls {
+        let others = self.servers.values();
+        let others = others.filter(|server| server.name() != name && server.is_reachable(now));
+        let mut others: Vec<&Server> = others.collect();
+        let seed = xxh3::xxh3_64(name.as_str().as_bytes());
+        others.sort_by_cached_key(|server| {
+            let is_responsive = now.since(server.responded_at()) < RESPONSIVE_FOR;
+            let bytes = server.name().as_str().as_bytes();
+            (Reverse(is_responsive), xxh3::xxh3_64_with_seed(bytes, seed))
+        });
+        let addresses = others.into_iter().map(Server::address);
+        addresses.take(dial::MAX_CONTROLS).collect()
     }
 
-    /// One server of each zone, another one with each `round`.
-    pub fn one_per_zone(&self, round: usize) -> Vec<&Server> {
+    /// One server of each zone, another one with each `round`, and one of `failed` only where
+    /// there is no other.
+    pub fn one_per_zone(&self, round: usize, failed: &[backend::Server]) -> Vec<&Server> {
         let mut zones: BTreeMap<&availability::Zone, Vec<&Server>> = BTreeMap::new();
         for server in self.servers.values() {
             zones.entry(server.zone()).or_default().push(server);
         }
+        for servers in zones.values_mut() {
+            if servers.iter().any(|server| !failed.contains(server.name())) {
+                servers.retain(|server| !failed.contains(server.name()));
+            }
+        }
         let zones = zones.into_values();
         zones
             .map(|servers| servers[round % servers.len()])
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -302,6 +302,12 @@
         !self.connect_backoff.is_active(now)
     }
 
+    /// Records that the process of the server has ended.
+    pub fn record_end(&mut self, now: Instant) {
+        self.connect_backoff.extend(now);
+        self.outage_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
+    }
+
     /// Whether the server has rejected requests recently.
     pub fn is_rejecting(&self, now: Instant) -> bool {
         self.rejection_backoff.is_active(now)
@@ -369,6 +375,11 @@
         self.lag_at = now;
     }
 
+    /// When the first byte of a response last arrived.
+    pub fn responded_at(&self) -> Instant {
+        self.lag_at
+    }
+
     /// Whether a part is known to be cached for a request of any router.
     pub fn has_cached(&self, part: &Part, now: Instant) -> bool {
         let hash = chat::Key(u64::from(prefixes::hash(part.key)));
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -42,9 +42,8 @@
     pub incarnation: u64,
     /// Its address.
     pub address: SocketAddr,
-    /// The address of another server of the service, to tell whether a failure is due to the
-    /// server.
-    pub control: Option<SocketAddr>,
+    /// Other servers of the service, to tell whether a failure is due to the server.
+    pub controls: dial::Controls,
     /// Whether there is no other router, so that none can tell more than this one.
     pub is_alone: bool,
     /// The router that is asked if this one cannot connect.
@@ -100,7 +99,7 @@
 /// If that fails or takes long, the egress router is asked, and asked again before a silent
 /// server counts as ended: a server may fall silent for a second and go on.
 async fn connect<P: Protocol>(connector: &Connector<P>, probe: &Probe) -> Liveness {
-    let direct = dial::connect(&connector.protocol, probe.address, probe.control, TIMEOUT);
+    let direct = dial::connect(&connector.protocol, probe.address, &probe.controls, TIMEOUT);
     let mut direct = pin::pin!(direct);
     let early = time::timeout(CONFIRM_AFTER, &mut direct).await;
     if matches!(early, Ok(Ok(_))) {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use units::{backend, time::Instant};
 
 /// The number of servers whose connections have to fail one after the other before the paths
@@ -12,6 +11,8 @@
 const MIN_FAILED_SERVERS: usize = 2;
 /// The interval between two rounds of probes while the paths are lost, for a single router.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The number of rounds of probes that follow each other without an interval.
+const MAX_FAST_ROUNDS: usize = 4;
 /// How long no probe may succeed before a loss is certain.
 const CERTAIN_AFTER: Duration = Duration::from_millis(250);
 /// The interval between two requests that try to connect while no other router provides a path.
@@ -24,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     /// Servers whose connections have failed since one was last established.
-    failed: SmallVec<[backend::Server; MIN_FAILED_SERVERS]>,
+    failed: Vec<backend::Server>,
     reached_at: Instant,
     lost: Option<Lost>,
 }
@@ -69,16 +70,13 @@
         begun_at: Instant,
         now: Instant,
     ) -> bool {
-        if self.is_lost() || begun_at < self.reached_at {
+        if begun_at < self.reached_at {
             return false;
         }
-        if !self.failed.contains(server) {
-            self.failed.push(server.clone());
-        }
-        if self.failed.len() < MIN_FAILED_SERVERS.min(servers) {
+        self.record_probe_failure(server);
+        if self.is_lost() || self.failed.len() < MIN_FAILED_SERVERS.min(servers) {
             return false;
         }
-        self.failed.clear();
         self.lost = Some(Lost {
             at: now,
             probe_at: now,
@@ -89,6 +87,25 @@
         true
     }
 
+    /// Records that a probe of `server` has failed. The next round follows at once, as often as
+    /// several servers may be down together.
+    pub fn record_probe_failure(&mut self, server: &backend::Server) {
+        if self.failed.contains(server) {
+            return;
+        }
+        self.failed.push(server.clone());
+        if let Some(lost) = &mut self.lost
+            && lost.rounds < MAX_FAST_ROUNDS
+        {
+            lost.probe_at = lost.at;
+        }
+    }
+
+    /// Servers whose connections have failed since one was last established.
+    pub fn failed(&self) -> &[backend::Server] {
+        &self.failed
+    }
+
     /// Whether the loss has become certain. Returns true once for each loss.
     pub fn take_certainty(&mut self, now: Instant) -> bool {
         let Some(lost) = &mut self.lost else {
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -150,9 +150,9 @@
             slot = Some(entered.await.ok_or(Refusal::Full)?);
         }
         let begun_at = self.clock.now();
-        let (address, control) = (location.address, location.control);
+        let (address, controls) = (location.address, &location.controls);
         let timeout = location.connect_timeout.duration();
-        let result = dial::connect(&self.protocol, address, control, timeout).await;
+        let result = dial::connect(&self.protocol, address, controls, timeout).await;
         self.record_dial(open, &location, begun_at, result.is_ok());
         let stream = result.map_err(|failure| match failure {
             dial::Failure::Refused => Refusal::ServerRefused,
--- a/crates/gateway/tests/decisions/failures.rs
+++ b/crates/gateway/tests/decisions/failures.rs
@@ -41,7 +41,7 @@
             server: server.clone(),
             incarnation: *incarnation,
             address: ([127, 0, 0, 1], 1).into(),
-            control: None,
+            controls: gateway::dial::Controls::new(),
             is_alone: false,
             egress: None,
         };
