Keep refused parts when all routers restart, and let operators lift them

Refused parts are rows beside those of the registered routers, which every router reads and relays already. Each router knows what is missing there; for each combination another one writes first, so that one call is made. When a row is removed, the parts are refused no longer. weirctl parts shows them with crashes and refusals, and lifts them on all routers at once.

The fingerprint now belongs to what a request holds, and its crashes count against it.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -9,7 +9,7 @@
         Accepted, Code, Error as ApiError, Failure, History, List, Ordered, Status, Verdict,
     },
 };
-use hyper::{Method, header};
+use hyper::{Method, StatusCode, header};
 use serde::{Serialize, de::DeserializeOwned};
 use storage::http;
 use tokio::time;
@@ -121,7 +121,20 @@
     ///
     /// [`Error`].
     pub async fn page(&self, path: &str) -> Result<String, Error> {
-        let request = http::request(Method::GET, path, Bytes::new()).map_err(transport_error)?;
+        self.text(Method::GET, path).await
+    }
+
+    /// Ends the refusal of prompt parts.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], with [`exit::Code::NotFound`] if they are not refused.
+    pub async fn lift(&self, parts: &str) -> Result<String, Error> {
+        self.text(Method::DELETE, &format!("/parts/{parts}")).await
+    }
+
+    async fn text(&self, method: Method, path: &str) -> Result<String, Error> {
+        let request = http::request(method, path, Bytes::new()).map_err(transport_error)?;
         let deadline = time::Instant::now() + TIMEOUT;
         let response = self
             .http
@@ -130,7 +143,12 @@
             .map_err(transport_error)?;
         if !response.status.is_success() {
             let message = format!("the router responded with status {}", response.status);
-            return Err(Error::new(exit::Code::Unavailable, message));
+            let code = match response.status {
+                StatusCode::NOT_FOUND => exit::Code::NotFound,
+                StatusCode::BAD_REQUEST => exit::Code::InvalidInput,
+                _ => exit::Code::Unavailable,
+            };
+            return Err(Error::new(code, message));
         }
         Ok(String::from_utf8_lossy(&response.body).into_owned())
     }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -220,6 +220,16 @@
         #[bpaf(positional("IP:PORT"))]
         address: net::SocketAddr,
     },
+    /// Show the prompt parts that a router refuses because they crash servers
+    #[bpaf(command)]
+    Parts {
+        /// Refuse these parts no longer, on all routers
+        #[bpaf(argument("PART+PART"), optional)]
+        lift: Option<String>,
+        /// The metrics address of the router
+        #[bpaf(positional("IP:PORT"))]
+        address: net::SocketAddr,
+    },
     /// Print the hash of a token or caller key that is read from standard input
     #[bpaf(command)]
     Hash,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -27,7 +27,9 @@
     let (client, command) = settings::load(ABOUT, command::parser(), |arguments, faults| {
         let address = match arguments.command {
             Command::Losses { .. } => return Some((None, arguments.command)),
-            Command::Router { address } | Command::Rollouts { address } => address,
+            Command::Router { address }
+            | Command::Rollouts { address }
+            | Command::Parts { address, .. } => address,
             _ => faults.required(&arguments.admin, settings::ADDRESS)?,
         };
         let token = arguments.token.as_str().map(String::from);
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -97,6 +97,16 @@
             print_line!("{}", client.page("/rollouts").await?.trim_end());
             Ok(Code::Success)
         }
+        Command::Parts { lift: None, .. } => {
+            print_line!("{}", client.page("/parts").await?.trim_end());
+            Ok(Code::Success)
+        }
+        Command::Parts {
+            lift: Some(parts), ..
+        } => {
+            print_line!("{}", client.lift(&parts).await?.trim_end());
+            Ok(Code::Success)
+        }
         Command::Hash => {
             print_line!("{}", input::hash()?);
             Ok(Code::Success)
--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -21,6 +21,7 @@
     staleness::Staleness,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use recovery::quarantine::Combination;
 use rollout::{Counts, Order, counts, stage};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -139,6 +140,24 @@
         })
     }
 
+    async fn record_refused_parts(
+        &self,
+        _: &Combination,
+        _: u32,
+        _: &host::Id,
+        _: time::Instant,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn remove_refused_parts(&self, _: &Combination, _: time::Instant) -> Result<(), Error> {
+        Ok(())
+    }
+
+    fn refused_parts(&self, _: &Row) -> Result<Option<(Combination, u32)>, Malformed> {
+        Ok(None)
+    }
+
     fn directive(&self, _: &source::Row) -> Result<source::Directive, source::Malformed> {
         Ok(source::Directive::Unknown)
     }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -72,6 +72,14 @@
     pub parts: parts::Chain,
 }
 
+impl Request {
+    /// The parts and the fingerprint, which counts as one of them.
+    pub fn chain(&self) -> parts::Chain {
+        let own = Part(self.fingerprint.0);
+        self.parts.iter().copied().chain([own]).collect()
+    }
+}
+
 impl From<Fingerprint> for Request {
     fn from(fingerprint: Fingerprint) -> Self {
         Self {
@@ -155,8 +163,8 @@
     }
 
     /// The parts because of which a request is refused, if they have crashed several servers.
-    pub fn refused_parts(&self, parts: &[Part]) -> Option<&Combination> {
-        self.quarantine.refusal(parts)
+    pub fn refused_parts(&self, request: &Request) -> Option<&Combination> {
+        self.quarantine.refusal(&request.chain())
     }
 
     /// The combinations of parts that are refused.
@@ -310,13 +318,13 @@
 
     /// Refuses parts no longer, on all routers. Returns whether they were refused.
     pub fn lift(&mut self, parts: &Combination, now: Instant) -> bool {
-        let was_refused = self.quarantine.lift(parts, now);
+        let was_refused = self.quarantine.lift(parts, now.into());
         if was_refused {
-            for &part in parts.iter() {
-                let at = now.into();
-                self.outbox
-                    .push(quarantine::Evidence::Completion { part, at }, now);
-            }
+            let evidence = quarantine::Evidence::Lifted {
+                parts: parts.clone(),
+                at: now.into(),
+            };
+            self.outbox.push(evidence, now);
             self.has_news = true;
             self.excuse_crashes();
         }
--- a/crates/gateway/src/crashes/outbox.rs
+++ b/crates/gateway/src/crashes/outbox.rs
@@ -124,7 +124,7 @@
 /// Evidence with a higher urgency is sent first.
 fn urgency(evidence: &Evidence, crashes: &BTreeMap<Part, usize>) -> usize {
     match evidence {
-        Evidence::Refused { .. } => usize::MAX,
+        Evidence::Refused { .. } | Evidence::Lifted { .. } => usize::MAX,
         Evidence::Completion { part, .. } => crashes.get(part).copied().unwrap_or(0),
         Evidence::Sighting(sighting) => {
             let counts = sighting.chain.iter().filter_map(|part| crashes.get(part));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -27,7 +27,7 @@
 
 pub use message::{
     AcquireRequest, Announcement, Dial, Load, Location, Message, PeerUpdate, Progress, Refusal,
-    Reply, Ticket, TrialTicket,
+    RefusedParts, Reply, Ticket, TrialTicket,
 };
 pub use permit::{Permit, Refused, Withdrawals};
 
@@ -43,6 +43,7 @@
     prefixes::PrefixUpdates,
     probe::{self, Probe},
     protocol::Protocol,
+    quarantine::Backlog,
     queue::Queue,
     reach, retry_budget,
     roster::Roster,
@@ -85,6 +86,10 @@
     refused: watch::Sender<Arc<Refused>>,
     /// The prompt parts that are refused according to the store.
     recorded_parts: BTreeSet<Combination>,
+    /// The requests that this router has refused because of their parts.
+    part_refusals: BTreeMap<Combination, u64>,
+    /// What differs between them and the parts that this router refuses.
+    backlog: watch::Sender<Arc<Backlog>>,
     /// The servers that are being probed, by name and incarnation.
     probed: BTreeSet<(backend::Server, u64)>,
     probes: mpsc::UnboundedSender<Probe>,
@@ -135,6 +140,8 @@
             crash_news: watch::channel(()).0,
             refused: watch::Sender::default(),
             recorded_parts: BTreeSet::new(),
+            part_refusals: BTreeMap::new(),
+            backlog: watch::Sender::default(),
             probed: BTreeSet::new(),
             probes,
             probe_receiver: Some(probe_receiver),
@@ -153,6 +160,11 @@
         self.crash_news.subscribe()
     }
 
+    /// What differs between the refused parts and those that the store lists.
+    pub fn backlog(&self) -> watch::Receiver<Arc<Backlog>> {
+        self.backlog.subscribe()
+    }
+
     /// Runs until all senders of messages are dropped.
     pub async fn run<P: Protocol>(
         mut self,
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -1,6 +1,6 @@
 //! Crashes of servers, for the detection of requests that cause them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{mem, net::SocketAddr, sync::Arc, time::Duration};
 
 use units::{backend, time::Instant};
 
@@ -8,7 +8,7 @@
     AcquireRequest, Dispatch, Refusal, Refused, Ticket, Withdrawals, requests::send_reply,
 };
 use crate::{
-    crashes::{Request, Sign},
+    crashes::Sign,
     parts,
     pool::{Outcome, Server},
     probe::{Liveness, Probe, Purpose},
@@ -35,7 +35,7 @@
                 // A server that rejects a request, or has nothing to continue, has not begun to
                 // write.
                 if ticket.has_succeeded && ticket.has_first_byte {
-                    self.crashes.record_written(&request_of(ticket), now);
+                    self.crashes.record_written(&ticket.request(), now);
                 }
             }
             // A server with too many connections resets new ones, and packets may be lost.
@@ -53,7 +53,7 @@
     pub(super) fn record_sign(&mut self, sign: Sign, ticket: &Ticket, now: Instant) {
         self.crashes.record_sign(
             sign,
-            request_of(ticket),
+            ticket.request(),
             &ticket.server,
             ticket.incarnation,
             alive_at(ticket),
@@ -179,17 +179,13 @@
             return;
         }
         self.crash_news.send_replace(());
+        self.update_backlog();
         if !self.update_refused(now) {
             return;
         }
-        let pending = self.pending.iter();
-        let refused = pending.filter_map(|(attempt, (request, _))| {
-            let refusal = self.refusal_of(request, now)?;
-            Some((*attempt, refusal))
-        });
-        let refused: Vec<_> = refused.collect();
-        for (attempt, refusal) in refused {
-            let Some((request, reply)) = self.pending.remove(&attempt) else {
+        for (attempt, (request, reply)) in mem::take(&mut self.pending) {
+            let Some(refusal) = self.refusal_of(&request, now) else {
+                self.pending.insert(attempt, (request, reply));
                 continue;
             };
             if let Some(queue) = self.queues.get_mut(&request.pool) {
@@ -200,7 +196,7 @@
     }
 
     /// Why a request is refused, if it or its like crash servers.
-    fn refusal_of(&self, request: &AcquireRequest, now: Instant) -> Option<Refusal> {
+    fn refusal_of(&mut self, request: &AcquireRequest, now: Instant) -> Option<Refusal> {
         if self.crashes.is_refused(request.fingerprint, now) {
             return Some(Refusal::Suspect);
         }
@@ -260,14 +256,6 @@
     addresses.join(",")
 }
 
-/// The request of a ticket, as far as its like may crash servers.
-fn request_of(ticket: &Ticket) -> Request {
-    Request {
-        fingerprint: ticket.fingerprint,
-        parts: ticket.shared_parts.clone(),
-    }
-}
-
 /// The last sign of life of a request's server, or when the request was sent.
 fn alive_at(ticket: &Ticket) -> Instant {
     let last_byte_at = ticket.last_byte_at.unwrap_or(Instant::ZERO);
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use recovery::quarantine::Combination;
+use recovery::quarantine::{self, Combination};
 use rollout::{Counts, Order, Stage, counts};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -17,7 +17,7 @@
 use super::Permit;
 use crate::{
     advisory::Advisory,
-    dial, load,
+    crashes, dial, load,
     outlier::OutcomeCounts,
     parts,
     pool::{Demand, Outcome, Parts, VersionLoads},
@@ -117,6 +117,19 @@
     pub longest_response: Millis,
 }
 
+/// Prompt parts that are refused because they crash servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedParts {
+    /// The parts. A request is refused if it holds all of them.
+    pub parts: Combination,
+    /// The crashes that they have caused.
+    pub entry: quarantine::Entry,
+    /// The requests that this router has refused because of them.
+    pub refusals: u64,
+    /// Whether the store lists them.
+    pub is_recorded: bool,
+}
+
 /// What a server has announced in a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
@@ -215,7 +228,7 @@
     /// The prompt parts that are refused according to the store, with the number of crashes.
     Quarantine(BTreeMap<Combination, u32>),
     /// Asks for the prompt parts that are refused.
-    RefusedParts(oneshot::Sender<Vec<(Combination, u32)>>),
+    RefusedParts(oneshot::Sender<Vec<RefusedParts>>),
     /// Refuses prompt parts no longer, and answers whether they were refused.
     LiftParts(Combination, oneshot::Sender<bool>),
     /// Cached prefixes reported by another router.
@@ -267,6 +280,16 @@
     pub trial: Option<TrialTicket>,
 }
 
+impl Ticket {
+    /// The request, as far as its like may crash servers.
+    pub fn request(&self) -> crashes::Request {
+        crashes::Request {
+            fingerprint: self.fingerprint,
+            parts: self.shared_parts.clone(),
+        }
+    }
+}
+
 /// The part of a request in a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrialTicket {
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -25,9 +25,11 @@
 impl Refused {
     /// Whether the request of `ticket` is refused.
     pub fn contains(&self, ticket: &Ticket) -> bool {
-        let mut parts = self.parts.iter();
-        self.requests.contains(&ticket.fingerprint)
-            || parts.any(|parts| parts.is_held_by(&ticket.shared_parts))
+        if self.requests.contains(&ticket.fingerprint) {
+            return true;
+        }
+        let chain = ticket.request().chain();
+        self.parts.iter().any(|parts| parts.is_held_by(&chain))
     }
 }
 
--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -1,18 +1,25 @@
 //! Prompt parts that are refused because they crash servers.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use recovery::quarantine::{Combination, Report};
 use units::time::Instant;
 
-use super::{AcquireRequest, Dispatch};
-use crate::parts;
+use super::{AcquireRequest, Dispatch, RefusedParts};
+use crate::{crashes::Request, parts, quarantine::Backlog};
 
 impl Dispatch {
-    /// Whether parts of a request's prompt are refused.
-    pub(super) fn is_quarantined(&self, request: &AcquireRequest) -> bool {
-        let shared = parts::shared(&request.pool, &request.demand.parts);
-        self.crashes.refused_parts(&shared).is_some()
+    /// Whether parts of a request's prompt are refused. Counts the refusal.
+    pub(super) fn is_quarantined(&mut self, request: &AcquireRequest) -> bool {
+        let request = Request {
+            fingerprint: request.fingerprint,
+            parts: parts::shared(&request.pool, &request.demand.parts),
+        };
+        let Some(parts) = self.crashes.refused_parts(&request) else {
+            return false;
+        };
+        *self.part_refusals.entry(parts.clone()).or_default() += 1;
+        true
     }
 
     /// Decides which parts are refused, once the evidence has settled.
@@ -42,23 +49,57 @@
         for parts in removed {
             self.lift_parts(&parts, now);
         }
+        self.update_backlog();
+    }
+
+    /// Publishes what differs between the refused parts and those that the store lists.
+    pub(super) fn update_backlog(&mut self) {
+        let refused: BTreeMap<_, _> = self.crashes.quarantine().collect();
+        let is_recorded = |parts: &Combination| self.recorded_parts.contains(parts);
+        // A narrower combination replaces a recorded one once it is recorded itself.
+        let is_replaced = |parts: &Combination| {
+            let mut narrower = refused.keys().filter(|other| other.is_held_by(parts));
+            narrower.all(|other| is_recorded(other))
+        };
+        let unrecorded = refused.iter().filter(|(parts, _)| !is_recorded(parts));
+        let recorded = self.recorded_parts.iter();
+        let superseded =
+            recorded.filter(|parts| !refused.contains_key(*parts) && is_replaced(parts));
+        let backlog = Backlog {
+            unrecorded: unrecorded
+                .map(|(parts, entry)| ((*parts).clone(), entry.crashes))
+                .collect(),
+            superseded: superseded.cloned().collect(),
+            members: self.fleet.members.clone(),
+        };
+        let is_same = |known: &Backlog| {
+            known.unrecorded == backlog.unrecorded && known.superseded == backlog.superseded
+        };
+        if !is_same(&self.backlog.borrow()) {
+            self.backlog.send_replace(Arc::new(backlog));
+        }
     }
 
     /// Refuses parts no longer. Returns whether they were refused.
     pub(super) fn lift_parts(&mut self, parts: &Combination, now: Instant) -> bool {
         let was_refused = self.crashes.lift(parts, now);
+        self.part_refusals.remove(parts);
         if was_refused {
             logging::event!(info, "parts_lifted", parts = parts);
         }
         was_refused
     }
 
-    /// The parts that are refused, with the number of crashes.
-    pub(super) fn refused_parts(&self) -> Vec<(Combination, u32)> {
+    /// The parts that are refused.
+    pub(super) fn refused_parts(&self) -> Vec<RefusedParts> {
         let entries = self.crashes.quarantine();
-        entries
-            .map(|(parts, entry)| (parts.clone(), entry.crashes))
-            .collect()
+        let refused = entries.map(|(parts, entry)| RefusedParts {
+            parts: parts.clone(),
+            entry: *entry,
+            refusals: self.part_refusals.get(parts).copied().unwrap_or(0),
+            is_recorded: self.recorded_parts.contains(parts),
+        });
+        refused.collect()
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod prefixes;
 pub mod probe;
 pub mod protocol;
+pub mod quarantine;
 pub mod queue;
 pub mod reach;
 pub mod readiness;
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rollout::counts;
 use tokio::{
@@ -74,7 +74,11 @@
         "/metrics" => (StatusCode::OK, metrics(sources)),
         "/status" => status(sources).await,
         "/rollouts" => (StatusCode::OK, rollouts(sources)),
-        _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
+        "/parts" => refused_parts(sources).await,
+        path => match path.strip_prefix("/parts/") {
+            Some(parts) if request.method() == Method::DELETE => lift(sources, parts).await,
+            _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
+        },
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
@@ -117,6 +121,35 @@
     lines.map(|line| line + "\n").collect()
 }
 
+/// The refused prompt parts, one combination per line.
+async fn refused_parts(sources: &Sources) -> (StatusCode, String) {
+    let (reply, refused) = oneshot::channel();
+    let message = dispatch::Message::RefusedParts(reply);
+    let (Ok(()), Ok(refused)) = (sources.dispatch.send(message), refused.await) else {
+        return (StatusCode::SERVICE_UNAVAILABLE, String::from("ending\n"));
+    };
+    let now = sources.clock.now();
+    let lines = refused.iter().map(|entry| status::parts_line(entry, now));
+    (StatusCode::OK, lines.map(|line| line + "\n").collect())
+}
+
+/// Ends the refusal of prompt parts on all routers.
+async fn lift(sources: &Sources, parts: &str) -> (StatusCode, String) {
+    let Ok(parts) = parts.parse() else {
+        return (
+            StatusCode::BAD_REQUEST,
+            String::from("not a list of parts\n"),
+        );
+    };
+    let (reply, lifted) = oneshot::channel();
+    let message = dispatch::Message::LiftParts(parts, reply);
+    match (sources.dispatch.send(message), lifted.await) {
+        (Ok(()), Ok(true)) => (StatusCode::OK, String::from("lifted\n")),
+        (Ok(()), Ok(false)) => (StatusCode::NOT_FOUND, String::from("not refused\n")),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, String::from("ending\n")),
+    }
+}
+
 fn readiness(sources: &Sources) -> (StatusCode, String) {
     if *sources.phase.borrow() > Phase::Serving {
         return (StatusCode::SERVICE_UNAVAILABLE, String::from("leaving\n"));
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -2,6 +2,7 @@
 
 use std::{error, fmt, future::Future, net::SocketAddr};
 
+use recovery::quarantine::Combination;
 use rollout::controller;
 use serde::{Deserialize, Serialize};
 use tokio::time;
@@ -17,7 +18,7 @@
     Configuration,
     /// The registered backend servers.
     Servers,
-    /// The registered routers.
+    /// The registered routers, and what they have recorded.
     Routers,
 }
 
@@ -183,6 +184,30 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<controller::Recorded, Error>> + Send;
 
+    /// Records that requests with all of these prompt parts are refused. The call is idempotent.
+    fn record_refused_parts(
+        &self,
+        parts: &Combination,
+        crashes: u32,
+        by: &host::Id,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Removes the record of refused parts. The call is idempotent.
+    fn remove_refused_parts(
+        &self,
+        parts: &Combination,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Decodes a row of [`Topic::Routers`] if it records refused parts, with the number of
+    /// crashes that they have caused.
+    ///
+    /// # Errors
+    ///
+    /// As [`Source::directive`].
+    fn refused_parts(&self, row: &Row) -> Result<Option<(Combination, u32)>, Malformed>;
+
     /// Decodes a row of the configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -26,6 +26,7 @@
         introduction::{self, Introduced},
     },
     protocol::Protocol,
+    quarantine,
     readiness::Readiness,
     rollouts,
     serve::{self, BODY_UNIT, Context},
@@ -129,6 +130,8 @@
         let (dispatch, handle, messages) =
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         let crash_news = dispatch.crash_news();
+        let recorder = quarantine::run(source.clone(), settings.host.clone(), dispatch.backlog());
+        tokio::spawn(recorder);
         let (key_sender, key) = watch::channel(None);
         let connector = Connector {
             protocol: protocol.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,11 @@
 //! The task that maintains the replica of the store and publishes its changes.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
+use recovery::quarantine::Combination;
 use rollout::Order;
 use tokio::{
     sync::{mpsc, watch},
@@ -60,6 +64,8 @@
     /// The orders of roll-outs; `None` before the first configuration.
     orders: Option<Vec<Order>>,
     readiness: Readiness,
+    /// The prompt parts that are refused according to the store, with the number of crashes.
+    refused_parts: BTreeMap<Combination, u32>,
 }
 
 impl<S: Source> State<S> {
@@ -74,6 +80,7 @@
             roster: Roster::default(),
             orders: None,
             readiness: Readiness::default(),
+            refused_parts: BTreeMap::new(),
         }
     }
 
@@ -308,7 +315,19 @@
 
     fn publish_members(&mut self) {
         let mut members = Vec::new();
+        let mut refused_parts = BTreeMap::new();
         for row in self.rows(Topic::Routers) {
+            match self.source.refused_parts(row) {
+                Ok(None) => {}
+                Ok(Some((parts, crashes))) => {
+                    refused_parts.insert(parts, crashes);
+                    continue;
+                }
+                Err(error) => {
+                    logging::event!(warn, "row_malformed", key = row.key, reason = error);
+                    continue;
+                }
+            }
             match self.source.member(row) {
                 Ok(member) => members.push(member),
                 Err(error) => {
@@ -316,6 +335,11 @@
                 }
             }
         }
+        if self.refused_parts != refused_parts {
+            self.refused_parts.clone_from(&refused_parts);
+            let message = dispatch::Message::Quarantine(refused_parts);
+            notify_dispatch(&self.outputs.dispatch, message);
+        }
         if **self.outputs.members.borrow() == members {
             return;
         }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -2,15 +2,30 @@
 
 use std::fmt;
 
+use recovery::Moment;
 use units::{availability, backend, host, pool, time::Instant};
 
 use crate::{
+    dispatch::RefusedParts,
     pool::{Server, Standing},
     readiness::Readiness,
     shutdown::Phase,
     staleness::Staleness,
 };
 
+/// The line of refused prompt parts.
+pub fn parts_line(refused: &RefusedParts, now: Instant) -> String {
+    let last_crash = Moment::from(now).since(refused.entry.last_crash_at);
+    format!(
+        "parts={} crashes={} last_crash_s={} refusals={} recorded={}",
+        refused.parts,
+        refused.entry.crashes,
+        last_crash.as_secs(),
+        refused.refusals,
+        if refused.is_recorded { "yes" } else { "no" }
+    )
+}
+
 /// A router's view of one backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
--- a/crates/gateway/tests/decisions/crashes.rs
+++ b/crates/gateway/tests/decisions/crashes.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use gateway::crashes::{Sign, Tracker};
-use units::{request::Fingerprint, time::Instant};
+use gateway::crashes::{Request, Sign, Tracker};
+use units::{
+    request::{Fingerprint, Part},
+    time::Instant,
+};
 
 use crate::world::{START, server};
 
@@ -186,3 +189,30 @@
     }
     assert!(tracker.is_refused(CRASHING, now));
 }
+
+/// Guards against a repeated request that is refused no longer once its crashes are explained by
+/// its parts.
+#[test]
+fn a_repeated_request_with_parts_stays_refused() {
+    let request = Request {
+        fingerprint: CRASHING,
+        parts: [Part(1), Part(2)].into_iter().collect(),
+    };
+    let mut tracker = Tracker::default();
+    let mut now = START;
+    for index in 0..3 {
+        let name = server(&format!("s{index}"));
+        let broken_at = now + Duration::from_millis(100);
+        tracker.record_sign(Sign::Broken, request.clone(), &name, 1, now, broken_at);
+        tracker.record_death(&name, 1, broken_at);
+        now = now + Duration::from_secs(1);
+    }
+    tracker.decide(now);
+    assert!(tracker.is_refused(CRASHING, now));
+    assert!(tracker.refused_parts(&request).is_some());
+    let other = Request {
+        fingerprint: HARMLESS,
+        ..request
+    };
+    assert_eq!(tracker.refused_parts(&other), None);
+}
--- a/crates/recovery/src/quarantine.rs
+++ b/crates/recovery/src/quarantine.rs
@@ -19,6 +19,9 @@
 use crate::evidence::{Crash, Moment};
 use tally::Tallies;
 
+/// The most combinations that are refused in one decision.
+const MAX_DECISIONS: usize = 8;
+
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -104,6 +107,7 @@
                 crashes,
                 last_crash_at,
             } => self.refuse(parts.clone(), Entry::new(*crashes, *last_crash_at)),
+            Evidence::Lifted { parts, at } => self.lift(parts, *at),
         }
     }
 
@@ -208,7 +212,10 @@
             .filter(|at| *at > now);
         self.decide_at = pending.min();
         let mut found = Vec::new();
-        while let Some((parts, entry)) = self.best_explanation(now) {
+        while found.len() < MAX_DECISIONS {
+            let Some((parts, entry)) = self.best_explanation(now) else {
+                break;
+            };
             if !self.refuse(parts.clone(), entry) {
                 break;
             }
@@ -279,9 +286,18 @@
         explained
     }
 
-    /// The crashes that are explained by refused parts: no evidence against a request.
+    /// The crashes that are explained by refused parts: no evidence against a request, unless it
+    /// is a single request that explains them.
     pub fn explained_crashes(&self) -> BTreeSet<Crash> {
-        self.explained().into_keys().collect()
+        let explained = self.explained();
+        let mut crashes: BTreeSet<Crash> = explained.keys().copied().collect();
+        for sighting in &self.sightings {
+            let entry = explained.get(&sighting.crash);
+            if entry.is_some_and(|entry| entry.contains(&sighting.fingerprint())) {
+                crashes.remove(&sighting.crash);
+            }
+        }
+        crashes
     }
 
     /// Refuses requests that hold all of `parts`. Returns whether that is new.
@@ -304,19 +320,29 @@
         true
     }
 
-    /// Refuses requests that hold all of `parts` no longer. Past crashes do not count any more.
-    /// Returns whether they were refused.
-    pub fn lift(&mut self, parts: &Combination, now: Instant) -> bool {
-        let was_refused = self.entries.remove(parts).is_some();
-        if was_refused {
-            let parts = parts.iter().copied();
-            let completions = parts.map(|part| (part, Moment::from(now)));
-            self.completed.extend(completions);
+    /// Refuses requests that hold all of `parts` no longer. Their crashes before `at` count against
+    /// nothing any more. Returns whether they were refused.
+    pub fn lift(&mut self, parts: &Combination, at: Moment) -> bool {
+        let is_older = |_: &Combination, entry: &mut Entry| entry.last_crash_at <= at;
+        let lifted = self.entries.extract_if(parts..=parts, is_older).count();
+        if lifted == 0 {
+            return false;
+        }
+        let caused = self
+            .sightings
+            .iter()
+            .filter(|sighting| sighting.interval.end <= at && parts.is_held_by(&sighting.chain));
+        let caused: BTreeSet<Crash> = caused.map(|sighting| sighting.crash).collect();
+        self.sightings
+            .retain(|sighting| !caused.contains(&sighting.crash));
+        for &part in parts.iter() {
+            let completed = self.completed.entry(part).or_insert(at);
+            *completed = at.max(*completed);
         }
-        was_refused
+        true
     }
 
-    /// The parts because of which a request is refused.
+    /// The parts because of which a request is refused. Its fingerprint belongs to its `chain`.
     pub fn refusal(&self, chain: &[Part]) -> Option<&Combination> {
         if self.entries.is_empty() {
             return None;
@@ -346,6 +372,9 @@
             .min_by_key(|(_, entry)| entry.last_crash_at);
         if let Some(parts) = oldest.map(|(parts, _)| parts.clone()) {
             self.entries.remove(&parts);
+            // Its crashes would refuse it again.
+            self.sightings
+                .retain(|sighting| !parts.is_held_by(&sighting.chain));
         }
     }
 
--- a/crates/recovery/src/quarantine/report.rs
+++ b/crates/recovery/src/quarantine/report.rs
@@ -27,6 +27,13 @@
         /// When the last of them happened.
         last_crash_at: Moment,
     },
+    /// Requests with all of these parts are refused no longer.
+    Lifted {
+        /// The parts.
+        parts: Combination,
+        /// When an operator lifted the refusal.
+        at: Moment,
+    },
 }
 
 /// [`Evidence`] with ages instead of instants, since the clocks of routers differ.
@@ -59,6 +66,13 @@
         /// The time since the last of them.
         age: Age,
     },
+    /// See [`Evidence::Lifted`].
+    Lifted {
+        /// The parts.
+        parts: Combination,
+        /// The time since then.
+        age: Age,
+    },
 }
 
 impl Report {
@@ -84,6 +98,10 @@
                 crashes,
                 age: Age::new(last_crash_at, now),
             },
+            Evidence::Lifted { parts, at } => Self::Lifted {
+                parts,
+                age: Age::new(at, now),
+            },
         }
     }
 
@@ -116,6 +134,10 @@
                 crashes,
                 last_crash_at: age.at(now),
             },
+            Self::Lifted { parts, age } => Evidence::Lifted {
+                parts,
+                at: age.at(now),
+            },
         }
     }
 }
--- a/crates/recovery/src/quarantine/sighting.rs
+++ b/crates/recovery/src/quarantine/sighting.rs
@@ -42,9 +42,9 @@
         })
     }
 
-    /// Whether the request holds the part.
-    pub fn holds(&self, part: Part) -> bool {
-        self.chain.contains(&part)
+    /// The fingerprint of the request, as a part.
+    pub(super) fn fingerprint(&self) -> Part {
+        self.chain.last().copied().unwrap_or_default()
     }
 
     /// Whether both are of the same request at the same crash.
