--- a/crates/load/src/arguments.rs
+++ b/crates/load/src/arguments.rs
@@ -1,5 +1,7 @@
 //! Flags and environment variables of `weir-load`.
 
+use std::num::NonZeroUsize;
+
 use bpaf::{Parser, construct};
 use load::{compare, settings::Settings};
 use settings::{Faults, Raw, secret, text};
@@ -10,6 +12,8 @@
 pub const ABOUT: &str = "Simulates callers of a fleet of routers and reports the results. \
                          WEIR_CALLER_KEY is the API key of the callers, if the workspaces require one.";
 
+/// Maximum skew of the load balancer.
+const MAX_SKEW: usize = 1000;
 /// Maximum number of callers of one kind.
 const MAX_CALLERS: u32 = 100_000;
 
@@ -37,6 +41,7 @@
 /// Settings of a load test as given, not yet validated.
 pub struct Run {
     routers: Raw,
+    skew: Raw,
     ledgers: Raw,
     sizes: Sizes,
     duration: Raw,
@@ -128,6 +133,12 @@
         "IP:PORT,...",
         "Routers that callers send requests to",
     );
+    let skew = text(
+        "skew",
+        "WEIR_LOAD_SKEW",
+        "N",
+        "Send all but one in N requests to one router; 0 balances them evenly [0]",
+    );
     let ledgers = text(
         "ledgers",
         "WEIR_LOAD_LEDGERS",
@@ -227,6 +238,7 @@
         .switch();
     construct!(Run {
         routers,
+        skew,
         ledgers,
         sizes,
         duration,
@@ -299,6 +311,7 @@
     if routers.as_ref().is_some_and(Vec::is_empty) {
         faults.add(&raw.routers, value::ADDRESSES);
     }
+    let skew = faults.within(&raw.skew, 0, 0..=MAX_SKEW);
     let ledgers = value::addresses(&raw.ledgers, faults);
     let sizes = check_sizes(&raw.sizes, faults);
     let default = Settings::default();
@@ -324,6 +337,7 @@
     let seed = faults.within(&raw.seed, default.seed, 0..=u64::MAX);
     Some(Settings {
         routers: routers?,
+        skew: NonZeroUsize::new(skew?),
         ledgers: ledgers?,
         duration: duration?,
         chats: chats?,
--- a/crates/load/src/balancer.rs
+++ b/crates/load/src/balancer.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    num::NonZeroUsize,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -21,11 +22,12 @@
 /// Timeout of a readiness probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Round-robin load balancer over the ready routers.
+/// Load balancer over the ready routers: round-robin, or skewed towards one of them.
 #[derive(Debug)]
 pub struct Balancer {
     routers: Vec<Router>,
     next: AtomicUsize,
+    skew: Option<NonZeroUsize>,
     /// Pool of connections to the routers.
     pub pool: Pool,
 }
@@ -38,7 +40,9 @@
 
 impl Balancer {
     /// A balancer over `addresses`. Each router counts as not ready until its first probe.
-    pub fn new(addresses: &[SocketAddr]) -> Self {
+    ///
+    /// With a `skew` of N, all but one in N requests go to the first router that is ready.
+    pub fn new(addresses: &[SocketAddr], skew: Option<NonZeroUsize>) -> Self {
         let routers = addresses.iter().map(|address| Router {
             address: *address,
             is_ready: AtomicBool::new(false),
@@ -46,14 +50,20 @@
         Self {
             routers: routers.collect(),
             next: AtomicUsize::new(0),
+            skew,
             pool: Pool::default(),
         }
     }
 
-    /// Picks the next ready router in round-robin order.
+    /// Picks the next ready router.
     pub fn pick(&self) -> Option<SocketAddr> {
-        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
         let count = self.routers.len();
+        let first = match self.skew {
+            Some(skew) if turn % skew != 0 => 0,
+            Some(skew) => turn / skew,
+            None => turn,
+        };
         let candidates = (0..count).map(|offset| &self.routers[(first + offset) % count]);
         let mut ready = candidates.filter(|router| router.is_ready.load(Ordering::Relaxed));
         ready.next().map(|router| router.address)
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -55,7 +55,7 @@
 /// Returns an [`Error`] if no router became ready or a ledger could not be fetched.
 pub async fn run(settings: Settings) -> Result<Report, Error> {
     let settings = Arc::new(settings);
-    let balancer = Arc::new(Balancer::new(&settings.routers));
+    let balancer = Arc::new(Balancer::new(&settings.routers, settings.skew));
     wait_until_ready(&balancer).await?;
     let probes = tokio::spawn(Arc::clone(&balancer).probe_periodically());
     let started = Instant::now();
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -1,12 +1,14 @@
 //! Settings of a load test.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, num::NonZeroUsize, time::Duration};
 
 /// Settings of a load test.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Routers that requests are balanced over.
     pub routers: Vec<SocketAddr>,
+    /// All but one in this many requests go to one router; `None` to balance them evenly.
+    pub skew: Option<NonZeroUsize>,
     /// Plain services whose ledgers record which bookings ran.
     pub ledgers: Vec<SocketAddr>,
     /// Workspaces in descending order of traffic.
@@ -58,6 +60,7 @@
     fn default() -> Self {
         Self {
             routers: Vec::new(),
+            skew: None,
             ledgers: Vec::new(),
             workspaces: vec![String::from("default")],
             key: None,
--- a/crates/load/tests/load/run.rs
+++ b/crates/load/tests/load/run.rs
@@ -1,6 +1,6 @@
 //! Calls and load tests against fake routers and faulty stand-ins.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, num::NonZeroUsize, time::Duration};
 
 use load::{
     balancer::Balancer, booking, chat, lookup, outcome::Outcome, report::Counts, retry, run,
@@ -20,7 +20,7 @@
 }
 
 async fn balancer(router: SocketAddr) -> Balancer {
-    let balancer = Balancer::new(&[router]);
+    let balancer = Balancer::new(&[router], None);
     balancer.probe().await;
     balancer
 }
@@ -139,3 +139,21 @@
     report.reconcile(&entries.map(|entry| (entry.id, entry.runs)).collect());
     assert_eq!((report.counts.refused, report.counts.wrong), (2, 1));
 }
+
+/// Guards against a skewed balancer that spreads its requests all the same.
+#[tokio::test]
+async fn a_skewed_balancer_prefers_one_router() {
+    let script = Script::RefuseThenConfirm { refused: 0 };
+    let routers = [router::start(script).await, router::start(script).await];
+    let addresses = routers.each_ref().map(|router| router.address());
+    let balancer = Balancer::new(&addresses, NonZeroUsize::new(4));
+    balancer.probe().await;
+    let picks: Vec<_> = (0..80).filter_map(|_| balancer.pick()).collect();
+    assert_eq!(
+        picks
+            .iter()
+            .filter(|picked| **picked == addresses[0])
+            .count(),
+        70
+    );
+}
