Weigh ways to find a deadly part in fleets of 6, 85 and 300 routers

An emulator in virtual time drives the tracker of each router: a deadly request every 0.3 s on average among up to 330 harmless ones a second, of which some share a rare part with it, servers down for 3 s, lost datagrams.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -135,13 +135,20 @@
 
 impl Default for Tracker {
     fn default() -> Self {
+        Self::new(quarantine::Settings::default())
+    }
+}
+
+impl Tracker {
+    /// Creates a tracker that knows nothing.
+    pub fn new(quarantine: quarantine::Settings) -> Self {
         let settings = recovery::Settings {
             refuse_at_strikes: STRIKE_LIMIT,
             ..recovery::Settings::default()
         };
         Self {
             suspects: Suspects::new(settings),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(quarantine),
             outbox: Outbox::default(),
             candidates: Vec::new(),
             recent: Vec::new(),
@@ -150,9 +157,7 @@
             repeat_at: Instant::ZERO,
         }
     }
-}
 
-impl Tracker {
     /// Whether a request is refused because it is suspected of having crashed several
     /// servers.
     pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod origins;
 mod outlier;
+mod part_fleet;
 mod peers;
 mod placing;
 mod poison;
