Keep common parts served: narrow combinations by their own requests only

Cause: after a combination was refused, its members counted its crashes in other requests, too, which hold one of them without the others. So the part of all prompts was refused on its own right after the combination that held it. Crashes of a refused request counted against its neighbours' parts as well. And nothing could clear a part once no request with it was sent.

Change: a crash that a combination explains counts for its members only in requests that hold all of it; crashes of a refused request count for its own parts only; parts that take three tenths of a router's requests are tried: one request in the fleet, after 1, 4 and 60 s, with at most three crashes (parts_tried).

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -146,15 +146,22 @@
         _: u32,
         _: &host::Id,
         _: time::Instant,
-    ) -> Result<(), Error> {
+    ) -> Result<(), source::Error> {
         Ok(())
     }
 
-    async fn remove_refused_parts(&self, _: &Combination, _: time::Instant) -> Result<(), Error> {
+    async fn remove_refused_parts(
+        &self,
+        _: &Combination,
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
         Ok(())
     }
 
-    fn refused_parts(&self, _: &Row) -> Result<Option<(Combination, u32)>, Malformed> {
+    fn refused_parts(
+        &self,
+        _: &source::Row,
+    ) -> Result<Option<(Combination, u32)>, source::Malformed> {
         Ok(None)
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -87,7 +87,12 @@
     /// The prompt parts that are refused according to the store.
     recorded_parts: BTreeSet<Combination>,
     /// The requests that this router has refused because of their parts.
-    part_refusals: BTreeMap<Combination, u64>,
+    part_refusals: BTreeMap<Combination, quarantine::Refusals>,
+    /// The request that is let through although parts of its prompt are refused, until it has
+    /// a slot.
+    part_trial: Option<request::Fingerprint>,
+    /// The number of requests for a slot so far.
+    acquisitions: u64,
     /// What differs between them and the parts that this router refuses.
     backlog: watch::Sender<Arc<Backlog>>,
     /// The servers that are being probed, by name and incarnation.
@@ -141,6 +146,8 @@
             refused: watch::Sender::default(),
             recorded_parts: BTreeSet::new(),
             part_refusals: BTreeMap::new(),
+            part_trial: None,
+            acquisitions: 0,
             backlog: watch::Sender::default(),
             probed: BTreeSet::new(),
             probes,
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -200,7 +200,8 @@
         if self.crashes.is_refused(request.fingerprint, now) {
             return Some(Refusal::Suspect);
         }
-        self.is_quarantined(request).then_some(Refusal::Quarantined)
+        self.is_quarantined(request, now)
+            .then_some(Refusal::Quarantined)
     }
 
     /// Publishes which requests are refused. Returns whether that has changed.
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -274,6 +274,8 @@
     pub last_byte_at: Option<Instant>,
     /// Whether the server has responded that it failed.
     pub has_failed: bool,
+    /// Whether the request is sent to show that refused parts of its prompt are harmless.
+    pub is_part_trial: bool,
     /// Whether the server has responded with success.
     pub has_succeeded: bool,
     /// The request's part in a roll-out.
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -28,6 +28,9 @@
         if self.requests.contains(&ticket.fingerprint) {
             return true;
         }
+        if ticket.is_part_trial {
+            return false;
+        }
         let chain = ticket.request().chain();
         self.parts.iter().any(|parts| parts.is_held_by(&chain))
     }
--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -1,16 +1,48 @@
 //! Prompt parts that are refused because they crash servers.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use recovery::quarantine::{Combination, Report};
 use units::time::Instant;
 
 use super::{AcquireRequest, Dispatch, RefusedParts};
-use crate::{crashes::Request, parts, quarantine::Backlog};
+use crate::{
+    crashes::Request,
+    parts,
+    quarantine::{self, Backlog},
+};
+
+/// The time before a request is let through although its parts are refused, by the number of
+/// crashes under them since then. After the last one no further request is.
+const TRIAL_DELAYS: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(4),
+    Duration::from_secs(60),
+];
+/// The time in which such a request shows whether the parts are harmless.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
+/// The share of this router's requests from which on parts are tried.
+const TRIAL_SHARE: f64 = 0.3;
+/// The refusals from which on that share is known.
+const MIN_REFUSALS: u64 = 10;
+
+/// The requests that this router has refused because of the same parts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refusals {
+    count: u64,
+    /// The number of the first of them among all requests.
+    first: u64,
+    /// When one may be let through.
+    trial_at: Instant,
+}
 
 impl Dispatch {
     /// Whether parts of a request's prompt are refused. Counts the refusal.
-    pub(super) fn is_quarantined(&mut self, request: &AcquireRequest) -> bool {
+    pub(super) fn is_quarantined(&mut self, request: &AcquireRequest, now: Instant) -> bool {
+        if self.part_trial == Some(request.fingerprint) {
+            return false;
+        }
+        let fingerprint = request.fingerprint;
         let request = Request {
             fingerprint: request.fingerprint,
             parts: parts::shared(&request.pool, &request.demand.parts),
@@ -18,7 +50,45 @@
         let Some(parts) = self.crashes.refused_parts(&request) else {
             return false;
         };
-        *self.part_refusals.entry(parts.clone()).or_default() += 1;
+        let parts = parts.clone();
+        if self.starts_trial(&parts, now) {
+            logging::event!(
+                info,
+                "parts_tried",
+                parts = parts,
+                fingerprint = fingerprint
+            );
+            self.part_trial = Some(fingerprint);
+            return false;
+        }
+        true
+    }
+
+    /// Counts a refusal because of `parts`. Returns whether the request is to show that they are
+    /// harmless, instead of being refused.
+    ///
+    /// Parts that many requests hold may be refused by mistake if none of these completed between
+    /// some crashes. Nothing would ever clear them.
+    fn starts_trial(&mut self, parts: &Combination, now: Instant) -> bool {
+        let failures = self.crashes.crashes_since_refused(parts);
+        let is_first = quarantine::rank(&self.fleet.members, &self.fleet.own, parts) == 0;
+        let acquisitions = self.acquisitions;
+        let refusals = self.part_refusals.entry(parts.clone()).or_insert(Refusals {
+            count: 0,
+            first: acquisitions,
+            trial_at: now + TRIAL_DELAYS[0],
+        });
+        refusals.count += 1;
+        let requests = acquisitions - refusals.first + 1;
+        let is_widespread = refusals.count >= MIN_REFUSALS
+            && refusals.count as f64 >= requests as f64 * TRIAL_SHARE;
+        let Some(delay) = TRIAL_DELAYS.get(failures) else {
+            return false;
+        };
+        if !is_first || !is_widespread || now < refusals.trial_at {
+            return false;
+        }
+        refusals.trial_at = now + (*delay).max(TRIAL_TIME);
         true
     }
 
@@ -96,7 +166,7 @@
         let refused = entries.map(|(parts, entry)| RefusedParts {
             parts: parts.clone(),
             entry: *entry,
-            refusals: self.part_refusals.get(parts).copied().unwrap_or(0),
+            refusals: self.part_refusals.get(parts).map_or(0, |known| known.count),
             is_recorded: self.recorded_parts.contains(parts),
         });
         refused.collect()
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -19,7 +19,8 @@
             send_reply(reply, Err(Refusal::Suspect));
             return;
         }
-        if self.is_quarantined(&request) {
+        self.acquisitions += 1;
+        if self.is_quarantined(&request, now) {
             send_reply(reply, Err(Refusal::Quarantined));
             return;
         }
@@ -90,8 +91,13 @@
             self.metrics.sent_while_throttled();
         }
         let trial = self.rollouts.admitted(&request, &placement, now);
+        let is_part_trial = self.part_trial == Some(request.fingerprint);
+        if is_part_trial {
+            self.part_trial = None;
+        }
         let ticket = Ticket {
             trial,
+            is_part_trial,
             has_failed: false,
             has_succeeded: false,
             server: placement.server.clone(),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -85,7 +85,7 @@
 }
 
 /// The number of routers that come before `own` for these parts.
-fn rank(members: &[host::Id], own: &host::Id, parts: &Combination) -> usize {
+pub fn rank(members: &[host::Id], own: &host::Id, parts: &Combination) -> usize {
     let seed = xxh3::xxh3_64(parts.to_string().as_bytes());
     let score = |host: &host::Id| xxh3::xxh3_64_with_seed(host.as_str().as_bytes(), seed);
     let own = score(own);
--- a/crates/recovery/src/quarantine.rs
+++ b/crates/recovery/src/quarantine.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use units::{request::Part, time::Instant};
+use units::{
+    request::{Fingerprint, Part},
+    time::Instant,
+};
 
 pub use entry::{Combination, Entry};
 pub use report::{Evidence, Report};
@@ -84,6 +87,9 @@
     /// When a request with the part last completed, for parts in `sightings`.
     completed: BTreeMap<Part, Moment>,
     entries: BTreeMap<Combination, Entry>,
+    /// Crashes that a refused request has caused, with its fingerprint. They are evidence against
+    /// its own parts only.
+    requests: BTreeMap<Crash, Part>,
     /// When it is decided which parts are refused.
     decide_at: Option<Instant>,
 }
@@ -224,6 +230,12 @@
         found
     }
 
+    /// Sets the crashes that refused requests have caused.
+    pub fn set_crashing_requests(&mut self, crashes: impl Iterator<Item = (Crash, Fingerprint)>) {
+        let requests = crashes.map(|(crash, fingerprint)| (crash, Part(fingerprint.0)));
+        self.requests = requests.collect();
+    }
+
     /// When [`Quarantine::decide`] is to be called.
     pub fn next_decision(&self) -> Option<Instant> {
         self.decide_at
@@ -260,12 +272,20 @@
             let known_since = self.known_since.get(&sighting.crash);
             known_since.is_none_or(|at| *at + self.settings.settle_time <= now)
         };
-        for sighting in self.sightings.iter().filter(is_settled) {
+        let is_evidence = |sighting: &&Sighting| {
+            let cause = self.requests.get(&sighting.crash);
+            cause.is_none_or(|cause| *cause == sighting.fingerprint())
+        };
+        let sightings = self.sightings.iter().filter(is_settled);
+        for sighting in sightings.filter(is_evidence) {
             let suspects = self.suspects(sighting);
             let entry = explained.get(&sighting.crash);
             for &part in &suspects {
                 // A further crash under a part of a combination may show which one it is.
-                if entry.is_none_or(|entry| entry.contains(&part)) {
+                let is_cause = |entry: &&Combination| {
+                    entry.contains(&part) && entry.is_held_by(&sighting.chain)
+                };
+                if entry.is_none_or(is_cause) {
                     tallies.entry(part).or_default().add(sighting, &suspects);
                 }
             }
@@ -350,6 +370,18 @@
         self.entries.keys().find(|parts| parts.is_held_by(chain))
     }
 
+    /// The number of crashes under refused parts since it was decided to refuse them.
+    pub fn crashes_since(&self, parts: &Combination) -> usize {
+        let Some(entry) = self.entries.get(parts) else {
+            return 0;
+        };
+        let later = self.sightings.iter().filter(|sighting| {
+            parts.is_held_by(&sighting.chain) && sighting.interval.end > entry.last_crash_at
+        });
+        let crashes: BTreeSet<Crash> = later.map(|sighting| sighting.crash).collect();
+        crashes.len()
+    }
+
     /// What is refused.
     pub fn entries(&self) -> impl Iterator<Item = (&Combination, &Entry)> {
         self.entries.iter()
--- a/crates/recovery/src/suspects.rs
+++ b/crates/recovery/src/suspects.rs
@@ -228,6 +228,18 @@
         refused.map(|(&fingerprint, _)| fingerprint)
     }
 
+    /// The crashes that refused requests have caused, with their fingerprints.
+    pub fn refused_crashes(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (Crash, request::Fingerprint)> {
+        self.refused(now).flat_map(|fingerprint| {
+            let record = self.records.get(&fingerprint);
+            let strikes = record.into_iter().flat_map(|record| &record.strikes);
+            strikes.map(move |strike| (strike.crash, fingerprint))
+        })
+    }
+
     /// The standing of a request that has a strike but is not refused.
     fn standing_with_strike(&self) -> Standing {
         if self.suspected > self.settings.max_isolated {
--- a/crates/recovery/tests/quarantine.rs
+++ b/crates/recovery/tests/quarantine.rs
@@ -159,6 +159,30 @@
     );
 }
 
+/// Guards against a part of all prompts that is refused because a single request, which is known,
+/// crashed some of the servers.
+#[test]
+fn crashes_of_a_refused_request_count_against_its_own_parts_only() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..3 {
+        crash(&mut quarantine, second, &[&[COMMON], &[COMMON]], None);
+    }
+    let poison = Fingerprint(77);
+    quarantine.set_crashing_requests((0..3).map(|second| (Crash(second), poison)));
+    assert_eq!(decide(&mut quarantine, 2), []);
+    for second in 3..6 {
+        crash(
+            &mut quarantine,
+            second,
+            &[&[COMMON, DEADLY], &[COMMON]],
+            None,
+        );
+    }
+    decide(&mut quarantine, 5);
+    assert_eq!(quarantine.refusal(&parts(&[COMMON])), None);
+    assert!(quarantine.refusal(&parts(&[COMMON, DEADLY])).is_some());
+}
+
 /// Guards against evidence of one power cut that counts as several crashes.
 #[test]
 fn servers_that_end_at_one_moment_count_once() {
