Count completions of parts between a crash and its confirmation

A crash may become known seconds after it happened. Completions of its parts in between were not recorded, since the parts were not under suspicion yet, so parts of all prompts kept their crashes.

The last completion of each part is now kept, of 8,192 parts at most, and a router that learns of a crash tells which of its parts it has cleared since.

a_completion_before_a_crash_becomes_known_clears_its_part was written with the change.

--- a/crates/gateway/src/crashes/outbox.rs
+++ b/crates/gateway/src/crashes/outbox.rs
@@ -56,6 +56,12 @@
         });
     }
 
+    /// Whether a completion of the part waits.
+    pub(super) fn clears(&self, part: Part) -> bool {
+        let mut items = self.items.iter();
+        items.any(|item| matches!(item.evidence, Evidence::Completion { part: known, .. } if known == part))
+    }
+
     /// The number of pieces of evidence that wait.
     pub(super) fn len(&self) -> usize {
         self.items.len()
--- a/crates/gateway/src/crashes/shared_parts.rs
+++ b/crates/gateway/src/crashes/shared_parts.rs
@@ -151,12 +151,26 @@
             if let quarantine::Evidence::Refused { parts, crashes, .. } = &evidence {
                 refused.push((parts.clone(), *crashes));
             }
+            if let quarantine::Evidence::Sighting(sighting) = &evidence {
+                self.clear_parts(sighting, now);
+            }
             self.push_part_evidence(evidence, now);
         }
         self.excuse_crashes();
         refused
     }
 
+    /// Tells other routers of the parts that requests of this router have cleared since a crash
+    /// that has become known now.
+    fn clear_parts(&mut self, sighting: &Sighting, now: Instant) {
+        let completions: Vec<_> = self.quarantine.completions_after(sighting).collect();
+        for (part, at) in completions {
+            if !self.outbox.clears(part) {
+                self.push_part_evidence(quarantine::Evidence::Completion { part, at }, now);
+            }
+        }
+    }
+
     /// What to send to other routers on parts.
     pub fn part_reports(&mut self, now: Instant) -> Vec<quarantine::Report> {
         self.outbox.reports(&self.quarantine, now)
--- a/crates/recovery/src/quarantine.rs
+++ b/crates/recovery/src/quarantine.rs
@@ -40,6 +40,10 @@
     pub expiry: Duration,
     /// The maximum number of sightings that are stored.
     pub max_sightings: usize,
+    /// How long after a crash it may become known.
+    pub confirm_time: Duration,
+    /// The maximum number of parts whose last completion is known.
+    pub max_completions: usize,
     /// The maximum number of combinations that are refused.
     pub max_entries: usize,
 }
@@ -52,6 +56,8 @@
             settle_time: Duration::from_millis(300),
             expiry: Duration::from_secs(600),
             max_sightings: 2048,
+            confirm_time: Duration::from_secs(6),
+            max_completions: 8192,
             max_entries: 1024,
         }
     }
@@ -84,7 +90,7 @@
     known_since: BTreeMap<Crash, Instant>,
     /// The latest crash at which each part was in flight.
     sighted: BTreeMap<Part, Moment>,
-    /// When a request with the part last completed, for parts in `sightings`.
+    /// When a request with the part last completed.
     completed: BTreeMap<Part, Moment>,
     entries: BTreeMap<Combination, Entry>,
     /// Crashes that a refused request has caused, with its fingerprint. They are evidence against
@@ -146,10 +152,38 @@
     /// servers. Returns those that had been in flight at a crash since their last completion.
     pub fn record_completed(&mut self, chain: &[Part], now: Instant) -> Vec<Part> {
         let at = Moment::from(now);
-        let parts = chain.iter().copied();
-        parts
-            .filter(|&part| self.is_suspected(part) && self.record_completion(part, at))
-            .collect()
+        let mut suspected = Vec::new();
+        for &part in chain {
+            if self.is_suspected(part) {
+                suspected.push(part);
+            }
+            // A crash before it may become known only later.
+            self.record_completion(part, at);
+        }
+        self.forget_completions(now);
+        suspected
+    }
+
+    /// Forgets the oldest completions if there are too many.
+    fn forget_completions(&mut self, now: Instant) {
+        if self.completed.len() <= self.settings.max_completions {
+            return;
+        }
+        let now = Moment::from(now);
+        let confirm_time = self.settings.confirm_time;
+        let sighted = &self.sighted;
+        self.completed
+            .retain(|part, at| *at + confirm_time > now || sighted.contains_key(part));
+        while self.completed.len() > self.settings.max_completions {
+            self.completed.pop_first();
+        }
+    }
+
+    /// When a request with a part of the sighting completed after the crash, as far as known.
+    pub fn completions_after(&self, sighting: &Sighting) -> impl Iterator<Item = (Part, Moment)> {
+        let parts = sighting.chain.iter();
+        let known = parts.filter_map(|part| Some((*part, *self.completed.get(part)?)));
+        known.filter(move |(_, at)| *at >= sighting.interval.end)
     }
 
     /// Records that a request with a part completed, on behalf of this or another router.
@@ -417,7 +451,7 @@
         let expiry = self.settings.expiry;
         self.sightings
             .retain(|sighting| sighting.interval.end + expiry > now);
-        if self.sightings.len() == before && self.completed.len() <= self.settings.max_sightings {
+        if self.sightings.len() == before {
             return;
         }
         self.completed.retain(|_, at| *at + expiry > now);
--- a/crates/recovery/tests/quarantine.rs
+++ b/crates/recovery/tests/quarantine.rs
@@ -243,6 +243,17 @@
     assert!(quarantine.refusal(&parts(&[DEADLY])).is_some());
 }
 
+/// Guards against a completion that is forgotten because the crash before it becomes known later.
+#[test]
+fn a_completion_before_a_crash_becomes_known_clears_its_part() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..3 {
+        complete(&mut quarantine, second, &[SUBJECT]);
+        crash(&mut quarantine, second, &[&[SUBJECT]], None);
+    }
+    assert_eq!(decide(&mut quarantine, 3), []);
+}
+
 /// Guards against a quarantine that grows with the number of deadly parts, and against prompts of
 /// hundreds of parts in one report.
 #[test]
