Keep a shutdown that a process announced before its entry was read

The router knows until when the former entry was up to date. An announcement that was heard later may be of the new process; it now counts for 5 s after the new entry was read. By then the entry itself says whether the server is draining, and one that restarted meanwhile is used again. What the present process announces counts as before, to its end.

Ruled out: a pause or crash of the router (none in the history), an entry written anew (the incarnation differs). Not chosen: comparing the start in the entry with the router's clock, which may be set wrong; a probe of the server, whose refusal does not say why.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -199,6 +199,7 @@
                     let now = self.clock.now();
                     self.detect_pause(now);
                     self.forget_failures(now);
+                    self.expire_shutdowns(now);
                     self.probe_paths(now);
                 }
             }
@@ -303,9 +304,9 @@
                 self.rollouts.apply(&name, &mut pool);
                 Queue::new(pool)
             });
-            queue
-                .pool_mut()
-                .set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
+            let pool = queue.pool_mut();
+            pool.set_reading(roster.reading());
+            pool.set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
         }
         self.sum_peers();
     }
--- a/crates/gateway/src/dispatch/advisories.rs
+++ b/crates/gateway/src/dispatch/advisories.rs
@@ -27,6 +27,15 @@
         queue.pool().throttled_until(now)
     }
 
+    /// Ends the shutdowns that may have been of former processes, once their time is up.
+    pub(super) fn expire_shutdowns(&mut self, now: Instant) {
+        for (name, queue) in &mut self.queues {
+            for server in queue.pool_mut().expire_shutdowns(now) {
+                logging::event!(info, "shutdown_expired", server = server, pool = name);
+            }
+        }
+    }
+
     /// Records what a server has announced.
     pub(super) fn announced(&mut self, announcement: &Announcement, now: Instant) {
         let Some(queue) = self.queues.get_mut(&announcement.pool) else {
@@ -37,7 +46,7 @@
         if let Some(max_rejections) = advisory.max_rejections {
             pool.record_brittle(max_rejections, now);
         }
-        if pool.record_advisory(server, announcement.incarnation, advisory) {
+        if pool.record_advisory(server, announcement.incarnation, advisory, now) {
             if advisory.is_throttled(now) {
                 self.metrics.standing_changed(Standing::Throttled);
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,8 +10,8 @@
 mod outcome;
 mod paths;
 mod peers;
-
 mod server;
+mod shutdown;
 mod versions;
 mod zone;
 
@@ -180,6 +180,7 @@
     /// What servers without an entry have announced: an entry can lapse and return while
     /// its server runs on.
     unlisted: BTreeMap<backend::Server, advisories::Unlisted>,
+    reading: roster::Reading,
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
@@ -206,6 +207,7 @@
             },
             servers: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            reading: roster::Reading::default(),
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
@@ -224,6 +226,11 @@
         self.bounds = bounds;
     }
 
+    /// Says when the servers of the next [`Self::set_servers`] were read.
+    pub fn set_reading(&mut self, reading: roster::Reading) {
+        self.reading = reading;
+    }
+
     /// Replaces the registered servers. Each entry carries a flag that says whether the
     /// server is leaving and must get no new requests.
     pub fn set_servers<'a>(&mut self, entries: impl Iterator<Item = (&'a roster::Entry, bool)>) {
@@ -232,14 +239,16 @@
             let mut server = old
                 .remove(&entry.server)
                 .unwrap_or_else(|| Server::new(entry.clone()));
-            server.update(entry, is_leaving);
+            server.update(entry, is_leaving, self.reading);
             if let Some(unlisted) = self.unlisted.remove(&entry.server) {
-                server.record_advisory(unlisted.incarnation, unlisted.advisory);
+                let announced_at = unlisted.announced_at;
+                server.record_advisory(unlisted.incarnation, unlisted.advisory, announced_at);
             }
             self.servers.insert(entry.server.clone(), server);
         }
         for (name, server) in old {
-            self.keep_unlisted(name, server.incarnation(), server.advisory());
+            let announced_at = server.shutdown_announced_at();
+            self.keep_unlisted(name, server.incarnation(), server.advisory(), announced_at);
         }
         self.update_usable();
     }
--- a/crates/gateway/src/pool/advisories.rs
+++ b/crates/gateway/src/pool/advisories.rs
@@ -13,6 +13,7 @@
 pub(super) struct Unlisted {
     pub(super) incarnation: u64,
     pub(super) advisory: Advisory,
+    pub(super) announced_at: Instant,
 }
 
 impl Pool {
@@ -22,12 +23,13 @@
         name: &backend::Server,
         incarnation: u64,
         advisory: Advisory,
+        now: Instant,
     ) -> bool {
         let Some(server) = self.servers.get_mut(name) else {
-            return self.keep_unlisted(name.clone(), incarnation, advisory);
+            return self.keep_unlisted(name.clone(), incarnation, advisory, now);
         };
         let was_leaving = server.is_leaving();
-        let is_news = server.record_advisory(incarnation, advisory);
+        let is_news = server.record_advisory(incarnation, advisory, now);
         if server.is_leaving() != was_leaving {
             self.update_usable();
         }
@@ -40,6 +42,7 @@
         name: backend::Server,
         incarnation: u64,
         advisory: Advisory,
+        announced_at: Instant,
     ) -> bool {
         let known = self.unlisted.get(&name).copied().unwrap_or_default();
         let before = if known.incarnation == incarnation {
@@ -54,6 +57,7 @@
         let unlisted = Unlisted {
             incarnation,
             advisory: merged,
+            announced_at,
         };
         self.unlisted.insert(name, unlisted);
         while self.unlisted.len() > MAX_UNLISTED {
@@ -62,6 +66,21 @@
         true
     }
 
+    /// Ends the shutdowns that may have been of former processes, once their time is up. Returns
+    /// the names of these servers.
+    pub fn expire_shutdowns(&mut self, now: Instant) -> Vec<backend::Server> {
+        let servers = self.servers.values_mut();
+        let expired = servers.filter_map(|server| {
+            let is_over = server.expire_shutdown(now);
+            is_over.then(|| server.name().clone())
+        });
+        let expired: Vec<_> = expired.collect();
+        if !expired.is_empty() {
+            self.update_usable();
+        }
+        expired
+    }
+
     /// When the first server that has asked for a pause may receive requests again; `None`
     /// if no server has.
     pub fn next_throttle_end(&self, now: Instant) -> Option<Instant> {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -8,7 +8,7 @@
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::{Outcome, Part, backoff::Backoff};
+use super::{Outcome, Part, backoff::Backoff, shutdown::Shutdown};
 use crate::{
     advisory::Advisory,
     load::Load,
@@ -43,6 +43,8 @@
     is_leaving: bool,
     /// What the server has announced to this router.
     advisory: Advisory,
+    /// Which processes the announced shutdown may be of.
+    shutdown: Shutdown,
     /// Passes `advisory` on to requests that are connecting to the server.
     announcements: watch::Sender<Advisory>,
     role: Role,
@@ -86,6 +88,7 @@
             entry,
             is_leaving: false,
             advisory: Advisory::default(),
+            shutdown: Shutdown::default(),
             announcements: watch::Sender::default(),
             role: Role::default(),
             is_in_canary: false,
@@ -108,7 +111,7 @@
     }
 
     /// Applies a new entry of the store.
-    pub fn update(&mut self, entry: &roster::Entry, is_leaving: bool) {
+    pub fn update(&mut self, entry: &roster::Entry, is_leaving: bool, reading: roster::Reading) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             // A restarted server has lost its cache and all other state.
             let is_restarted = entry.incarnation != self.entry.incarnation;
@@ -116,11 +119,12 @@
                 running: self.running,
                 pacer: self.pacer,
                 advisory: self.advisory,
+                shutdown: self.shutdown,
                 announcements: self.announcements.clone(),
                 ..Self::new(entry.clone())
             };
             if is_restarted {
-                self.set_advisory(self.advisory.after_restart());
+                self.restarted(reading);
             }
         }
         self.entry = entry.clone();
@@ -138,18 +142,55 @@
         self.advisory
     }
 
+    /// When the server announced its shutdown, if it did.
+    pub fn shutdown_announced_at(&self) -> Instant {
+        self.shutdown.announced_at()
+    }
+
     /// Receives what the server announces from now on.
     pub fn announcements(&self) -> watch::Receiver<Advisory> {
         self.announcements.subscribe()
     }
 
+    fn restarted(&mut self, reading: roster::Reading) {
+        self.shutdown.restarted(reading);
+        let is_leaving = self.advisory.is_leaving && self.shutdown.may_be_of_present_process();
+        let advisory = self.advisory.after_restart();
+        self.set_advisory(Advisory {
+            is_leaving,
+            ..advisory
+        });
+    }
+
+    /// Ends a shutdown that may have been of a former process, if its time is up. Returns
+    /// whether there was one.
+    pub fn expire_shutdown(&mut self, now: Instant) -> bool {
+        let is_over = self.advisory.is_leaving && self.shutdown.is_over(now);
+        if is_over {
+            self.set_advisory(Advisory {
+                is_leaving: false,
+                ..self.advisory
+            });
+        }
+        is_over
+    }
+
     /// Records what an incarnation of the server has announced. Returns whether that was
     /// news.
-    pub fn record_advisory(&mut self, incarnation: u64, advisory: Advisory) -> bool {
-        let advisory = if incarnation == self.entry.incarnation {
+    pub fn record_advisory(&mut self, incarnation: u64, advisory: Advisory, now: Instant) -> bool {
+        let is_present = incarnation == self.entry.incarnation;
+        if advisory.is_leaving {
+            let is_first = !self.advisory.is_leaving;
+            self.shutdown.announced(is_present, is_first, now);
+        }
+        let advisory = if is_present {
             advisory
         } else {
-            advisory.after_restart()
+            let is_leaving = advisory.is_leaving && self.shutdown.may_be_of_present_process();
+            Advisory {
+                is_leaving,
+                ..advisory.after_restart()
+            }
         };
         let merged = self.advisory.merge(advisory);
         let is_news = merged != self.advisory;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -75,6 +75,25 @@
     }
 }
 
+/// When the entries of servers were read.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// When the former entries were last known to be up to date.
+    pub former_confirmed_at: Instant,
+    /// When the present ones were read.
+    pub at: Instant,
+}
+
+impl Default for Reading {
+    /// Former entries were up to date until they changed.
+    fn default() -> Self {
+        Self {
+            former_confirmed_at: Instant::NEVER,
+            at: Instant::ZERO,
+        }
+    }
+}
+
 /// The registered servers known to this router.
 ///
 /// Reads may be stale, so a row is applied only if its revision is higher than the known
@@ -87,6 +106,7 @@
     evacuated: BTreeSet<availability::Zone>,
     /// Until when missing entries are assumed to have lapsed in an outage of the store.
     grace_until: Instant,
+    reading: Reading,
 }
 
 impl Roster {
@@ -109,6 +129,16 @@
         self.expire(now)
     }
 
+    /// Says when the entries that are applied next were read.
+    pub fn set_reading(&mut self, reading: Reading) {
+        self.reading = reading;
+    }
+
+    /// When the entries were read.
+    pub fn reading(&self) -> Reading {
+        self.reading
+    }
+
     /// Applies a change. Returns whether it changed the roster.
     pub fn apply(&mut self, change: Change, now: Instant) -> bool {
         match change {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,7 +22,7 @@
     readiness::Readiness,
     replica::{Replica, Replicas},
     rollouts,
-    roster::{Change, Roster},
+    roster::{self, Change, Roster},
     route::Table,
     source::{Directive, Member, Row, Source, Topic},
     staleness::Staleness,
@@ -103,10 +103,12 @@
     pub fn handle(&mut self, event: Event) {
         match event {
             Event::Batch(topic, batch) => {
+                self.set_reading();
                 self.outputs.ages.confirm(topic, self.clock.now());
                 self.merge(topic, |replica| replica.merge(&batch));
             }
             Event::Relayed(topic, batch) => {
+                self.set_reading();
                 self.merge(topic, |replica| replica.merge_relayed(&batch));
             }
             Event::StoreReturned(Topic::Servers) => {
@@ -122,6 +124,14 @@
         }
     }
 
+    fn set_reading(&mut self) {
+        let now = self.clock.now();
+        self.roster.set_reading(roster::Reading {
+            former_confirmed_at: now - self.outputs.ages.servers(now),
+            at: now,
+        });
+    }
+
     fn merge(&mut self, topic: Topic, merge: impl FnOnce(&mut Replica) -> Vec<Row>) {
         let replica = self.replicas.entry(topic).or_default();
         let newest = replica.newest();
--- a/crates/gateway/tests/decisions/advisories.rs
+++ b/crates/gateway/tests/decisions/advisories.rs
@@ -107,7 +107,9 @@
             wish.throttled_until = wish.throttled_until.max(Some(advisory.throttled_until));
         }
         let (server, incarnation) = (&placement.server, placement.incarnation);
-        self.pool.record_advisory(server, incarnation, advisory);
+        let now = self.now;
+        self.pool
+            .record_advisory(server, incarnation, advisory, now);
     }
 
     fn end(&mut self) {
--- a/crates/gateway/tests/decisions/leaving.rs
+++ b/crates/gateway/tests/decisions/leaving.rs
@@ -5,6 +5,7 @@
 use gateway::{
     advisory::Advisory,
     pool::{Denial, Outcome, Pool},
+    roster,
 };
 use units::time::Instant;
 use yare::parameterized;
@@ -22,7 +23,7 @@
 
 /// Announces the shutdown of `s0`.
 fn announce(pool: &mut Pool, incarnation: u64) {
-    assert!(pool.record_advisory(&server("s0"), incarnation, LEAVING));
+    assert!(pool.record_advisory(&server("s0"), incarnation, LEAVING, START));
 }
 
 /// Places requests of many topics, and returns whether `s0` received one.
@@ -81,10 +82,78 @@
     let mut entries = [entry("s0", "a"), entry("s1", "a")];
     entries[0].incarnation = 2;
     let mut pool = pool(&entries);
-    assert!(!pool.record_advisory(&server("s0"), 1, LEAVING));
+    assert!(!pool.record_advisory(&server("s0"), 1, LEAVING, START));
     assert!(is_used(&mut pool));
 }
 
+/// Guards against a shutdown that is forgotten because the store tells of the process that announced
+/// it only afterwards, and against one that is held against a process for good.
+#[parameterized(
+    before_the_entry = { Duration::ZERO, false },
+    after_the_entry = { Duration::ZERO, true },
+    in_an_outage_of_the_store = { Duration::from_secs(30), false },
+)]
+fn a_shutdown_of_a_process_without_an_entry_counts_for_a_time(outage: Duration, is_late: bool) {
+    let mut entries = [entry("s0", "a"), entry("s1", "a")];
+    let mut pool = pool(&entries);
+    let announced_at = START + Duration::from_millis(500);
+    let read_at = announced_at + outage;
+    let announce = |pool: &mut Pool, at| pool.record_advisory(&server("s0"), 1, LEAVING, at);
+    if !is_late {
+        assert!(announce(&mut pool, announced_at));
+    }
+    entries[0].incarnation = 2;
+    entries[0].revision = 2;
+    pool.set_reading(roster::Reading {
+        former_confirmed_at: START,
+        at: read_at,
+    });
+    pool.set_servers(entries.iter().map(|entry| (entry, false)));
+    if is_late {
+        assert!(announce(&mut pool, read_at));
+    }
+    assert!(!is_used(&mut pool));
+    pool.expire_shutdowns(read_at + Duration::from_secs(2));
+    assert!(!is_used(&mut pool));
+    pool.expire_shutdowns(read_at + Duration::from_secs(6));
+    assert!(is_used(&mut pool));
+}
+
+/// Guards against a shutdown of a former process that keeps the next one out of service although
+/// the store had an entry of the former one after the announcement.
+#[test]
+fn a_shutdown_of_a_process_that_had_an_entry_ends_with_it() {
+    let mut entries = [entry("s0", "a"), entry("s1", "a")];
+    let mut pool = pool(&entries);
+    announce(&mut pool, 1);
+    entries[0].incarnation = 2;
+    entries[0].revision = 2;
+    pool.set_reading(roster::Reading {
+        former_confirmed_at: START + Duration::from_secs(2),
+        at: START + Duration::from_secs(3),
+    });
+    pool.set_servers(entries.iter().map(|entry| (entry, false)));
+    assert!(is_used(&mut pool));
+}
+
+/// Guards against a shutdown that ends early because an earlier process may have announced it too.
+#[test]
+fn a_shutdown_that_the_present_process_announces_does_not_expire() {
+    let mut entries = [entry("s0", "a"), entry("s1", "a")];
+    let mut pool = pool(&entries);
+    announce(&mut pool, 1);
+    entries[0].incarnation = 2;
+    entries[0].revision = 2;
+    pool.set_reading(roster::Reading {
+        former_confirmed_at: START,
+        at: START,
+    });
+    pool.set_servers(entries.iter().map(|entry| (entry, false)));
+    pool.record_advisory(&server("s0"), 2, LEAVING, START);
+    pool.expire_shutdowns(START + Duration::from_secs(60));
+    assert!(!is_used(&mut pool));
+}
+
 /// Guards against fallbacks that use a server that shuts down when all others fail.
 #[parameterized(
     out_of_reach = { Outcome::Unreachable },
@@ -136,7 +205,7 @@
 fn a_prompt_is_copied_from_a_server_that_shuts_down() {
     let mut pool = pool(&twelve_servers());
     let former_first = run(&mut pool, 7, 0, START);
-    assert!(pool.record_advisory(&former_first.server, 1, LEAVING));
+    assert!(pool.record_advisory(&former_first.server, 1, LEAVING, START));
     let placement = admit(&mut pool, 7, 1, START).expect("a server");
     assert_eq!(placement.source, Some(former_first.address));
 }
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -429,7 +429,7 @@
         is_leaving: true,
         ..Default::default()
     };
-    assert!(pool.record_advisory(&leaving, 2, advisory));
+    assert!(pool.record_advisory(&leaving, 2, advisory, START));
     let after = canary(&mut pool);
     assert!(!after.contains(&leaving));
     assert_eq!(after.len(), before.len());
--- a/crates/gateway/tests/decisions/throttling.rs
+++ b/crates/gateway/tests/decisions/throttling.rs
@@ -26,7 +26,7 @@
 }
 
 fn throttle(pool: &mut Pool, name: &backend::Server, until: Instant) {
-    assert!(pool.record_advisory(name, 1, pause(until)));
+    assert!(pool.record_advisory(name, 1, pause(until), START));
 }
 
 fn throttle_all(pool: &mut Pool) {
@@ -66,7 +66,7 @@
 fn the_latest_end_of_several_pauses_counts() {
     let mut pool = pool(&[entry("s0", "a")]);
     throttle(&mut pool, &server("s0"), START + PAUSE);
-    assert!(!pool.record_advisory(&server("s0"), 1, pause(START + PAUSE / 2)));
+    assert!(!pool.record_advisory(&server("s0"), 1, pause(START + PAUSE / 2), START));
     let now = START + PAUSE / 2;
     assert_eq!(
         admit(&mut pool, 7, 0, now),
