Let bodies wait for memory for a moment

Cause: memory for bodies was only tried for, never waited for. The first 16 KiB of a body are now reserved before anything of it is read, and that waits for up to half a second. Only requests that hold no memory wait, so they cannot wait for each other; the rest of a long body is reserved as it arrives, as before, so that no caller holds memory by a declared length.

--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -26,6 +26,11 @@
 
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a request waits for memory for the start of its body.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// The most memory for which it waits, in bytes. The rest of a longer body is only reserved as it
+/// arrives, so that no caller holds memory by a declared length.
+const MAX_AWAITED_MEMORY: u64 = 16 * 1024;
 
 /// Validates a request and reads its body.
 ///
@@ -138,7 +143,7 @@
 ) -> Result<BodyWithPermit, Refusal> {
     let expected = body.size_hint().lower().min(limit);
     let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or(0));
-    let mut reserved: Option<OwnedSemaphorePermit> = None;
+    let mut reserved = wait_for_memory(expected.min(MAX_AWAITED_MEMORY), memory).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             Refusal::not_run(
@@ -155,6 +160,29 @@
     Ok((bytes.freeze(), reserved))
 }
 
+/// Reserves memory for the first `length` bytes of a body, of which nothing has been read.
+///
+/// Only requests that hold no memory wait for some, so they cannot wait for each other.
+async fn wait_for_memory(
+    length: u64,
+    memory: &Arc<Semaphore>,
+) -> Result<Option<OwnedSemaphorePermit>, Refusal> {
+    let units = u32::try_from(length.div_ceil(BODY_UNIT as u64)).unwrap_or(u32::MAX);
+    if units == 0 {
+        return Ok(None);
+    }
+    let permit = Arc::clone(memory).acquire_many_owned(units);
+    match time::timeout(MAX_MEMORY_WAIT, permit).await {
+        Ok(Ok(permit)) => Ok(Some(permit)),
+        // The semaphore is never closed.
+        Ok(Err(_)) | Err(_) => Err(no_memory()),
+    }
+}
+
+fn no_memory() -> Refusal {
+    Refusal::not_run(Code::Busy, "There is no memory for the body now.")
+}
+
 /// Extends the memory reservation to cover a body of `length` bytes.
 fn reserve_memory(
     reserved: &mut Option<OwnedSemaphorePermit>,
@@ -170,8 +198,7 @@
         return Ok(());
     }
     let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(missing_units) else {
-        let message = "There is no memory for the body now.";
-        return Err(Refusal::not_run(Code::Busy, message));
+        return Err(no_memory());
     };
     match reserved {
         Some(reserved) => reserved.merge(permit),
