Estimate waits in the queue by the rate at which requests leave it

Cause: the expected wait was the queued work over the work placed in the last one or two seconds. Without a queue that is the demand, not what the servers can do. After little demand, a short queue looked like a long wait. The rate is now that of placements while requests are queued; without such a measurement of 100 ms, requests wait.

Test: a surge after little demand, 2 of 200 requests refused before, none after. Ruled out: the count of slots (the even spread on the same machine shows the same denial without a surge), rejections of the servers (none in that second).

--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -20,6 +20,10 @@
 const MAX_HEADS: usize = 16;
 /// The window over which the rate of placements is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// The shortest time from which a rate is known.
+const MIN_RATE_TIME: Duration = Duration::from_millis(100);
+/// How long a rate is known after the last request left the queue.
+const RATE_TTL: Duration = Duration::from_secs(10);
 /// The shortest time after which a refused caller may retry: about the duration of a
 /// short response.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -153,6 +157,7 @@
         }
         self.note_wake(denial, now);
         self.push(request, now);
+        self.rate.observe(true, now);
         Admission::Queued
     }
 
@@ -191,7 +196,7 @@
         let placement = self.pool.admit(&demand, fleet, now)?;
         self.shares
             .admitted(&request.workspace, 1, &self.settings, now);
-        self.rate.record(request.cost, now);
+        self.rate.record(request.cost);
         Ok(placement)
     }
 
@@ -292,6 +297,7 @@
         while let Some(next) = self.dequeue_one(fleet, now) {
             dequeued.push(next);
         }
+        self.rate.observe(!self.queue.is_empty(), now);
         dequeued
     }
 
@@ -418,38 +424,60 @@
     }
 }
 
-/// The rate at which requests are placed, by their cost.
+/// The rate at which requests leave the queue, by their cost.
+///
+/// It is measured only while requests are queued: otherwise, it is that of the callers, and would
+/// say nothing of how long a queued request waits.
 #[derive(Clone, Copy, Debug, Default)]
 struct PlacementRate {
-    window_ends: Instant,
+    /// Since when requests are queued and counted in neither window.
+    queued_since: Option<Instant>,
+    current: Window,
+    /// The last full window.
+    previous: Window,
+    measured_at: Instant,
+}
+
+/// The work that was placed within some time in which requests were queued.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    time: Duration,
     cost: Cost,
-    /// The cost placed in the last full window.
-    previous_cost: Cost,
 }
 
 impl PlacementRate {
-    fn record(&mut self, cost: Cost, now: Instant) {
-        if now >= self.window_ends {
-            let is_next = now < self.window_ends + RATE_WINDOW;
-            self.previous_cost = if is_next { self.cost } else { Cost(0) };
-            self.cost = Cost(0);
-            self.window_ends = now + RATE_WINDOW;
+    /// Records whether requests are queued from now on.
+    fn observe(&mut self, is_queued: bool, now: Instant) {
+        if let Some(since) = self.queued_since {
+            self.current.time += now.since(since);
+            self.measured_at = now;
+        } else if now.since(self.measured_at) > RATE_TTL {
+            *self = Self::default();
+        }
+        self.queued_since = is_queued.then_some(now);
+        if self.current.time >= RATE_WINDOW {
+            self.previous = std::mem::take(&mut self.current);
         }
-        self.cost += cost;
     }
 
-    /// The time in which work of `cost` is placed at the current rate.
+    fn record(&mut self, cost: Cost) {
+        if self.queued_since.is_some() {
+            self.current.cost += cost;
+        }
+    }
+
+    /// The time in which work of `cost` is placed at the current rate; zero if it is not known.
     fn time_to_place(&self, cost: Cost, now: Instant) -> Duration {
-        let is_current = now < self.window_ends + RATE_WINDOW;
-        let rate = if is_current {
-            self.previous_cost.0.max(self.cost.0)
-        } else {
-            0
-        };
-        if rate == 0 {
+        let since = self.queued_since.unwrap_or(now);
+        let time = self.previous.time + self.current.time + now.since(since);
+        let placed = self.previous.cost.0 + self.current.cost.0;
+        if time < MIN_RATE_TIME {
             // Without a measured rate there is no reason to refuse the request.
             return Duration::ZERO;
         }
-        RATE_WINDOW.mul_f64(cost.0 as f64 / rate as f64)
+        if placed == 0 {
+            return time;
+        }
+        time.mul_f64(cost.0 as f64 / placed as f64)
     }
 }
--- a/crates/gateway/tests/decisions/queue.rs
+++ b/crates/gateway/tests/decisions/queue.rs
@@ -182,6 +182,32 @@
     assert!(wait >= Duration::from_secs(1), "{wait:?}");
 }
 
+/// Guards against a router that takes little demand for a low rate, and refuses requests for which
+/// slots become free in time.
+#[test]
+fn a_surge_after_little_demand_is_queued() {
+    let mut queue = queue();
+    let mut now = START;
+    for attempt in 0..6 {
+        now = now + Duration::from_millis(500);
+        submit(&mut queue, request(attempt, "team", 60_000), now);
+        end(&mut queue, "team", now);
+    }
+    let mut refused = 0;
+    for attempt in 100..300 {
+        // Eight requests wait for the eight slots, one of which becomes free every 10 ms.
+        if attempt >= 116 {
+            now = now + Duration::from_millis(10);
+            end(&mut queue, "team", now);
+        }
+        let mut arriving = request(attempt, "team", 0);
+        arriving.latest_start = now + Duration::from_millis(500);
+        let admission = submit(&mut queue, arriving, now);
+        refused += u32::from(matches!(admission, Admission::Refused(_)));
+    }
+    assert_eq!(refused, 0);
+}
+
 /// The queue is full. The workspace with the most queued requests gives up a place to
 /// one that has none.
 #[test]
