Send the first strikes again when a request is refused

Cause, by the routers' logs: two strikes against the request are left after one was excused by a deadly part, so it is not refused, and its strikes are not repeated. Router 0 restarts and knows none. Its first crash is the third strike for the others: they refuse the request and forward that strike, but not the two older ones, since only strikes of requests without recent evidence are repeated in turn, and each further crash makes the evidence recent. Router 0 counts 1, 2, 3 by itself.

A strike that makes a request refused, or comes after that, now sends the others against it once more; they are at most three. Ruled out: a router that shuts down or panics (none in the logs), a refusal that closes the connection (the request was run: request_done).

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -262,11 +262,28 @@
         if is_new {
             self.push_recent(evidence, now);
             let strikes = self.suspects.strike_count(evidence.fingerprint(), now);
+            if strikes >= STRIKE_LIMIT {
+                self.resend_strikes(evidence.fingerprint(), now);
+            }
             self.has_news |= strikes > 1 || self.recent.len() <= MAX_PUSHED;
         }
         is_new
     }
 
+    /// Sends the strikes against a request once more: a router that has started since the first
+    /// ones may not know them.
+    fn resend_strikes(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let counted: SmallVec<[Strike; STRIKE_LIMIT]> =
+            self.suspects.counted_strikes(fingerprint).collect();
+        for strike in counted {
+            let evidence = Evidence::Strike(strike);
+            let mut recent = self.recent.iter();
+            if !recent.any(|&(known, until)| known == evidence && now < until) {
+                self.push_recent(evidence, now);
+            }
+        }
+    }
+
     fn push_recent(&mut self, evidence: Evidence, now: Instant) {
         if self.recent.len() >= MAX_RECENT {
             self.recent.remove(0);
--- a/crates/gateway/tests/decisions/crashes.rs
+++ b/crates/gateway/tests/decisions/crashes.rs
@@ -104,6 +104,24 @@
     );
 }
 
+/// Guards against a router that has started since the first crashes, and goes on to send a request
+/// that all others refuse.
+#[test]
+fn a_router_that_starts_is_told_of_the_first_strikes() {
+    let mut known = Tracker::default();
+    crash(&mut known, CRASHING, 2);
+    let mut started = Tracker::default();
+    let now = START + Duration::from_secs(20);
+    let name = server("s2");
+    let reported_at = now + Duration::from_millis(100);
+    started.record_sign(Sign::Broken, CRASHING, &name, 1, now, reported_at);
+    started.record_death(&name, 1, reported_at);
+    known.merge(&started.reports(reported_at), reported_at);
+    assert!(known.is_refused(CRASHING, reported_at));
+    started.merge(&known.reports(reported_at), reported_at);
+    assert!(started.is_refused(CRASHING, reported_at));
+}
+
 /// Guards against a harmless request that one router has cleared and the others refuse.
 #[test]
 fn a_completion_clears_a_request_on_all_routers() {
