--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,7 +11,6 @@
 mod paths;
 mod peers;
 mod server;
-mod shutdown;
 mod versions;
 mod zone;
 
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -1,5 +1,8 @@
 //! The state of one backend server as this router sees it.
 
+mod advisories;
+mod shutdown;
+
 use std::{net::SocketAddr, time::Duration};
 
 use placement::CacheIndex;
@@ -8,7 +11,7 @@
 use units::{availability, backend, chat, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::{Outcome, Part, backoff::Backoff, shutdown::Shutdown};
+use super::{Outcome, Part, backoff::Backoff};
 use crate::{
     advisory::Advisory,
     load::Load,
@@ -44,7 +47,7 @@
     /// What the server has announced to this router.
     advisory: Advisory,
     /// Which processes the announced shutdown may be of.
-    shutdown: Shutdown,
+    shutdown: shutdown::Shutdown,
     /// Passes `advisory` on to requests that are connecting to the server.
     announcements: watch::Sender<Advisory>,
     role: Role,
@@ -88,7 +91,7 @@
             entry,
             is_leaving: false,
             advisory: Advisory::default(),
-            shutdown: Shutdown::default(),
+            shutdown: shutdown::Shutdown::default(),
             announcements: watch::Sender::default(),
             role: Role::default(),
             is_in_canary: false,
@@ -131,85 +134,6 @@
         self.is_leaving = is_leaving;
     }
 
-    /// Whether the server must get no new requests because it is draining or shutting down,
-    /// or its zone is out of service.
-    pub fn is_leaving(&self) -> bool {
-        self.is_leaving || self.advisory.is_leaving
-    }
-
-    /// What the server has announced to this router.
-    pub fn advisory(&self) -> Advisory {
-        self.advisory
-    }
-
-    /// When the server announced its shutdown, if it did.
-    pub fn shutdown_announced_at(&self) -> Instant {
-        self.shutdown.announced_at()
-    }
-
-    /// Receives what the server announces from now on.
-    pub fn announcements(&self) -> watch::Receiver<Advisory> {
-        self.announcements.subscribe()
-    }
-
-    fn restarted(&mut self, reading: roster::Reading) {
-        self.shutdown.restarted(reading);
-        let is_leaving = self.advisory.is_leaving && self.shutdown.may_be_of_present_process();
-        let advisory = self.advisory.after_restart();
-        self.set_advisory(Advisory {
-            is_leaving,
-            ..advisory
-        });
-    }
-
-    /// Ends a shutdown that may have been of a former process, if its time is up. Returns
-    /// whether there was one.
-    pub fn expire_shutdown(&mut self, now: Instant) -> bool {
-        let is_over = self.advisory.is_leaving && self.shutdown.is_over(now);
-        if is_over {
-            self.set_advisory(Advisory {
-                is_leaving: false,
-                ..self.advisory
-            });
-        }
-        is_over
-    }
-
-    /// Records what an incarnation of the server has announced. Returns whether that was
-    /// news.
-    pub fn record_advisory(&mut self, incarnation: u64, advisory: Advisory, now: Instant) -> bool {
-        let is_present = incarnation == self.entry.incarnation;
-        if advisory.is_leaving {
-            let is_first = !self.advisory.is_leaving;
-            self.shutdown.announced(is_present, is_first, now);
-        }
-        let advisory = if is_present {
-            advisory
-        } else {
-            let is_leaving = advisory.is_leaving && self.shutdown.may_be_of_present_process();
-            Advisory {
-                is_leaving,
-                ..advisory.after_restart()
-            }
-        };
-        let merged = self.advisory.merge(advisory);
-        let is_news = merged != self.advisory;
-        if is_news {
-            self.set_advisory(merged);
-        }
-        is_news
-    }
-
-    fn set_advisory(&mut self, advisory: Advisory) {
-        self.advisory = advisory;
-        self.announcements.send_replace(advisory);
-    }
-
-    /// Whether the server has asked this router to send nothing at `now`.
-    pub fn is_throttled(&self, now: Instant) -> bool {
-        self.advisory.is_throttled(now)
-    }
-
     /// The version of its software.
     pub fn version(&self) -> &backend::Version {
         &self.entry.version
--- a/crates/gateway/src/pool/shutdown.rs
+++ b/crates/gateway/src/pool/server/shutdown.rs
@@ -36,15 +36,14 @@
 }
 
 impl Shutdown {
-    /// Records that a process has announced its shutdown. The request that it answered was meant
-    /// for the present process if `is_present`.
-    pub(super) fn announced(&mut self, is_present: bool, is_first: bool, now: Instant) {
-        if is_first {
-            self.announced_at = now;
-        }
-        if is_present {
-            self.counts_until = Instant::NEVER;
-        }
+    /// Records that a process announces its shutdown, which none did before.
+    pub(super) fn announce(&mut self, now: Instant) {
+        self.announced_at = now;
+    }
+
+    /// Records that the present process announces its shutdown.
+    pub(super) fn confirm(&mut self) {
+        self.counts_until = Instant::NEVER;
     }
 
     /// When a shutdown was first announced.
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -5,6 +5,30 @@
 use super::Exchange;
 use crate::{attempt::End, parts, pool::Placement, protocol::Protocol};
 
+/// Logs a decision on a request, with what it was based on.
+macro_rules! decision {
+    (
+        $exchange:expr, $now:expr, $name:literal,
+        { $($key:ident = $value:expr),* $(,)? } $(, $age:ident = $age_value:expr)? $(,)?
+    ) => {
+        logging::event!(
+            info,
+            $name,
+            request = $exchange.plan.head.id,
+            route = $exchange.plan.route.name,
+            pool = $exchange.plan.pool,
+            workspace = $exchange.workspace(),
+            fingerprint = $exchange.plan.fingerprint,
+            parts = parts::List(&$exchange.shared_parts()),
+            $($key = $value,)*
+            waited_ms = $now.since($exchange.plan.arrived).as_millis(),
+            servers_age_ms = $exchange.context.ages.servers($now).as_millis(),
+            config = $exchange.plan.version
+            $(, $age = $age_value)?
+        );
+    };
+}
+
 impl<P> Exchange<P> {
     /// The parts of the prompt that other requests may share.
     pub fn shared_parts(&self) -> parts::Chain {
@@ -52,50 +76,36 @@
         };
         self.context.metrics.attempt_ended(outcome);
         let now = self.context.clock.now();
-        let waited = now.since(self.plan.arrived);
-        logging::event!(
-            info,
+        decision!(
+            self,
+            now,
             "attempt_failed",
-            request = self.plan.head.id,
-            route = self.plan.route.name,
-            pool = self.plan.pool,
-            workspace = self.workspace(),
-            fingerprint = self.plan.fingerprint,
-            parts = parts::List(&self.shared_parts()),
-            server = placement.server,
-            version = placement.version,
-            zone = placement.zone,
-            path = placement.path,
-            load = placement.load,
-            bound = format!("{:.1}", placement.bound),
-            outcome = outcome,
-            reason = reason,
-            waited_ms = waited.as_millis(),
-            servers_age_ms = self.context.ages.servers(now).as_millis(),
-            config = self.plan.version
+            {
+                server = placement.server,
+                version = placement.version,
+                zone = placement.zone,
+                path = placement.path,
+                load = placement.load,
+                bound = format!("{:.1}", placement.bound),
+                outcome = outcome,
+                reason = reason,
+            }
         );
     }
 
     /// Logs the final refusal of the request.
     pub fn log_refusal(&self, refusal: &Refusal) {
         let now = self.context.clock.now();
-        let waited = now.since(self.plan.arrived);
-        logging::event!(
-            info,
+        decision!(
+            self,
+            now,
             "request_refused",
-            request = self.plan.head.id,
-            route = self.plan.route.name,
-            pool = self.plan.pool,
-            workspace = self.workspace(),
-            fingerprint = self.plan.fingerprint,
-            parts = parts::List(&self.shared_parts()),
-            code = refusal.code,
-            verdict = refusal.verdict,
-            sends = self.sent_attempts,
-            unreachable = self.failed_connects,
-            waited_ms = waited.as_millis(),
-            servers_age_ms = self.context.ages.servers(now).as_millis(),
-            config = self.plan.version,
+            {
+                code = refusal.code,
+                verdict = refusal.verdict,
+                sends = self.sent_attempts,
+                unreachable = self.failed_connects,
+            },
             config_age_ms = self.context.ages.configuration(now).as_millis()
         );
     }
