Log how long a stream was silent when it leaves its server

The lines of the incident name a reason (silent), but not since when: they do not tell a stream that was given up for a pause of its server from one whose connection broke. No logic is changed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -293,11 +293,14 @@
         let last_id = splitter.reset();
         // Dropping the body closes the connection.
         self.body = None;
+        let now = self.exchange.context().clock.now();
+        let last_byte_at = self.last_byte_at.unwrap_or(now);
         if let Some(permit) = self.permit.take() {
             logging::event!(
                 info,
                 "stream_resumed",
                 request = self.exchange.plan().head.id,
+                silent_ms = now.since(last_byte_at).as_millis(),
                 server = permit.placement().server,
                 version = permit.placement().version,
                 after = last_id.as_deref().unwrap_or("none"),
