Give back the budget of retries that were not sent

What callers saw: with a full service, streams and idempotent requests were refused for want of repeats (retry_budget) although few had been repeated. Cause: a retry was taken from the budget before its place was known, and kept when there was no place, no path, a queue that ended, a withdrawal or a connection that was not established. Change: such a retry is given back; only what was sent counts. Evidence: by reading; the decision test did not compile before, since there was no way to give one back. Not measured by itself.

--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -4,9 +4,7 @@
 
 use units::{backend, time::Instant};
 
-use super::{
-    AcquireRequest, Dispatch, Refusal, Refused, Ticket, Withdrawals, requests::send_reply,
-};
+use super::{AcquireRequest, Dispatch, Refusal, Refused, Ticket, Withdrawals};
 use crate::{
     crashes::Sign,
     parts,
@@ -191,7 +189,7 @@
             if let Some(queue) = self.queues.get_mut(&request.pool) {
                 queue.cancel(attempt);
             }
-            send_reply(reply, Err(refusal));
+            self.refuse(&request, reply, refusal, now);
         }
     }
 
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -272,6 +272,8 @@
     pub has_first_byte: bool,
     /// When the last byte of the response arrived.
     pub last_byte_at: Option<Instant>,
+    /// Whether an earlier attempt of the request was sent to a server.
+    pub is_retry: bool,
     /// Whether the server has responded that it failed.
     pub has_failed: bool,
     /// Whether the request is sent to show that refused parts of its prompt are harmless.
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -29,13 +29,13 @@
             return;
         }
         if let Some(retry_at) = self.no_path_until(&request, now) {
-            send_reply(reply, Err(Refusal::NoPath(retry_at)));
+            self.refuse(&request, reply, Refusal::NoPath(retry_at), now);
             return;
         }
         self.exclude_unreached(&mut request);
         request.demand.preference = self.rollouts.preference(&request, now);
         let Some(queue) = self.queues.get_mut(&request.pool) else {
-            send_reply(reply, Err(Refusal::Unknown));
+            self.refuse(&request, reply, Refusal::Unknown, now);
             return;
         };
         self.attempts += 1;
@@ -53,13 +53,34 @@
                 let permit = self.permit(request, *placement, now);
                 send_reply(reply, Ok(permit));
             }
-            Admission::Refused(refusal) => send_reply(reply, Err(Refusal::Denied(refusal))),
+            Admission::Refused(refusal) => {
+                self.refuse(&request, reply, Refusal::Denied(refusal), now);
+            }
             Admission::Queued => {
                 self.pending.insert(attempt, (request, reply));
             }
         }
     }
 
+    /// Refuses a request that nothing was sent of.
+    pub(super) fn refuse(
+        &mut self,
+        request: &AcquireRequest,
+        reply: Reply,
+        refusal: Refusal,
+        now: Instant,
+    ) {
+        self.refund_retry(&request.pool, request.is_retry, now);
+        send_reply(reply, Err(refusal));
+    }
+
+    /// Gives the retry back of a request that was not sent.
+    fn refund_retry(&mut self, pool: &pool::Id, is_retry: bool, now: Instant) {
+        if is_retry {
+            self.retry_budget(pool, now).refund();
+        }
+    }
+
     /// Takes a retry from this router's share of the retry budget.
     fn withdraw_retry(&mut self, pool: &pool::Id, now: Instant) -> bool {
         let members = self.fleet.members.len();
@@ -98,6 +119,7 @@
         let ticket = Ticket {
             trial,
             is_part_trial,
+            is_retry: request.is_retry,
             has_failed: false,
             has_succeeded: false,
             server: placement.server.clone(),
@@ -138,18 +160,22 @@
         }
         // Callers that disconnected while queued get no slot.
         let disconnected = self.pending.extract_if(|_, (_, reply)| reply.is_closed());
-        for (attempt, _) in disconnected {
-            queue.cancel(attempt);
+        let disconnected: Vec<_> = disconnected.collect();
+        for (attempt, _) in &disconnected {
+            queue.cancel(*attempt);
+        }
+        let dequeued = queue.dequeue(&self.fleet, now);
+        for (_, (request, _)) in disconnected {
+            self.refund_retry(&request.pool, request.is_retry, now);
         }
-        for (attempt, result) in queue.dequeue(&self.fleet, now) {
+        for (attempt, result) in dequeued {
             let Some((request, reply)) = self.pending.remove(&attempt) else {
                 continue;
             };
-            let result = match result {
-                Ok(placement) => Ok(self.permit(request, placement, now)),
-                Err(refusal) => Err(Refusal::Denied(refusal)),
-            };
-            send_reply(reply, result);
+            match result {
+                Ok(placement) => send_reply(reply, Ok(self.permit(request, placement, now))),
+                Err(refusal) => self.refuse(&request, reply, Refusal::Denied(refusal), now),
+            }
         }
     }
 
@@ -184,6 +210,9 @@
 
     pub(super) fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         self.record_path(ticket, outcome, now);
+        if ticket.connected_at.is_none() || outcome == Outcome::Withdrawn {
+            self.refund_retry(&ticket.pool, ticket.is_retry, now);
+        }
         let outcome = self.attribute(ticket, outcome);
         self.record_crash(ticket, outcome, now);
         let outcome = self.hold_failure(ticket, outcome);
@@ -239,7 +268,7 @@
     }
 }
 
-pub(super) fn send_reply(reply: Reply, result: Result<Permit, Refusal>) {
+fn send_reply(reply: Reply, result: Result<Permit, Refusal>) {
     // If the caller has disconnected, the permit is dropped, which frees the slot.
     drop(reply.send(result));
 }
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -62,6 +62,11 @@
         true
     }
 
+    /// Gives back the retry of a request that was not sent.
+    pub fn refund(&mut self) {
+        self.tokens += 1.0;
+    }
+
     /// Refills the share of the burst over time.
     fn refill(&mut self, members: usize, now: Instant) {
         let max_tokens = burst(self.allowance, members);
--- a/crates/gateway/tests/decisions/retry_budget.rs
+++ b/crates/gateway/tests/decisions/retry_budget.rs
@@ -48,3 +48,13 @@
         );
     }
 }
+
+/// Guards against retries that find no place and use the budget up all the same.
+#[test]
+fn retries_that_were_not_sent_are_given_back() {
+    let mut budget = Budget::new(ALLOWANCE, 1, START);
+    for _ in 0..1000 {
+        assert!(budget.withdraw(1, START));
+        budget.refund();
+    }
+}
