Keep a stream at its silent server until another one has taken it

Cause: a resumable stream that had brought nothing for three targets, 0.9 s at least, was closed first and asked for a place elsewhere then. A server that pauses for a second silences all of its streams at once, so the budget of retries was used up at once, and each further stream ended. Likewise an idempotent request was given up before its first byte and refused. The class: giving up what one holds before holding what replaces it, on evidence that does not tell a pause from a loss.

Change: a silent server is checked on a new connection, once for all requests of the router at it. If it responds, the connection is lost or the request hangs: the request leaves at the same time as before. If it does not, it has paused: the request stays, and leaves after 1.5 s or half of its time only, to a server that responds to a check. A place is acquired before anything is given up; the first connection is kept until the other server has responded, or for 0.3 s if its server responds to checks; the first to write wins. Without a place the request stays where it is. A pause is no failure of the server.

Ruled out: the change of the configuration (cuts come 0.9 s after the last byte, with and without it); servers taken for ended (no such probe).

--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -83,6 +83,7 @@
             pool.set_service(route::Service {
                 cold_per_s: COLD_REQUESTS_PER_S,
                 cache_tokens: 1,
+                health_path: String::new(),
             });
             set_servers(&mut pool, core, core.router_topology(router));
             Queue::new(pool)
--- a/crates/gateway/benches/place.rs
+++ b/crates/gateway/benches/place.rs
@@ -41,6 +41,7 @@
     pool.set_service(route::Service {
         cold_per_s: 9.0,
         cache_tokens: 450_000,
+        health_path: String::new(),
     });
     let entries: Vec<_> = (0..servers).map(entry).collect();
     pool.set_servers(entries.iter().map(|entry| (entry, false)));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -59,6 +59,25 @@
     TimedOut,
 }
 
+impl End {
+    /// Whether the request was sent.
+    pub fn is_sent(&self) -> bool {
+        !matches!(
+            self,
+            Self::Unsent(_) | Self::NoPath(_) | Self::NoSlot | Self::Withdrawn
+        )
+    }
+
+    /// Whether the server failed after it may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Responded(response) => response.is_failure,
+            Self::Broken(_) | Self::TimedOut => true,
+            _ => false,
+        }
+    }
+}
+
 /// Sends a request on a new connection and waits for the response head.
 ///
 /// Connections are not reused. On a reused connection, a close, a reset or a duplicate
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod activity;
 pub mod advisory;
 pub mod attempt;
+pub mod check;
 pub mod clock;
 pub mod connection;
 pub mod connector;
@@ -49,6 +50,7 @@
 pub mod serve;
 pub mod settings;
 pub mod shutdown;
+pub mod silence;
 pub mod slow_start;
 pub mod source;
 pub mod staleness;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
 use crate::{
     pool::{Outcome, Standing},
     serve::Finding,
+    silence::Health,
     source::Topic,
     staleness::Staleness,
 };
@@ -78,6 +79,8 @@
     streams_taken_up: Family<labels::TakenUp, Counter>,
     carried_tunnels: Family<labels::Carried, Counter>,
     standings: Family<labels::Standing, Counter>,
+    checks: Family<labels::Check, Counter>,
+    silences: Family<labels::Silence, Counter>,
     rollout_stages: Family<labels::Stage, Counter>,
     ages: Family<labels::View, Gauge<f64, AtomicU64>>,
     control_bytes: Family<labels::Direction, Counter>,
@@ -107,6 +110,8 @@
         let streams_taken_up = Family::default();
         let carried_tunnels = Family::default();
         let standings = Family::default();
+        let checks = Family::default();
+        let silences = Family::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
         let control_bytes = Family::default();
@@ -196,6 +201,16 @@
             "Times that a server came to stand so",
             Family::clone(&standings),
         );
+        registry.register(
+            "weir_server_checks",
+            "Checks of silent servers on new connections, by result",
+            Family::clone(&checks),
+        );
+        registry.register(
+            "weir_silences",
+            "Requests whose server was silent for so long that it was checked, by what followed",
+            Family::clone(&silences),
+        );
         registry.register(
             "weir_view_age_seconds",
             "Time since the store confirmed a view",
@@ -241,6 +256,8 @@
             streams_taken_up,
             carried_tunnels,
             standings,
+            checks,
+            silences,
             rollout_stages,
             ages,
             control_bytes,
@@ -305,6 +322,21 @@
             .inc();
     }
 
+    /// Counts a check of a silent server.
+    pub fn server_checked(&self, health: Health) {
+        let labels = labels::Check {
+            result: health.name(),
+        };
+        self.checks.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request whose server was silent.
+    pub fn silence_ended(&self, outcome: &'static str) {
+        self.silences
+            .get_or_create(&labels::Silence { outcome })
+            .inc();
+    }
+
     /// Counts an attempt at a server that had asked this router to send nothing.
     pub fn sent_while_throttled(&self) {
         self.throttled_attempts.inc();
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -36,6 +36,18 @@
     pub(super) standing: &'static str,
 }
 
+/// The labels of a check of a silent server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct Check {
+    pub(super) result: &'static str,
+}
+
+/// The labels of a request whose server was silent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct Silence {
+    pub(super) outcome: &'static str,
+}
+
 /// The labels of a stage of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct Stage {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -203,6 +203,7 @@
             service: route::Service {
                 cold_per_s: 0.0,
                 cache_tokens: 0,
+                health_path: String::new(),
             },
             servers: BTreeMap::new(),
             unlisted: BTreeMap::new(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,10 @@
 use framing::{Delimiter, Format, Tracker};
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::{
+    Method,
+    body::{Frame, Incoming},
+};
 use tokio::time;
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
@@ -16,15 +19,24 @@
 pub use events::Splitter;
 
 use crate::{
-    activity::Guard, attempt::Response, connector::Path, dispatch::Permit, parts, pool::Outcome,
-    protocol::Protocol, route::Kind, serve::Exchange,
+    activity::Guard,
+    attempt::Response,
+    clock::Clock,
+    connector::Path,
+    dispatch::Permit,
+    parts,
+    pool::Outcome,
+    protocol::Protocol,
+    route::Kind,
+    serve::{Exchange, Held, Running, Waited},
+    silence::Cause,
 };
 
-/// The time without a byte after which a resumable stream is continued at another server,
-/// as a multiple of the route's target.
-const STALL_TIMEOUT_TARGETS: u32 = 3;
-/// The lower bound of the stall timeout.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// The time without a byte after which a resumable stream may leave its server, as a multiple of
+/// the route's target.
+const MAX_SILENCE_TARGETS: u32 = 3;
+/// The lower bound of that time.
+const MIN_SILENCE: Duration = Duration::from_millis(900);
 
 /// The time without a byte of a response that has begun after which its server is probed.
 const PROBE_AFTER: Duration = Duration::from_millis(500);
@@ -57,8 +69,11 @@
     Data(Bytes),
     End,
     Broken(String),
-    Stalled,
     TimedOut,
+    /// Another server continues the stream.
+    Replaced(Box<Response>, Cause),
+    /// The server was given up, and another one may continue the stream.
+    Left(Box<Running>, Cause),
 }
 
 #[derive(Debug)]
@@ -142,52 +157,58 @@
                         self.finish(Outcome::Completed, "complete");
                         return None;
                     }
-                    Err(truncation) => truncation.to_string(),
+                    Err(truncation) => Failure::Broken(truncation.to_string()),
                 },
                 Next::TimedOut => {
                     self.finish(Outcome::Cancelled, "late");
                     return Some(Err(Error::Deadline));
                 }
-                Next::Stalled => String::from("silent"),
-                Next::Broken(reason) => reason,
+                Next::Replaced(response, cause) => {
+                    self.leave("silent", outcome(cause));
+                    self.go_on_with(response);
+                    continue;
+                }
+                Next::Left(running, cause) => Failure::Silent(running, cause),
+                Next::Broken(reason) => Failure::Broken(reason),
             };
-            if let Err(reason) = self.resume(&failure).await {
-                self.finish(Outcome::Broken, reason.unwrap_or(&failure));
+            let reason = failure.to_string();
+            if let Err(refused) = self.resume(failure).await {
+                self.finish(Outcome::Broken, refused.unwrap_or(&reason));
                 return Some(Err(Error::Server));
             }
         }
     }
 
-    /// Waits for the server's next bytes, until the request's deadline at the latest.
+    /// Waits for the server's next bytes, until the request's deadline at the latest. A server that
+    /// stays silent may be replaced meanwhile.
     async fn receive(&mut self) -> Next {
+        let can_resume = self.can_resume();
         let clock = self.exchange.context().clock;
         let plan = self.exchange.plan();
+        let max_silence = plan.route.target.duration() * MAX_SILENCE_TARGETS;
+        let now = clock.now();
         let deadline = plan.deadline;
-        let stall_timeout = plan.route.target.duration() * STALL_TIMEOUT_TARGETS;
-        let stalled_at = clock.now() + stall_timeout.max(MIN_STALL_TIMEOUT);
-        let until = if self.can_resume() {
-            deadline.min(stalled_at)
-        } else {
-            deadline
-        };
         let Some(body) = &mut self.body else {
             return Next::End;
         };
-        let probe_at = until.min(clock.now() + PROBE_AFTER);
-        let mut frame = pin::pin!(body.frame());
-        let mut received = time::timeout_at(clock.at(probe_at), &mut frame).await;
-        if received.is_err() && probe_at < until {
-            if let Some(permit) = &self.permit {
-                permit.stalled();
-            }
-            received = time::timeout_at(clock.at(until), frame).await;
-        }
-        match received {
-            Err(_) if until < deadline => Next::Stalled,
-            Err(_) => Next::TimedOut,
-            Ok(None) => Next::End,
-            Ok(Some(Err(error))) => Next::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+        let frame = frame(body, self.permit.as_ref(), clock, deadline);
+        let Some(permit) = self.permit.as_ref().filter(|_| can_resume) else {
+            return frame.await;
+        };
+        let held = Held {
+            placement: permit.placement(),
+            silent_since: now,
+            leave_at: now + max_silence.max(MIN_SILENCE),
+            is_settled: true,
+            last_event_id: self.splitter.as_ref().and_then(Splitter::last_id),
+        };
+        let method = self.exchange.plan().method.clone();
+        let tracker = &self.tracker;
+        let is_usable = |response: &Response| continued(tracker, &method, response).is_some();
+        match self.exchange.wait(frame, &held, is_usable).await {
+            Waited::Received(next) => next,
+            Waited::Replaced(response, cause) => Next::Replaced(response, cause),
+            Waited::Left(running, cause) => Next::Left(running, cause),
         }
     }
 
@@ -283,14 +304,37 @@
     ///
     /// If the stream ends here: why no server continues it, unless that follows from what is
     /// known of the stream or of the server that left it.
-    async fn resume(&mut self, reason: &str) -> Result<(), Option<&'static str>> {
+    async fn resume(&mut self, failure: Failure) -> Result<(), Option<&'static str>> {
         if !self.can_resume() {
             return Err(None);
         }
-        let Some(splitter) = &mut self.splitter else {
-            return Err(None);
+        let last_id = self.leave(&failure.to_string(), failure.outcome());
+        let responded = match failure {
+            Failure::Silent(running, _) => {
+                let responded = self.exchange.respond_from(running, last_id.as_deref());
+                responded.await
+            }
+            Failure::Broken(_) => self.exchange.respond(last_id.as_deref()).await,
         };
-        let last_id = splitter.reset();
+        match responded {
+            Ok(response) => self.go_on_with(response).then_some(()).ok_or(None),
+            Err(refusal) => {
+                logging::event!(
+                    info,
+                    "stream_not_resumed",
+                    request = self.exchange.plan().head.id,
+                    code = refusal.code,
+                    reason = refusal.message
+                );
+                Err((refusal.code == Code::VersionGone).then_some("version_gone"))
+            }
+        }
+    }
+
+    /// Closes the connection to the server and frees its slot. Returns the id of the last complete
+    /// event.
+    fn leave(&mut self, reason: &str, outcome: Outcome) -> Option<String> {
+        let last_id = self.splitter.as_mut().and_then(Splitter::reset);
         // Dropping the body closes the connection.
         self.body = None;
         let now = self.exchange.context().clock.now();
@@ -306,32 +350,88 @@
                 after = last_id.as_deref().unwrap_or("none"),
                 reason = reason
             );
-            permit.end(Outcome::Broken);
+            permit.end(outcome);
         }
-        let response = match self.exchange.respond(last_id.as_deref()).await {
-            Ok(response) => response,
-            Err(refusal) => {
-                logging::event!(
-                    info,
-                    "stream_not_resumed",
-                    request = self.exchange.plan().head.id,
-                    code = refusal.code,
-                    reason = refusal.message
-                );
-                return Err((refusal.code == Code::VersionGone).then_some("version_gone"));
-            }
+        last_id
+    }
+
+    /// Continues the stream with the response of another server. Returns whether it is one.
+    fn go_on_with(&mut self, response: Box<Response>) -> bool {
+        let method = &self.exchange.plan().method;
+        let Some(tracker) = continued(&self.tracker, method, &response) else {
+            return false;
         };
-        let (method, head) = (&self.exchange.plan().method, &response.head);
-        let tracker = self.tracker.resumed(method, head.status, &head.headers);
-        let is_continuation = tracker.format() == Format::EventStream;
-        if !response.head.status.is_success() || !is_continuation {
-            return Err(None);
-        }
         self.tracker = tracker;
         self.body = Some(response.body);
         self.permit = response.permit;
         self.log_continuation();
-        Ok(())
+        true
+    }
+}
+
+/// Why a stream leaves its server.
+enum Failure {
+    /// The connection broke, or the response ended too early.
+    Broken(String),
+    /// The server was silent, and the request is under way at another one.
+    Silent(Box<Running>, Cause),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(reason) => f.write_str(reason),
+            Self::Silent(..) => f.write_str("silent"),
+        }
+    }
+}
+
+impl Failure {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Self::Broken(_) => Outcome::Broken,
+            Self::Silent(_, cause) => outcome(*cause),
+        }
+    }
+}
+
+/// The outcome of a stream that left a silent server. A pause is no failure.
+fn outcome(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Request => Outcome::Broken,
+        Cause::Pause => Outcome::Interrupted,
+    }
+}
+
+/// The tracker of a stream that `response` continues, if it does.
+fn continued(tracker: &Tracker, method: &Method, response: &Response) -> Option<Tracker> {
+    let head = &response.head;
+    let tracker = tracker.resumed(method, head.status, &head.headers);
+    let is_continuation = head.status.is_success() && tracker.format() == Format::EventStream;
+    is_continuation.then_some(tracker)
+}
+
+/// Waits for the next bytes of `body`, until `deadline` at the latest.
+async fn frame(
+    body: &mut Incoming,
+    permit: Option<&Permit>,
+    clock: Clock,
+    deadline: Instant,
+) -> Next {
+    let probe_at = deadline.min(clock.now() + PROBE_AFTER);
+    let mut frame = pin::pin!(body.frame());
+    let mut received = time::timeout_at(clock.at(probe_at), &mut frame).await;
+    if received.is_err() && probe_at < deadline {
+        if let Some(permit) = permit {
+            permit.stalled();
+        }
+        received = time::timeout_at(clock.at(deadline), frame).await;
+    }
+    match received {
+        Err(_) => Next::TimedOut,
+        Ok(None) => Next::End,
+        Ok(Some(Err(error))) => Next::Broken(error.to_string()),
+        Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
     }
 }
 
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -90,6 +90,11 @@
         self.last_id.is_some() || forwarded_events == 0
     }
 
+    /// The id of the last complete event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
     /// Discards the buffered part and returns the id of the last complete event.
     pub fn reset(&mut self) -> Option<String> {
         self.partial.clear();
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -116,6 +116,8 @@
     pub cold_per_s: f64,
     /// Prompt tokens that fit in a server's cache; zero for a plain service.
     pub cache_tokens: u64,
+    /// The path at which a server tells about itself, if possible without a slot.
+    pub health_path: String,
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,12 +21,12 @@
 use units::{time::Instant, workspace};
 use verdict::{Code, Refusal};
 
-pub use exchange::Exchange;
+pub use exchange::{Exchange, Held, Running, Waited};
 pub use intake::BODY_UNIT;
 pub use origin::Finding;
 
 use crate::{
-    activity, clock::Clock, connector::Connector, dispatch, metrics::Metrics, origins,
+    activity, check, clock::Clock, connector::Connector, dispatch, metrics::Metrics, origins,
     protocol::Protocol, readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
     staleness::Staleness,
 };
@@ -42,6 +42,8 @@
     pub table: watch::Receiver<Option<Arc<Table>>>,
     /// The task that selects backend servers.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    /// The task that checks silent servers.
+    pub checks: mpsc::UnboundedSender<check::Check>,
     /// The shutdown phase of the process.
     pub phase: watch::Receiver<Phase>,
     /// The workspace charged for requests without an API key.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -1,6 +1,7 @@
 //! A validated request and its attempts at backend servers.
 
 mod log;
+mod wait;
 
 use std::{sync::Arc, time::Duration};
 
@@ -18,13 +19,15 @@
 };
 use verdict::{Code, Refusal, Verdict};
 
+pub use wait::{Held, Running, Waited};
+
 use super::Context;
 use crate::{
     attempt::{self, End, Response},
     connector::Path,
     dispatch::{self, AcquireRequest, Message, Permit},
     origins,
-    pool::{Demand, Denial, Outcome},
+    pool::{Demand, Denial, Outcome, Placement},
     protocol::{Attempt, Head, Protocol},
     route::{KeyOwner, Route},
 };
@@ -51,10 +54,11 @@
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(600);
 /// The minimum time before the deadline for an attempt to be worthwhile.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
-/// The attempt timeout of an idempotent request, as a multiple of the route's target.
-const ATTEMPT_TIMEOUT_TARGETS: u32 = 3;
-/// The lower bound of the attempt timeout.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
+/// The time without a response after which a request may leave its server, as a multiple of the
+/// route's target.
+const MAX_SILENCE_TARGETS: u32 = 3;
+/// The lower bound of that time.
+const MIN_SILENCE: Duration = Duration::from_millis(400);
 
 /// A request that has passed validation.
 #[derive(Clone, Debug)]
@@ -77,6 +81,8 @@
     pub pool: pool::Id,
     /// Whether the service is an engine.
     pub is_engine: bool,
+    /// The path at which servers of the service tell about themselves.
+    pub health_path: String,
     /// The HTTP method.
     pub method: Method,
     /// The path and query.
@@ -192,28 +198,61 @@
     /// The refusal for the caller. Its verdict is "not run" only if no server may have run
     /// the request.
     pub async fn respond(&mut self, last_event_id: Option<&str>) -> Result<Box<Response>, Refusal> {
-        let result = self.run_attempts(last_event_id).await;
+        let result = self.run_attempts(None, last_event_id).await;
         self.stage = Stage::Responded;
         result
     }
 
+    /// As [`Exchange::respond`], where an attempt is under way already.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::respond`].
+    pub async fn respond_from(
+        &mut self,
+        running: Box<Running>,
+        last_event_id: Option<&str>,
+    ) -> Result<Box<Response>, Refusal> {
+        self.run_attempts(Some(running), last_event_id).await
+    }
+
     async fn run_attempts(
         &mut self,
+        mut running: Option<Box<Running>>,
         last_event_id: Option<&str>,
     ) -> Result<Box<Response>, Refusal> {
         loop {
-            let permit = match self.acquire().await {
-                Ok(permit) => permit,
-                Err(refusal) => return self.failure.take().ok_or(refusal),
+            let (placement, waited) = match running.take() {
+                Some(mut attempt) => {
+                    let placement = attempt.placement.clone();
+                    let end = attempt.end();
+                    let waited = self.wait_at(&placement, end, last_event_id).await;
+                    (placement, waited)
+                }
+                None => {
+                    let permit = match self.acquire(None).await {
+                        Ok(permit) => permit,
+                        Err(refusal) => return self.failure.take().ok_or(refusal),
+                    };
+                    let placement = permit.placement().clone();
+                    let attempt = self.attempt(permit, last_event_id);
+                    let waited = self.wait_at(&placement, attempt, last_event_id).await;
+                    (placement, waited)
+                }
             };
-            let placement = permit.placement().clone();
-            let end = self.attempt(permit, last_event_id).await;
-            self.log_attempt(&placement, &end);
-            match (&end, &placement.path) {
-                (End::NoPath(_), _) => {}
-                (End::Unsent(_), Path::Direct) => self.unreached.push(placement.server),
-                _ => self.plan.demand.tried.push(placement.server),
-            }
+            let end = match waited {
+                Waited::Received(end) => end,
+                Waited::Replaced(response, _) => {
+                    self.settle(placement, &End::TimedOut);
+                    return Ok(response);
+                }
+                Waited::Left(attempt, _) => {
+                    self.settle(placement, &End::TimedOut);
+                    running = Some(attempt);
+                    continue;
+                }
+            };
+            self.settle(placement, &end);
             match self.next_step(end).await {
                 Step::Done(response) => return Ok(response),
                 Step::Retry => {}
@@ -222,10 +261,61 @@
         }
     }
 
-    async fn attempt(&self, permit: Permit, last_event_id: Option<&str>) -> End {
-        let placement = permit.placement().clone();
+    /// Waits for the response head of an attempt.
+    async fn wait_at(
+        &mut self,
+        placement: &Placement,
+        attempt: impl Future<Output = End>,
+        last_event_id: Option<&str>,
+    ) -> Waited<End> {
         let now = self.context.clock.now();
-        let remaining = self.plan.deadline.since(now);
+        let max_silence = self.plan.route.target.duration() * MAX_SILENCE_TARGETS;
+        let held = Held {
+            placement,
+            silent_since: now,
+            leave_at: now + max_silence.max(MIN_SILENCE),
+            is_settled: false,
+            last_event_id,
+        };
+        self.wait(attempt, &held, |response| !response.is_failure)
+            .await
+    }
+
+    /// Records the end of an attempt.
+    fn settle(&mut self, placement: Placement, end: &End) {
+        self.log_attempt(&placement, end);
+        if end.is_sent() {
+            self.sent_attempts += 1;
+        }
+        if end.may_have_run() {
+            self.verdict = Verdict::MayHaveRun;
+        }
+        match (end, &placement.path) {
+            (End::NoPath(_), _) => {}
+            (End::Unsent(_), Path::Direct) => self.unreached.push(placement.server),
+            _ => self.plan.demand.tried.push(placement.server),
+        }
+    }
+
+    /// Sends the request to the server of `permit`.
+    fn attempt(
+        &self,
+        permit: Permit,
+        last_event_id: Option<&str>,
+    ) -> impl Future<Output = End> + Send + use<P> {
+        let request = self.request(permit.placement(), last_event_id);
+        let context = Arc::clone(&self.context);
+        let id = self.plan.head.id.clone();
+        let deadline = self.plan.deadline;
+        async move {
+            let (connector, clock) = (&context.connector, context.clock);
+            attempt::run(connector, permit, request, &id, clock, deadline).await
+        }
+    }
+
+    /// The request as it is sent to the server of `placement`.
+    fn request(&self, placement: &Placement, last_event_id: Option<&str>) -> Request<Full<Bytes>> {
+        let remaining = self.plan.deadline.since(self.context.clock.now());
         let attempt = Attempt {
             server: &placement.server,
             remaining: Millis::from(remaining),
@@ -248,15 +338,7 @@
         *request.method_mut() = self.plan.method.clone();
         *request.uri_mut() = self.plan.uri.clone();
         *request.headers_mut() = headers;
-        attempt::run(
-            &self.context.connector,
-            permit,
-            request,
-            &self.plan.head.id,
-            self.context.clock,
-            self.attempt_deadline(now),
-        )
-        .await
+        request
     }
 
     fn rank(&self) -> u8 {
@@ -268,27 +350,14 @@
         override_rank.unwrap_or(self.plan.route.rank)
     }
 
-    /// The deadline for a server to respond to one attempt.
-    ///
-    /// A server that hangs would hold a request until the request's deadline. An idempotent
-    /// request is therefore retried at another server while there is time left.
-    fn attempt_deadline(&self, now: Instant) -> Instant {
-        let route = &self.plan.route;
-        if !route.kind.is_idempotent() || self.sent_attempts + 1 >= route.max_attempts {
-            return self.plan.deadline;
-        }
-        let timeout = route.target.duration() * ATTEMPT_TIMEOUT_TARGETS;
-        self.plan
-            .deadline
-            .min(now + timeout.max(MIN_ATTEMPT_TIMEOUT))
-    }
-
-    /// Acquires a slot at a server, queueing for it if necessary.
-    async fn acquire(&mut self) -> Result<Permit, Refusal> {
+    /// Acquires a slot at a server other than `held`, queueing for it if necessary.
+    async fn acquire(&self, held: Option<&backend::Server>) -> Result<Permit, Refusal> {
         let now = self.context.clock.now();
         if now + MIN_REMAINING >= self.plan.deadline {
             return Err(self.refusal(Code::Deadline, "The time was up."));
         }
+        let mut demand = self.plan.demand.clone();
+        demand.tried.extend(held.cloned());
         let request = AcquireRequest {
             pool: self.plan.pool.clone(),
             route: counts::Route::named(&self.plan.route.name),
@@ -300,9 +369,9 @@
                 None => self.rank(),
             },
             latest_start: self.latest_start(now),
-            demand: self.plan.demand.clone(),
+            demand,
             unreached: self.unreached.clone(),
-            is_retry: self.sent_attempts > 0,
+            is_retry: self.sent_attempts > 0 || held.is_some(),
             fingerprint: self.plan.fingerprint,
         };
         let (reply, response) = oneshot::channel();
@@ -379,20 +448,10 @@
             End::Withdrawn => Step::Retry,
             End::NoSlot => self.after_no_slot(),
             End::Responded(response) => self.after_response(response),
-            End::Full => {
-                self.sent_attempts += 1;
-                self.after_rejection("The server is full.").await
-            }
-            End::Moved => {
-                self.sent_attempts += 1;
-                self.after_rejection("The server has left.").await
-            }
-            End::Broken(_) => {
-                self.sent_attempts += 1;
-                self.after_failure(Code::BackendDied, "The server broke off.")
-            }
+            End::Full => self.after_rejection("The server is full.").await,
+            End::Moved => self.after_rejection("The server has left.").await,
+            End::Broken(_) => self.after_failure(Code::BackendDied, "The server broke off."),
             End::TimedOut => {
-                self.sent_attempts += 1;
                 self.after_failure(Code::Deadline, "The server did not answer in time.")
             }
         }
@@ -419,9 +478,7 @@
     }
 
     fn after_response(&mut self, mut response: Box<Response>) -> Step {
-        self.sent_attempts += 1;
         if response.is_failure && self.may_retry() {
-            self.verdict = Verdict::MayHaveRun;
             // If the permit were kept with the response, the slot would count as occupied
             // while another server works, and the attempt as cancelled in the end.
             if let Some(permit) = response.permit.take() {
@@ -453,8 +510,7 @@
         response.await.ok().flatten()
     }
 
-    fn after_failure(&mut self, code: Code, message: &str) -> Step {
-        self.verdict = Verdict::MayHaveRun;
+    fn after_failure(&self, code: Code, message: &str) -> Step {
         if self.may_retry() {
             return Step::Retry;
         }
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -62,10 +62,9 @@
         stream,
         version,
     } = origin;
-    let is_engine = table
-        .services
-        .get(&pool)
-        .is_some_and(|service| service.cache_tokens > 0);
+    let service = table.services.get(&pool);
+    let is_engine = service.is_some_and(|service| service.cache_tokens > 0);
+    let health_path = service.map_or_else(String::new, |service| service.health_path.clone());
     Ok(Exchange::new(
         Arc::clone(context),
         exchange::Plan {
@@ -74,6 +73,7 @@
             arrived,
             version: table.version,
             is_engine,
+            health_path,
             pool,
             route,
             key_owner,
--- /dev/null
+++ b/crates/gateway/src/silence.rs
@@ -0,0 +1,150 @@
+//! Decides when a request leaves a backend server that is silent.
+
+use std::{fmt, time::Duration};
+
+use units::time::Instant;
+
+/// How long a server may be silent on all connections until its requests may also be sent
+/// elsewhere. Sound servers fall silent for about a second and go on.
+const HANG_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The time from a server's response to a check until one of its requests leaves it: a server that
+/// goes on after a pause responds to the check before it writes the rest of its streams.
+const GRACE: Duration = Duration::from_millis(100);
+/// The interval between two checks of a server, and between two attempts to leave it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a server that responds to checks is kept after the request was sent elsewhere.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// What a check of a server on a new connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It responds. A request that is silent hangs, or its connection is lost.
+    Responds,
+    /// It responds, after it did not for some time.
+    Resumed,
+    /// It refuses connections.
+    Refuses,
+    /// It does not respond. It may have paused.
+    Silent,
+}
+
+impl Health {
+    /// The name in log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Responds => "responds",
+            Self::Resumed => "resumed",
+            Self::Refuses => "refuses",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+impl fmt::Display for Health {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// Why a request leaves a silent server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The server responded to all checks.
+    Request,
+    /// The server was silent on new connections, too: it or the path to it paused.
+    Pause,
+}
+
+/// What to do about a silent server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for it until this instant.
+    Wait(Instant),
+    /// Check it on a new connection.
+    Check,
+    /// Send the request to another server, and close the connection to this one at this instant
+    /// unless either has responded before.
+    Leave(Instant),
+}
+
+/// Watches one request at a server that is silent.
+///
+/// Silence alone does not tell a paused server, which will go on, from a lost connection or a
+/// server that hangs. Only one that responds to checks while the request stays silent is given up.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    deadline: Instant,
+    check_at: Instant,
+    /// The earliest instant at which the request leaves a server that responds.
+    leave_at: Instant,
+    /// The earliest instant at which it leaves one that does not.
+    hang_at: Instant,
+    health: Option<Health>,
+    has_checked: bool,
+    cause: Cause,
+}
+
+impl Watch {
+    /// Watches a request whose server is silent since `silent_since`, and may be until `leave_at`.
+    pub fn new(silent_since: Instant, leave_at: Instant, deadline: Instant) -> Self {
+        let half_remaining = deadline.since(silent_since) / 2;
+        let patience = leave_at.since(silent_since);
+        Self {
+            deadline,
+            check_at: silent_since + patience.saturating_sub(GRACE),
+            leave_at,
+            hang_at: leave_at.max(silent_since + HANG_TIMEOUT.min(half_remaining)),
+            health: None,
+            has_checked: false,
+            cause: Cause::Request,
+        }
+    }
+
+    /// What to do at `now`.
+    pub fn step(&self, now: Instant) -> Step {
+        match self.health {
+            Some(Health::Responds) if now >= self.leave_at => {
+                Step::Leave(self.deadline.min(now + MAX_OVERLAP))
+            }
+            Some(Health::Responds) => Step::Wait(self.leave_at),
+            Some(Health::Refuses) if now >= self.leave_at => Step::Leave(self.deadline),
+            Some(Health::Silent) if now >= self.hang_at => Step::Leave(self.deadline),
+            _ if now >= self.check_at => Step::Check,
+            Some(Health::Refuses) => Step::Wait(self.check_at.min(self.leave_at)),
+            Some(Health::Silent) => Step::Wait(self.check_at.min(self.hang_at)),
+            Some(Health::Resumed) | None => Step::Wait(self.check_at),
+        }
+    }
+
+    /// Records the result of a check.
+    pub fn checked(&mut self, health: Health, now: Instant) {
+        self.health = Some(health);
+        self.has_checked = true;
+        self.check_at = now + CHECK_INTERVAL;
+        match health {
+            Health::Responds => self.leave_at = self.leave_at.max(now + GRACE),
+            Health::Resumed | Health::Refuses | Health::Silent => self.cause = Cause::Pause,
+        }
+    }
+
+    /// Records that no other server takes the request.
+    pub fn stay(&mut self, now: Instant) {
+        self.health = None;
+        self.check_at = now + CHECK_INTERVAL;
+    }
+
+    /// The result of the last check.
+    pub fn health(&self) -> Option<Health> {
+        self.health
+    }
+
+    /// Why the request leaves the server, if it does.
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
+    /// Whether the server has been checked.
+    pub fn has_checked(&self) -> bool {
+        self.has_checked
+    }
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -13,6 +13,7 @@
 use wire::seal::Key;
 
 use crate::{
+    check,
     clock::Clock,
     connector::Connector,
     dispatch::{self, Dispatch},
@@ -138,6 +139,9 @@
             tunnels: tunnel::Client::new(key.clone()),
         };
         tokio::spawn(dispatch.run(connector.clone(), messages));
+        let (checks, check_receiver) = mpsc::unbounded_channel();
+        let checker = check::Task::new(connector.clone(), clock, Arc::clone(&metrics));
+        tokio::spawn(checker.run(check_receiver));
         let ages = Arc::new(Staleness::default());
         let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
@@ -247,6 +251,7 @@
             clock,
             table,
             dispatch: handle.clone(),
+            checks,
             phase: phase_receiver.clone(),
             body_memory: Arc::new(Semaphore::new(settings.body_memory / BODY_UNIT)),
             max_event_bytes: settings.max_event_bytes,
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -31,6 +31,7 @@
 mod rollouts;
 mod roster;
 mod route;
+mod silence;
 mod slow_start;
 mod throttling;
 mod value;
--- a/crates/gateway/tests/decisions/placing.rs
+++ b/crates/gateway/tests/decisions/placing.rs
@@ -244,6 +244,7 @@
     pool.set_service(gateway::route::Service {
         cold_per_s: 0.0,
         cache_tokens: 0,
+        health_path: String::new(),
     });
     pool.set_peer_load(|_| 6);
     assert!(pool.admit(&Demand::default(), &fleet(), START).is_ok());
--- a/crates/gateway/tests/decisions/world.rs
+++ b/crates/gateway/tests/decisions/world.rs
@@ -79,6 +79,7 @@
     route::Service {
         cold_per_s: 11.0,
         cache_tokens: 480_000,
+        health_path: String::new(),
     }
 }
 
