Keep the attempt at another server if the silent one breaks off

If the silent server of a request broke its connection while the request was under way at another server, that attempt was given up too, and the request asked for a third place, which the budget of retries may refuse.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -73,7 +73,7 @@
     /// Another server continues the stream.
     Replaced(Box<Response>, Cause),
     /// The server was given up, and another one may continue the stream.
-    Left(Box<Running>, Cause),
+    Left(Box<Running>, Failure),
 }
 
 #[derive(Debug)]
@@ -144,7 +144,7 @@
             return None;
         }
         loop {
-            let failure = match self.receive().await {
+            let (failure, running) = match self.receive().await {
                 Next::Data(bytes) => match self.forward(bytes) {
                     Some(bytes) => {
                         self.finish_if_complete();
@@ -157,23 +157,23 @@
                         self.finish(Outcome::Completed, "complete");
                         return None;
                     }
-                    Err(truncation) => Failure::Broken(truncation.to_string()),
+                    Err(truncation) => (Failure::Broken(truncation.to_string()), None),
                 },
                 Next::TimedOut => {
                     self.finish(Outcome::Cancelled, "late");
                     return Some(Err(Error::Deadline));
                 }
                 Next::Replaced(response, cause) => {
-                    self.leave("silent", outcome(cause));
+                    self.leave(&Failure::Silent(cause));
                     self.go_on_with(response);
                     continue;
                 }
-                Next::Left(running, cause) => Failure::Silent(running, cause),
-                Next::Broken(reason) => Failure::Broken(reason),
+                Next::Left(running, failure) => (failure, Some(running)),
+                Next::Broken(reason) => (Failure::Broken(reason), None),
             };
-            let reason = failure.to_string();
-            if let Err(refused) = self.resume(failure).await {
-                self.finish(Outcome::Broken, refused.unwrap_or(&reason));
+            if let Err(reason) = self.resume(&failure, running).await {
+                let ending = reason.map_or_else(|| failure.to_string(), String::from);
+                self.finish(Outcome::Broken, &ending);
                 return Some(Err(Error::Server));
             }
         }
@@ -205,10 +205,22 @@
         let method = self.exchange.plan().method.clone();
         let tracker = &self.tracker;
         let is_usable = |response: &Response| continued(tracker, &method, response).is_some();
-        match self.exchange.wait(frame, &held, is_usable).await {
+        let goes_on = |next: &Next| match next {
+            Next::Broken(_) => false,
+            Next::End => tracker.end().is_ok(),
+            _ => true,
+        };
+        let waited = self.exchange.wait(frame, &held, goes_on, is_usable);
+        match waited.await {
             Waited::Received(next) => next,
             Waited::Replaced(response, cause) => Next::Replaced(response, cause),
-            Waited::Left(running, cause) => Next::Left(running, cause),
+            Waited::Left(running, Some(Next::Broken(reason)), _) => {
+                Next::Left(running, Failure::Broken(reason))
+            }
+            Waited::Left(running, Some(_), _) => {
+                Next::Left(running, Failure::Broken(String::from("truncated")))
+            }
+            Waited::Left(running, None, cause) => Next::Left(running, Failure::Silent(cause)),
         }
     }
 
@@ -296,7 +308,8 @@
         can_continue && self.exchange.may_retry()
     }
 
-    /// Continues the stream at another server, after the last complete event.
+    /// Continues the stream at another server, after the last complete event. It may be under way
+    /// there already.
     ///
     /// The connection to the first server is closed first, so that it stops generating.
     ///
@@ -304,19 +317,16 @@
     ///
     /// If the stream ends here: why no server continues it, unless that follows from what is
     /// known of the stream or of the server that left it.
-    async fn resume(&mut self, failure: Failure) -> Result<(), Option<&'static str>> {
+    async fn resume(
+        &mut self,
+        failure: &Failure,
+        running: Option<Box<Running>>,
+    ) -> Result<(), Option<&'static str>> {
         if !self.can_resume() {
             return Err(None);
         }
-        let last_id = self.leave(&failure.to_string(), failure.outcome());
-        let responded = match failure {
-            Failure::Silent(running, _) => {
-                let responded = self.exchange.respond_from(running, last_id.as_deref());
-                responded.await
-            }
-            Failure::Broken(_) => self.exchange.respond(last_id.as_deref()).await,
-        };
-        match responded {
+        let last_id = self.leave(failure);
+        match self.exchange.respond(running, last_id.as_deref()).await {
             Ok(response) => self.go_on_with(response).then_some(()).ok_or(None),
             Err(refusal) => {
                 logging::event!(
@@ -333,7 +343,7 @@
 
     /// Closes the connection to the server and frees its slot. Returns the id of the last complete
     /// event.
-    fn leave(&mut self, reason: &str, outcome: Outcome) -> Option<String> {
+    fn leave(&mut self, failure: &Failure) -> Option<String> {
         let last_id = self.splitter.as_mut().and_then(Splitter::reset);
         // Dropping the body closes the connection.
         self.body = None;
@@ -348,9 +358,9 @@
                 server = permit.placement().server,
                 version = permit.placement().version,
                 after = last_id.as_deref().unwrap_or("none"),
-                reason = reason
+                reason = failure
             );
-            permit.end(outcome);
+            permit.end(failure.outcome());
         }
         last_id
     }
@@ -373,36 +383,29 @@
 enum Failure {
     /// The connection broke, or the response ended too early.
     Broken(String),
-    /// The server was silent, and the request is under way at another one.
-    Silent(Box<Running>, Cause),
+    /// The server was silent.
+    Silent(Cause),
 }
 
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Failure {
+    /// The outcome of the attempt. A pause is no failure of the server.
+    const fn outcome(&self) -> Outcome {
         match self {
-            Self::Broken(reason) => f.write_str(reason),
-            Self::Silent(..) => f.write_str("silent"),
+            Self::Broken(_) | Self::Silent(Cause::Request) => Outcome::Broken,
+            Self::Silent(Cause::Pause) => Outcome::Interrupted,
         }
     }
 }
 
-impl Failure {
-    fn outcome(&self) -> Outcome {
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Broken(_) => Outcome::Broken,
-            Self::Silent(_, cause) => outcome(*cause),
+            Self::Broken(reason) => f.write_str(reason),
+            Self::Silent(_) => f.write_str("silent"),
         }
     }
 }
 
-/// The outcome of a stream that left a silent server. A pause is no failure.
-fn outcome(cause: Cause) -> Outcome {
-    match cause {
-        Cause::Request => Outcome::Broken,
-        Cause::Pause => Outcome::Interrupted,
-    }
-}
-
 /// The tracker of a stream that `response` continues, if it does.
 fn continued(tracker: &Tracker, method: &Method, response: &Response) -> Option<Tracker> {
     let head = &response.head;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -113,7 +113,7 @@
     request: Request<Incoming>,
 ) -> Result<Exchanged<P>, Refusal> {
     let mut exchange = intake::accept(context, request).await?;
-    match exchange.respond(None).await {
+    match exchange.respond(None, None).await {
         Ok(upstream) => Ok((exchange, upstream)),
         Err(refusal) => {
             exchange.log_refusal(&refusal);
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -191,29 +191,21 @@
         }
     }
 
-    /// Sends attempts until a server responds or no further attempt is possible.
+    /// Sends attempts until a server responds or no further attempt is possible. The first one may
+    /// be under way already.
     ///
     /// # Errors
     ///
     /// The refusal for the caller. Its verdict is "not run" only if no server may have run
     /// the request.
-    pub async fn respond(&mut self, last_event_id: Option<&str>) -> Result<Box<Response>, Refusal> {
-        let result = self.run_attempts(None, last_event_id).await;
-        self.stage = Stage::Responded;
-        result
-    }
-
-    /// As [`Exchange::respond`], where an attempt is under way already.
-    ///
-    /// # Errors
-    ///
-    /// As [`Exchange::respond`].
-    pub async fn respond_from(
+    pub async fn respond(
         &mut self,
-        running: Box<Running>,
+        running: Option<Box<Running>>,
         last_event_id: Option<&str>,
     ) -> Result<Box<Response>, Refusal> {
-        self.run_attempts(Some(running), last_event_id).await
+        let result = self.run_attempts(running, last_event_id).await;
+        self.stage = Stage::Responded;
+        result
     }
 
     async fn run_attempts(
@@ -246,8 +238,8 @@
                     self.settle(placement, &End::TimedOut);
                     return Ok(response);
                 }
-                Waited::Left(attempt, _) => {
-                    self.settle(placement, &End::TimedOut);
+                Waited::Left(attempt, end, _) => {
+                    self.settle(placement, &end.unwrap_or(End::TimedOut));
                     running = Some(attempt);
                     continue;
                 }
@@ -277,8 +269,9 @@
             is_settled: false,
             last_event_id,
         };
-        self.wait(attempt, &held, |response| !response.is_failure)
-            .await
+        let is_usable = |response: &Response| !response.is_failure;
+        let goes_on = |end: &End| matches!(end, End::Responded(response) if is_usable(response));
+        self.wait(attempt, &held, goes_on, is_usable).await
     }
 
     /// Records the end of an attempt.
--- a/crates/gateway/src/serve/exchange/wait.rs
+++ b/crates/gateway/src/serve/exchange/wait.rs
@@ -42,8 +42,9 @@
     Received(T),
     /// Another server has responded. The connection to the first one is closed.
     Replaced(Box<Response>, Cause),
-    /// The connection to the server is closed, and the request is under way at another one.
-    Left(Box<Running>, Cause),
+    /// The request is under way at another server. The connection to the first one is closed, or has
+    /// ended with a failure.
+    Left(Box<Running>, Option<T>, Cause),
 }
 
 /// An attempt that is under way, in a task that is aborted when this is dropped.
@@ -76,12 +77,13 @@
     /// request at the latest.
     ///
     /// If the server stays silent, the request is sent to another one. The first one is kept until
-    /// that one has sent a response for which `is_usable`, so that nothing is lost if there is no
-    /// place, or if the server only paused.
+    /// that one has sent a response for which `is_usable`, or has itself sent something for which
+    /// `goes_on`, so that nothing is lost if there is no place or the server only paused.
     pub async fn wait<T>(
         &mut self,
         first: impl Future<Output = T>,
         held: &Held<'_>,
+        goes_on: impl Fn(&T) -> bool,
         is_usable: impl Fn(&Response) -> bool,
     ) -> Waited<T> {
         let mut first = pin::pin!(first);
@@ -100,7 +102,8 @@
                     health = self.check(held.placement) => watch.checked(health, clock.now()),
                 },
                 Step::Leave(close_at) => {
-                    let left = self.leave(first.as_mut(), held, &watch, close_at, &is_usable);
+                    let judges = (&goes_on, &is_usable);
+                    let left = self.leave(first.as_mut(), held, &watch, close_at, judges);
                     if let Some(waited) = left.await {
                         return waited;
                     }
@@ -131,7 +134,7 @@
         held: &Held<'_>,
         watch: &Watch,
         close_at: Instant,
-        is_usable: impl Fn(&Response) -> bool,
+        (goes_on, is_usable): (impl Fn(&T) -> bool, impl Fn(&Response) -> bool),
     ) -> Option<Waited<T>> {
         let permit = tokio::select! {
             biased;
@@ -144,13 +147,17 @@
         let end = tokio::select! {
             biased;
             received = &mut first => {
-                self.withdraw(placement);
-                return Some(self.received(received, watch));
+                if goes_on(&received) {
+                    self.withdraw(placement);
+                    return Some(self.received(received, watch));
+                }
+                let running = Box::new(running);
+                return Some(Waited::Left(running, Some(received), watch.cause()));
             }
             end = running.end() => end,
             () = sleep_until(self.context.clock.at(close_at)) => {
                 self.log_leaving(held, watch, &placement);
-                return Some(Waited::Left(Box::new(running), watch.cause()));
+                return Some(Waited::Left(Box::new(running), None, watch.cause()));
             }
         };
         self.settle(placement.clone(), &end);
