Drop connections to a server's former address

What callers saw: nothing yet. A test that changed an engine's address timed out in 5 of 20 instances; in the one whose log was kept, all 622 requests of 40 s were answered at the former address.

Cause: a new address clears a server's idle connections, but not those of running requests. When such a request ends, its connection is kept as idle, used by the next one, and so on for as long as requests do not overlap.

The end of an attempt now says which address it was sent to, and a connection to another one is dropped.

--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -264,7 +264,7 @@
         }
         let actions = engine.ended(&ended, now);
         if let Some(connection) = ended.connection {
-            engine.store_connection(connection);
+            engine.store_connection(connection, ended.address);
         }
         self.execute(&ended.server, actions);
     }
--- a/crates/router/src/owner/engine.rs
+++ b/crates/router/src/owner/engine.rs
@@ -278,9 +278,10 @@
         }
     }
 
-    /// Keeps an idle connection for reuse.
-    pub fn store_connection(&mut self, connection: Connection) {
-        if self.idle.len() < MAX_IDLE {
+    /// Keeps an idle connection to `address` for reuse, unless the server has a
+    /// new address.
+    pub fn store_connection(&mut self, connection: Connection, address: net::SocketAddr) {
+        if address == self.target.address && self.idle.len() < MAX_IDLE {
             self.idle.push(connection);
         }
     }
--- a/crates/router/src/owner/message.rs
+++ b/crates/router/src/owner/message.rs
@@ -1,5 +1,7 @@
 //! Messages to the owner task and its replies.
 
+use std::net;
+
 use tokio::sync::oneshot;
 use units::{backend, chat, host, pool, request, time};
 use verdict::Refusal;
@@ -83,6 +85,8 @@
 pub struct Ended {
     /// The server.
     pub server: backend::Server,
+    /// The address that the attempt was sent to.
+    pub address: net::SocketAddr,
     /// The attempt.
     pub attempt: request::Attempt,
     /// How it ended.
--- a/crates/router/src/owner/permit.rs
+++ b/crates/router/src/owner/permit.rs
@@ -124,6 +124,7 @@
         let now = self.clock.now();
         let ended = Ended {
             server: self.slot.server.clone(),
+            address: self.slot.address,
             attempt: self.slot.attempt,
             outcome,
             first_byte_at: self.first_byte_at.unwrap_or(now),
--- a/crates/router/tests/fleet/failures.rs
+++ b/crates/router/tests/fleet/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use standin::{engine, payload, platform, service};
+use standin::{engine, fixed, payload, platform, service};
 
 use crate::{
     client::Call,
@@ -404,3 +404,25 @@
         .count() as u64;
     assert!(crashed <= 2, "{crashed} engines crashed");
 }
+
+/// Guards against requests that go to the former address of a server: a request that was running
+/// when the address changed gave its connection back, and the next one used it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_with_a_new_address_gets_nothing_at_its_former_one() {
+    let mut cluster = Cluster::start(Topology::one_zone()).await;
+    let late = service::Fault::LateAnswer { delay_ms: 6000 };
+    cluster.services[0].handle.set_fault(late);
+    let address = cluster.routers[0].address;
+    let running = tokio::spawn(async move { Call::booking("first").send(address).await });
+    wait_until("the booking runs", async || cluster.runs("first") == 1).await;
+    let moved = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nmoved";
+    let former = cluster.services[0].handle.address();
+    let front = fixed::Server::start(former, "POST", moved).await;
+    cluster.services[0].front = Some(front.expect("a port"));
+    cluster.list_hosts(&[]);
+    let running = running.await.expect("no panic").expect("a response");
+    assert_eq!(running.status, 200, "{}", running.body);
+    let next = cluster.send(0, &Call::booking("next")).await;
+    assert_eq!(next.body, "moved");
+    assert_eq!(cluster.runs("next"), 0);
+}
