Wait for a server that pauses instead of giving its answers up

What callers saw: a server that writes nothing for 1.3 s, neither on open nor on new connections, and then goes on, lost the answers that were 3 s old then: bookings got 502 may_have_run, streams broke off, idempotent requests ran a second time. Each counted as a failure of the server and marked it as away.

Cause: one check that is not answered in 0.8 s was taken for the loss of the server (head, the response's body), for a failed resumption (a stream that was cut during a pause), and for a crash, which is a strike (classify_close). It does not tell a pause from a loss.

Change: a check has a result Unanswered, and backend::silence decides by the row of them. Unanswered checks are repeated each second up to the deadline. An attempt ends for a refused, reset or closed connection, or a server that answers while the attempt is silent, as before. After three unanswered checks in a row an idempotent request without a response head moves, if the entry router has another server and attempt for it; a booking and a stream that has begun wait. A response that arrives during a check is taken at once. Only a refused or reset connection or a new boot id is a crash.

Ruled out: a longer timeout of the check, which only moves the limit; a limit by time, which a pause of the router itself would exceed at once; moving without another server, which ends the answer.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -3,6 +3,7 @@
 pub mod load;
 pub mod relay;
 pub mod response;
+pub mod silence;
 
 use std::{io, time::Duration};
 
@@ -51,6 +52,7 @@
         clock,
         deadline,
         mode: mode(open),
+        can_move: open.idempotent,
     };
     let first = relay::head(&mut connection, request, &permit, &watchdog).await;
     let response = match first {
--- a/crates/router/src/backend/load.rs
+++ b/crates/router/src/backend/load.rs
@@ -48,6 +48,20 @@
     Malformed,
 }
 
+impl Error {
+    /// Whether the server refused or reset the connection, as it does after a
+    /// crash. A server that pauses does neither: its connections time out.
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect(error) = self else {
+            return false;
+        };
+        matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+        )
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/router/src/backend/relay.rs
+++ b/crates/router/src/backend/relay.rs
@@ -10,16 +10,12 @@
 use units::{request, time::Instant};
 use verdict::{Code, Refusal};
 
-use super::{Connection, Failure, PROGRESS_TIMEOUT, load};
+use super::{
+    Connection, Failure, load,
+    silence::{Loss, Silence},
+};
 use crate::{clock::Clock, owner};
 
-/// Number of checks without progress, with the server healthy in each of them,
-/// after which the connection counts as stalled.
-const MAX_HEALTHY_CHECKS: u32 = 2;
-/// As [`MAX_HEALTHY_CHECKS`], for requests that cannot be retried. The limit is
-/// higher, since a late response is better than none, but finite, so that the
-/// caller does not have to wait until its deadline.
-const MAX_HEALTHY_CHECKS_NO_RETRY: u32 = 3;
 /// Delay after which a caller may retry a request that missed its deadline.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -43,23 +39,19 @@
     pub deadline: Instant,
     /// The action for a response without progress.
     pub mode: Mode,
+    /// Whether another server can take the request.
+    pub can_move: bool,
 }
 
 impl Watchdog {
-    /// Returns the instant of the next check, if no byte is received before.
-    pub fn next_check(&self) -> time::Instant {
-        let instant = self.deadline.min(self.clock.now() + PROGRESS_TIMEOUT);
-        self.clock.at(instant)
+    /// Returns the instant after `delay`, or the deadline if that is earlier.
+    pub fn after(&self, delay: Duration) -> time::Instant {
+        self.clock.at(self.deadline.min(self.clock.now() + delay))
     }
 
-    /// Returns whether the connection counts as stalled after `healthy_checks`
-    /// checks without progress.
-    pub fn is_stalled(&self, healthy_checks: u32) -> bool {
-        let max_checks = match self.mode {
-            Mode::Resume | Mode::Retry => MAX_HEALTHY_CHECKS,
-            Mode::Wait => MAX_HEALTHY_CHECKS_NO_RETRY,
-        };
-        healthy_checks >= max_checks
+    /// Returns the deadline for the runtime's clock.
+    pub fn at_deadline(&self) -> time::Instant {
+        self.clock.at(self.deadline)
     }
 
     /// Returns whether the deadline has passed.
@@ -77,10 +69,8 @@
     Closed(hyper::Error),
     /// The caller's deadline passed.
     DeadlineExceeded,
-    /// The connection stalled, while the server responds over a new one.
-    Stalled,
-    /// The server does not respond over a new connection either.
-    Unresponsive,
+    /// The attempt was given up after checks of its server.
+    Lost(Loss),
 }
 
 impl fmt::Display for Error {
@@ -91,8 +81,9 @@
             Self::Unsent(_) => f.write_str("unsent"),
             Self::Closed(error) => write!(f, "closed: {error}"),
             Self::DeadlineExceeded => f.write_str("late"),
-            Self::Stalled => f.write_str("silent"),
-            Self::Unresponsive => f.write_str("dead"),
+            Self::Lost(Loss::Stalled) => f.write_str("silent"),
+            Self::Lost(Loss::Refused) => f.write_str("dead"),
+            Self::Lost(Loss::Hung) => f.write_str("hung"),
         }
     }
 }
@@ -103,7 +94,9 @@
 /// example if a device on the network path lost the state of the connection.
 /// The caller would then wait until its deadline for a response that was
 /// already sent. After a time without progress, the router therefore checks the
-/// server over a new connection, and drops only the stalled connection.
+/// server over a new connection, and drops only the stalled connection. A server
+/// that does not answer the check either may only pause, so the router keeps the
+/// connection and checks again.
 ///
 /// # Errors
 ///
@@ -116,22 +109,21 @@
 ) -> Result<Response<Incoming>, Error> {
     let sent = connection.send(request);
     tokio::pin!(sent);
-    let mut healthy_checks = 0;
+    let mut silence = Silence::default();
     loop {
-        tokio::select! {
+        let checked = tokio::select! {
+            biased;
             result = &mut sent => return result.map_err(head_error),
-            () = time::sleep_until(watchdog.next_check()) => {}
-        }
-        if watchdog.is_expired() {
+            checked = next_check(permit, watchdog, &silence, 0) => checked,
+        };
+        let Some(check) = checked else {
             return Err(Error::DeadlineExceeded);
+        };
+        if let Some(loss) = silence.record(&check, watchdog) {
+            return Err(Error::Lost(loss));
         }
-        match check_backend(permit, watchdog, 0).await {
-            Check::Resumed(response) => return Ok(*response),
-            Check::Unresponsive => return Err(Error::Unresponsive),
-            Check::Healthy => healthy_checks += 1,
-        }
-        if watchdog.is_stalled(healthy_checks) {
-            return Err(Error::Stalled);
+        if let Check::Resumed(response) = check {
+            return Ok(*response);
         }
     }
 }
@@ -150,19 +142,49 @@
     Resumed(Box<Response<Incoming>>),
     /// The server responds, but did not resume the attempt.
     Healthy,
-    /// The server does not respond.
-    Unresponsive,
+    /// The server refuses or closes connections.
+    Refused,
+    /// The server did not respond in time; it may pause, or be lost.
+    Unanswered,
+}
+
+/// Waits until the next check is due, and checks the server. Returns `None` if
+/// the deadline passed.
+pub async fn next_check(
+    permit: &owner::Permit,
+    watchdog: &Watchdog,
+    silence: &Silence,
+    from: u64,
+) -> Option<Check> {
+    time::sleep_until(watchdog.after(silence.check_interval())).await;
+    if watchdog.is_expired() {
+        return None;
+    }
+    Some(check_backend(permit, watchdog, from).await)
+}
+
+/// Tries to resume an interrupted event stream after `from` events, until the
+/// server answers. Returns `None` if the deadline passed.
+pub async fn resume(permit: &owner::Permit, watchdog: &Watchdog, from: u64) -> Option<Check> {
+    let mut silence = Silence::default();
+    let mut check = check_backend(permit, watchdog, from).await;
+    while matches!(check, Check::Unanswered) {
+        silence.record(&check, watchdog);
+        check = next_check(permit, watchdog, &silence, from).await?;
+    }
+    Some(check)
 }
 
 /// Checks the server of an attempt without progress over a new connection, and
 /// resumes the event stream after `from` events if the mode allows it.
-pub async fn check_backend(permit: &owner::Permit, watchdog: &Watchdog, from: u64) -> Check {
+async fn check_backend(permit: &owner::Permit, watchdog: &Watchdog, from: u64) -> Check {
     let address = permit.address();
+    let until = watchdog.after(load::TIMEOUT);
     if watchdog.mode != Mode::Resume {
-        return classify_check(time::timeout(load::TIMEOUT, load::get(address, "/load")).await);
+        return classify_check(time::timeout_at(until, load::get(address, "/load")).await);
     }
     let target = resume_target(permit.attempt(), from);
-    match time::timeout(load::TIMEOUT, load::get(address, &target)).await {
+    match time::timeout_at(until, load::get(address, &target)).await {
         Ok(Ok(response)) if response.status() == StatusCode::OK => {
             Check::Resumed(Box::new(response))
         }
@@ -173,7 +195,9 @@
 fn classify_check<T, E>(result: Result<Result<T, load::Error>, E>) -> Check {
     match result {
         Ok(Ok(_)) => Check::Healthy,
-        Ok(Err(_)) | Err(_) => Check::Unresponsive,
+        Ok(Err(load::Error::Closed)) => Check::Refused,
+        Ok(Err(error)) if error.is_refused() => Check::Refused,
+        Ok(Err(_)) | Err(_) => Check::Unanswered,
     }
 }
 
@@ -209,12 +233,12 @@
             Refusal::may_have_run(Code::Deadline, "The answer did not come by the deadline.")
                 .retry_at(watchdog.clock.now() + RETRY_DELAY)
         }
-        Error::Stalled => {
+        Error::Lost(Loss::Stalled) => {
             permit.finish(owner::Outcome::Cancelled, None);
             let message = format!("The connection to backend server {server} went silent.");
             Refusal::may_have_run(Code::BackendFailed, message)
         }
-        Error::Unresponsive => {
+        Error::Lost(Loss::Refused | Loss::Hung) => {
             permit.finish(owner::Outcome::Unreachable, None);
             let message = format!("Backend server {server} stopped answering.");
             Refusal::may_have_run(Code::BackendFailed, message)
@@ -226,14 +250,14 @@
 ///
 /// Only a crash counts as a strike against the requests that the server was
 /// running; a single closed connection does not. A changed boot id or a refused
-/// connection indicates a crash.
+/// connection indicates a crash. No answer does not, since the server may pause.
 pub async fn classify_close(address: net::SocketAddr, boot: Option<&str>) -> Code {
     match time::timeout(load::TIMEOUT, load::read(address)).await {
         Ok(Ok(report)) => match boot {
             Some(boot) if boot != report.boot => Code::BackendDied,
             _ => Code::BackendFailed,
         },
-        Ok(Err(load::Error::Connect(_))) | Err(_) => Code::BackendDied,
-        Ok(Err(_)) => Code::BackendFailed,
+        Ok(Err(error)) if error.is_refused() => Code::BackendDied,
+        Ok(Err(_)) | Err(_) => Code::BackendFailed,
     }
 }
--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -12,6 +12,7 @@
 use super::{
     ATTEMPT_HEADER, Connection,
     relay::{self, Check, Mode, Watchdog},
+    silence::{Loss, Silence},
 };
 use crate::{
     owner,
@@ -70,11 +71,13 @@
         tracker: Tracker::new(&method(open), head.status, &head.headers),
         watchdog: Watchdog {
             mode: if events { watchdog.mode } else { Mode::Wait },
+            // The caller may already have a part of the response.
+            can_move: false,
             ..watchdog
         },
         tail: Tail::new(events),
         is_failure: head.status.is_server_error(),
-        healthy_checks: 0,
+        silence: Silence::default(),
     };
     tokio::spawn(forwarder.run());
     Ok(Upstream {
@@ -172,8 +175,8 @@
     tail: Tail,
     /// Whether the server responds that it does not process the request.
     is_failure: bool,
-    /// Number of checks since the last progress that found the server healthy.
-    healthy_checks: u32,
+    /// The checks of the server since the last progress.
+    silence: Silence,
 }
 
 /// How a response body ended.
@@ -223,10 +226,11 @@
     async fn forward(&mut self) -> End {
         loop {
             let frame = tokio::select! {
+                biased;
                 frame = self.body.frame() => frame,
                 () = self.chunks.closed() => return End::Cancelled,
-                () = time::sleep_until(self.watchdog.next_check()) => {
-                    match self.check_stalled_stream().await {
+                checked = next_check(&self.permit, &self.watchdog, &self.silence, &self.tracker) => {
+                    match self.handle_check(checked) {
                         Some(end) => return end,
                         None => continue,
                     }
@@ -238,7 +242,7 @@
                         continue;
                     };
                     self.permit.record_first_byte();
-                    self.healthy_checks = 0;
+                    self.silence = Silence::default();
                     self.tail.push(&chunk);
                     let boundary = self.tracker.record(&chunk);
                     let count = self.tracker.forwardable(chunk.len(), boundary);
@@ -267,44 +271,30 @@
         self.body = body;
     }
 
-    /// Checks a stream without progress. Returns `None` if it continues.
-    async fn check_stalled_stream(&mut self) -> Option<End> {
-        if self.watchdog.is_expired() {
-            let refusal =
-                Refusal::may_have_run(Code::Deadline, "The answer did not end by the deadline.");
-            return Some(End::Failed(refusal, owner::Outcome::DeadlineExceeded));
-        }
-        if self.tracker.is_inside_event() {
-            return None;
-        }
-        match relay::check_backend(&self.permit, &self.watchdog, self.tracker.events()).await {
-            Check::Resumed(response) => {
-                self.resume(*response);
-                None
-            }
-            Check::Healthy => {
-                self.healthy_checks += 1;
-                self.watchdog.is_stalled(self.healthy_checks).then(|| {
-                    let message = "The connection to the backend server went silent.";
-                    let refusal = Refusal::may_have_run(Code::BackendFailed, message);
-                    End::Failed(refusal, owner::Outcome::Cancelled)
-                })
-            }
-            Check::Unresponsive => {
-                let refusal = Refusal::may_have_run(
-                    Code::BackendFailed,
-                    "The backend server stopped answering.",
-                );
-                Some(End::Failed(refusal, owner::Outcome::Unreachable))
-            }
+    /// Handles the check of a stream without progress. Returns `None` if the
+    /// stream continues.
+    fn handle_check(&mut self, checked: Option<Check>) -> Option<End> {
+        let Some(check) = checked else {
+            return Some(deadline_exceeded());
+        };
+        let loss = self.silence.record(&check, &self.watchdog);
+        if let Check::Resumed(response) = check {
+            self.resume(*response);
         }
+        loss.map(lost)
     }
 
     /// Resumes an interrupted stream, or returns why it failed.
     async fn resume_or_fail(&mut self) -> End {
         if self.watchdog.mode == Mode::Resume && !self.tracker.is_inside_event() {
             let from = self.tracker.events();
-            let check = relay::check_backend(&self.permit, &self.watchdog, from).await;
+            let checked = tokio::select! {
+                checked = relay::resume(&self.permit, &self.watchdog, from) => checked,
+                () = self.chunks.closed() => return End::Cancelled,
+            };
+            let Some(check) = checked else {
+                return deadline_exceeded();
+            };
             if let Check::Resumed(response) = check {
                 self.resume(*response);
                 // Resume at most once after an interruption: a server that
@@ -318,3 +308,38 @@
         End::Failed(refusal, owner::Outcome::Failed)
     }
 }
+
+/// Waits until the next check of a response is due, and checks its server.
+/// Returns `None` if the deadline passed.
+async fn next_check(
+    permit: &owner::Permit,
+    watchdog: &Watchdog,
+    silence: &Silence,
+    tracker: &Tracker,
+) -> Option<Check> {
+    // A stream cannot be resumed inside an event.
+    if tracker.is_inside_event() {
+        time::sleep_until(watchdog.at_deadline()).await;
+        return None;
+    }
+    relay::next_check(permit, watchdog, silence, tracker.events()).await
+}
+
+fn deadline_exceeded() -> End {
+    let refusal = Refusal::may_have_run(Code::Deadline, "The answer did not end by the deadline.");
+    End::Failed(refusal, owner::Outcome::DeadlineExceeded)
+}
+
+fn lost(loss: Loss) -> End {
+    let (message, outcome) = match loss {
+        Loss::Stalled => (
+            "The connection to the backend server went silent.",
+            owner::Outcome::Cancelled,
+        ),
+        Loss::Refused | Loss::Hung => (
+            "The backend server stopped answering.",
+            owner::Outcome::Unreachable,
+        ),
+    };
+    End::Failed(Refusal::may_have_run(Code::BackendFailed, message), outcome)
+}
--- a/crates/router/src/entry/attempt.rs
+++ b/crates/router/src/entry/attempt.rs
@@ -165,7 +165,8 @@
             fingerprint: request.fingerprint,
             crashes: progress.reports(self.clock.now()),
             suspect: progress.standing == admission::Standing::Suspect,
-            idempotent: request.semantics == Semantics::Idempotent,
+            // A request that no other server can take is not given up for a retry.
+            idempotent: request.semantics == Semantics::Idempotent && progress.can_move,
             events: request.events,
             method: String::from(request.method.as_str()),
             target: request.target.clone(),
--- a/crates/router/src/entry/progress.rs
+++ b/crates/router/src/entry/progress.rs
@@ -16,6 +16,8 @@
     pub(super) refusal: Refusal,
     pub(super) standing: admission::Standing,
     pub(super) attempts: u32,
+    /// Whether another server can take the request if the current attempt fails.
+    pub(super) can_move: bool,
     /// Servers that may have run the request or cannot be reached.
     pub(super) failed: SmallVec<[backend::Server; 4]>,
     /// The first server that was at its limit.
@@ -32,6 +34,7 @@
             refusal,
             standing,
             attempts: 0,
+            can_move: false,
             failed: SmallVec::new(),
             busy: None,
             crashes: SmallVec::new(),
@@ -110,6 +113,20 @@
         }
     }
 
+    /// Records whether one of the candidates after `server` can take the request
+    /// if the attempt on it fails.
+    pub(super) fn record_alternatives(
+        &mut self,
+        server: &backend::Server,
+        rest: &[plan::Candidate],
+        max_attempts: u32,
+    ) {
+        let is_other = |candidate: &plan::Candidate| {
+            candidate.server != *server && !self.failed.contains(&candidate.server)
+        };
+        self.can_move = self.attempts + 1 < max_attempts && rest.iter().any(is_other);
+    }
+
     /// The server to offer the request to for a candidate.
     ///
     /// The last candidate is the home server, where the request may wait in the
--- a/crates/router/src/entry/serve.rs
+++ b/crates/router/src/entry/serve.rs
@@ -81,6 +81,8 @@
             if progress.failed.contains(server) {
                 continue;
             }
+            let max_attempts = recovery::Settings::default().max_attempts;
+            progress.record_alternatives(&target.server, &candidates[index + 1..], max_attempts);
             if self.clock.now() >= request.deadline {
                 return Err(self.deadline_exceeded(progress.refusal.verdict));
             }
--- a/crates/router/tests/fleet/cluster.rs
+++ b/crates/router/tests/fleet/cluster.rs
@@ -65,6 +65,8 @@
     pub name: String,
     pub zone: String,
     pub handle: engine::Handle,
+    /// A server in front of it that answers completions, if there is one.
+    pub front: Option<fixed::Server>,
 }
 
 /// A plain service and its zone.
@@ -132,6 +134,7 @@
                 name: format!("engine-{index}-{number}"),
                 zone: zone.clone(),
                 handle: handle.expect("the engine starts"),
+                front: None,
             });
         }
         let handle = service::start(service::Settings::default()).await;
@@ -169,7 +172,8 @@
             hosts.push(host(&router.host, &router.zone, router.peer, None));
         }
         for engine in &self.engines {
-            let address = engine.handle.address();
+            let front = engine.front.as_ref().map(fixed::Server::address);
+            let address = front.unwrap_or(engine.handle.address());
             hosts.push(host(&engine.name, &engine.zone, address, Some("llm")));
         }
         for service in &self.services {
--- a/crates/router/tests/fleet/main.rs
+++ b/crates/router/tests/fleet/main.rs
@@ -12,4 +12,5 @@
 mod input;
 mod serving;
 mod shutdown;
+mod silence;
 mod zones;
