Keep connections to servers open for as long as their requests have

What callers saw: a request whose server's host drops packets for a little over 3 s ends with a 502, also one that may run only once, although its server goes on. The same for a long body whose server does not read for over 3 s (its process is paused, the window is zero).

Cause: TCP_USER_TIMEOUT was 3 s for all connections to servers and to egress routers. Bytes that remain unacknowledged for so long end the connection, and with it a request that is neither answered nor may be sent again. That time tells nothing of a loss: sound hosts are silent for up to 6 s.

Evidence: tests/network/pauses.rs, hosts silenced by a packet filter on their sockets (no privileges) or by not reading.

Change: the user timeout is the time that the request has (a connection carries one request), 3 s at least; at the egress router's side with the margin of the tunnel. Connections without a request of a caller (load reports, `Connection::open`) keep 3 s.

Requests that may be repeated are to move on other evidence than this. The detection of dark hosts does not need the timeout: it begins with the probe 1.5 s after the request, 0.5 s after a byte.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -15,12 +15,13 @@
 
 /// The default timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long sent bytes may remain unacknowledged.
+/// The least time for which sent bytes may remain unacknowledged.
 ///
-/// A network path that has lost the state of a connection drops packets silently. The
-/// kernel closes the connection after this time. A server that falls silent for a second or so
-/// must not lose its requests by it.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(3000);
+/// What a closed connection has not delivered is sent again for this time at least. Zero would stand
+/// for the kernel's own limit, a quarter of an hour.
+const MIN_ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most time for it: the kernel's option is a number of milliseconds.
+const MAX_ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3600);
 
 /// A connection to a backend server that carries one request at a time.
 #[derive(Debug)]
@@ -45,17 +46,17 @@
     /// As [`Connection::open`].
     pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        configure(&stream)?;
+        configure(&stream, MIN_ACKNOWLEDGEMENT_TIMEOUT)?;
         Self::over(Metered::new(stream, traffic)).await
     }
 
-    /// Speaks HTTP over an open TCP connection.
+    /// Speaks HTTP over an open TCP connection, which will be needed for `remaining`.
     ///
     /// # Errors
     ///
     /// When the connection has broken already. Nothing was sent.
-    pub async fn over_tcp(stream: TcpStream) -> io::Result<Self> {
-        configure(&stream)?;
+    pub async fn over_tcp(stream: TcpStream, remaining: Duration) -> io::Result<Self> {
+        configure(&stream, remaining)?;
         Self::over(stream).await
     }
 
@@ -109,23 +110,26 @@
     }
 }
 
-/// Sets the options of a connection to a backend server.
+/// Sets the options of a connection to a backend server, which will be needed for `remaining`.
 ///
 /// # Errors
 ///
 /// When the connection has broken already.
-pub fn configure(stream: &TcpStream) -> io::Result<()> {
+pub fn configure(stream: &TcpStream, remaining: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    set_timeout(stream)
+    set_timeout(stream, remaining)
 }
 
-/// Lets the kernel close a connection whose bytes remain unacknowledged.
+/// Lets the kernel close a connection whose bytes remain unacknowledged for `remaining`, and not
+/// before: a host may fall silent for seconds and go on, and a request that was sent once may not
+/// be sent again.
 ///
 /// # Errors
 ///
 /// When the connection has broken already.
-pub fn set_timeout(stream: &TcpStream) -> io::Result<()> {
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))
+pub fn set_timeout(stream: &TcpStream, remaining: Duration) -> io::Result<()> {
+    let timeout = remaining.clamp(MIN_ACKNOWLEDGEMENT_TIMEOUT, MAX_ACKNOWLEDGEMENT_TIMEOUT);
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
 }
 
 /// Why there is no response.
--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -111,8 +111,8 @@
     ) -> Result<Connection, Error> {
         match &placement.path {
             Path::Direct => {
-                let connected = self.connect_directly(placement.address, timeout).await;
-                connected.map_err(Error::Direct)
+                let connected = self.connect_directly(placement.address, remaining, timeout);
+                connected.await.map_err(Error::Direct)
             }
             Path::Tunnel(egress) => {
                 let open = Open {
@@ -129,10 +129,11 @@
     async fn connect_directly(
         &self,
         address: SocketAddr,
+        remaining: Millis,
         timeout: Duration,
     ) -> io::Result<Connection> {
         let stream = time::timeout(timeout, self.protocol.connect(address)).await??;
-        Connection::over_tcp(stream).await
+        Connection::over_tcp(stream, remaining.duration()).await
     }
 
     async fn connect_through(
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -42,7 +42,8 @@
         let mut link = time::timeout(LINK_TIMEOUT, connected)
             .await
             .map_err(|_| link::Error::Timeout)??;
-        connection::set_timeout(link.socket()).map_err(link::Error::from)?;
+        let remaining = open.remaining.duration();
+        connection::set_timeout(link.socket(), remaining).map_err(link::Error::from)?;
         link.writer.send(open).await?;
         let reply = link.reader.receive_within::<Reply>(TIMEOUT - LINK_TIMEOUT);
         match reply.await? {
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -159,7 +159,8 @@
             dial::Failure::Silent => Refusal::ServerSilent,
             dial::Failure::Unsure => Refusal::Unsure,
         })?;
-        connection::configure(&stream).map_err(|_| Refusal::ServerSilent)?;
+        let until = open.remaining.duration() + MARGIN;
+        connection::configure(&stream, until).map_err(|_| Refusal::ServerSilent)?;
         Ok((stream, slot))
     }
 
--- a/crates/gateway/tests/network/main.rs
+++ b/crates/gateway/tests/network/main.rs
@@ -2,4 +2,6 @@
 
 mod fetch;
 mod options;
+mod pauses;
+mod protocol;
 mod tunnels;
