End the outage of a server that responds to a request from before it

What callers saw: after a pause of a sound server in which a connection to it hung, the server was left out for the rest of its backoff (0.4 to 3.2 s) and took only the rate of a cold server for 3 s after that, on each router that had failed to connect. One connection that hangs for its timeout (50 to 300 ms) was enough, so a pause of 0.3 s or a lost packet was.

Cause: a connection that fails is taken for a restart that the store may not have reported yet. Nothing took that back, although a request that was sent before the failures and is answered after them shows that the process has not changed.

Evidence: decisions::pauses at: a_server_that_responds_after_a_pause_is_not_started_slowly: panicked at pauses.rs:88 server=s9 pool=llm zone=a standing=away cold=true leaving=false running=1 load=1 ...

Change: a server remembers when the first of its failed attempts began and when the last one failed. If a response begins after the last one, on a connection from before the first one, to the same incarnation, the backoff and the outage end, queued requests are placed, and `server_resumed` is logged.

Kept: a server that may be another process stays cold. Tests guard the two ways to go wrong: a connection from after the first failure began, and the end of a response that began before (what its buffers held may be read late, by a slow caller, after a crash). So only the begin of a response counts; a server on which only streams run that have begun stays cold as before.

Ruled out: to forget the outage when a new connection is accepted, since a restarted process accepts it as well and would get more than a cold one bears (FAILBACK); to take back nothing and shorten the 3 s, for the same reason.

--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -79,9 +79,14 @@
     /// Records whether the connection of an attempt was established.
     pub(super) fn record_path(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
         if let Some(at) = ticket.connected_at {
-            self.record_connected(ticket, at);
+            self.record_connection(ticket, at);
             return;
         }
+        if matches!(outcome, Outcome::Refused | Outcome::Unreachable)
+            && let Some(server) = self.server_of(ticket)
+        {
+            server.record_connect_failure(ticket.sent_at, now);
+        }
         match (&ticket.egress, outcome) {
             (None, Outcome::Refused | Outcome::Unreachable) => {
                 self.record_connect_failure(&ticket.pool, &ticket.server, ticket.sent_at, now);
@@ -96,8 +101,42 @@
         }
     }
 
-    /// Records that the connection of an attempt was established at `at`.
+    /// Records that a response has begun on a connection that was established at `at`.
     pub(super) fn record_connected(&mut self, ticket: &Ticket, at: Instant) {
+        self.record_connection(ticket, at);
+        self.record_survival(ticket, at);
+    }
+
+    /// Ends the outage of a server that responds to a request from before it. Only the begin of a
+    /// response shows that: the rest may have waited in buffers since before a crash.
+    fn record_survival(&mut self, ticket: &Ticket, connected_at: Instant) {
+        let Some(at) = ticket.last_byte_at else {
+            return;
+        };
+        let has_survived = self
+            .server_of(ticket)
+            .is_some_and(|server| server.record_response(connected_at, at));
+        if has_survived {
+            logging::event!(
+                info,
+                "server_resumed",
+                server = ticket.server,
+                incarnation = ticket.incarnation,
+                sent_ms = at.since(connected_at).as_millis()
+            );
+            self.dequeue(&ticket.pool);
+        }
+    }
+
+    /// The process to which the request of `ticket` was sent, if it is still the present one.
+    fn server_of(&mut self, ticket: &Ticket) -> Option<&mut Server> {
+        let queue = self.queues.get_mut(&ticket.pool)?;
+        let server = queue.pool_mut().server_mut(&ticket.server)?;
+        (server.incarnation() == ticket.incarnation).then_some(server)
+    }
+
+    /// Records that the connection of an attempt was established at `at`.
+    fn record_connection(&mut self, ticket: &Ticket, at: Instant) {
         match &ticket.egress {
             Some(egress) => self.egresses.record_success(egress),
             None => self.record_reached(&ticket.pool, at),
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -1,6 +1,7 @@
 //! The state of one backend server as this router sees it.
 
 mod advisories;
+mod outage;
 mod shutdown;
 
 use std::{net::SocketAddr, time::Duration};
@@ -66,8 +67,8 @@
     /// After rejections of requests, although the server is known to have free slots.
     rejection_backoff: Backoff,
     assumed_cold_until: Instant,
-    /// Until when the server is treated as cold because connections to it failed.
-    outage_until: Instant,
+    /// Connections to it that failed, because of which it is treated as cold.
+    outage: outage::Outage,
     /// When the server is assumed to have cached the prompts for which it ranks first.
     settled_at: Instant,
     lag_us: u64,
@@ -105,7 +106,7 @@
             spared_until: Instant::ZERO,
             rejection_backoff: Backoff::default(),
             assumed_cold_until: Instant::ZERO,
-            outage_until: Instant::ZERO,
+            outage: outage::Outage::default(),
             lag_us: 0,
             lag_at: Instant::ZERO,
             outcomes: OutcomeTracker::default(),
@@ -247,7 +248,7 @@
 
     /// Whether the server is cold or may have restarted unnoticed.
     pub fn is_cold(&self, now: Instant) -> bool {
-        let assumed_until = self.assumed_cold_until.max(self.outage_until);
+        let assumed_until = self.assumed_cold_until.max(self.outage.cold_until);
         now < self.entry.cold_until.max(assumed_until)
     }
 
@@ -270,7 +271,23 @@
     /// Records that the process of the server has ended.
     pub fn record_end(&mut self, now: Instant) {
         self.connect_backoff.extend(now);
-        self.outage_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
+        self.outage.cold_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
+    }
+
+    /// Records that an attempt to connect, which began at `begun_at`, has failed at `now`.
+    pub fn record_connect_failure(&mut self, begun_at: Instant, now: Instant) {
+        self.outage.record_failure(begun_at, now);
+    }
+
+    /// Records that a response on a connection from `connected_at` has begun at `at`. Returns
+    /// whether that shows that the server was only silent while connections to it failed: it may
+    /// receive requests as before then.
+    pub fn record_response(&mut self, connected_at: Instant, at: Instant) -> bool {
+        let is_survived = self.outage.is_survived(connected_at, at);
+        if is_survived {
+            self.forget_connect_failures();
+        }
+        is_survived
     }
 
     /// Whether the server has rejected requests recently.
@@ -415,14 +432,14 @@
 
     fn connect_failed(&mut self, now: Instant) {
         if self.connect_backoff.record_failure(now) {
-            self.outage_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
+            self.outage.cold_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
         }
     }
 
     /// Forgets connection failures that did not show anything about the server.
     pub fn forget_connect_failures(&mut self) {
         self.connect_backoff = Backoff::default();
-        self.outage_until = Instant::ZERO;
+        self.outage = outage::Outage::default();
     }
 }
 
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -17,6 +17,7 @@
 mod origins;
 mod outlier;
 mod part_fleet;
+mod pauses;
 mod peers;
 mod placing;
 mod poison;
