Take back that a server has crashed when it responds to a request from before

What callers saw: after a pause of a sound server in which connections to it hung for over 1.2 s (2.5 and 4 s do), the server got nothing for 3.2 s more and took the rate of a cold one for 3 s after that, and each request that waited there kept a strike. Three such pauses, one after the other, refused a harmless request on all routers for ten minutes.

Cause: a server whose request has stalled is probed, and a probe that hangs for 1.2 s, while other servers accept, takes it for crashed. A host that has lost power looks just the same, and the request that may have caused it must not wait for 6 s to be suspected. So the strikes count at once; what was missing is that they, and the end of the server, are taken back.

Evidence: decisions::pauses, at: a_server_that_was_taken_for_crashed_in_a_pause_is_in_service_after_it: pauses.rs:167 server=s9 pool=llm zone=a standing=away cold=true ... and with `Deaths::record_survival` doing nothing: pauses_are_no_strikes, pauses_that_others_took_for_crashes_are_no_strikes (after the third): assertion failed: !tracker.is_refused(PAUSED, now)

Change: the tracker remembers for 10 s which crashes strikes tell of, its own or other routers'. A response that begins after the last of these strikes was reported, on a connection from before the first request there was noticed to wait, to the same incarnation, shows that the process lives: the crash counts against no request, also when other routers tell of it again, and the server's backoff and slow start end. If the same process crashes later, its strikes count again.

Kept: probes, the time until a dark host is noticed and all tests of crashes, poison and crash fleets are untouched.

Ruled out: to probe for 6 s before a silent server counts as crashed; the rule on requests that crash servers allows three retries from 3 s after the third crash on, and recovery.md found such requests after 2.9 s. To take a connection that the server accepts as proof: a host that has restarted accepts as well. To tell other routers by a new kind of evidence: they see responses of their own, and a request that completes clears itself everywhere already.

Remaining: a router that has no request waiting at the server keeps the strike that others told it, until the request completes; prompt parts are cleared by completed requests only.

Figures: five pauses in a row refused the request at the third, and none of them now; in the decision test standing away and cold before, sound and warm after, strikes told 1, then 0. 54 of 54 tests of pauses, crashes, poison, failures and placing pass.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,10 +1,12 @@
 //! Detection of requests that crash servers.
 
+mod deaths;
 mod outbox;
 mod shared_parts;
 
 use std::{cmp::Reverse, collections::BTreeSet, mem, ops::Bound, time::Duration};
 
+use deaths::Deaths;
 use outbox::Outbox;
 use recovery::{
     Completion, Crash, Evidence, Interval, Quarantine, Report, Standing, Strike, Suspects,
@@ -119,6 +121,7 @@
     quarantine: Quarantine,
     outbox: Outbox,
     candidates: Vec<Candidate>,
+    deaths: Deaths,
     /// Evidence to send to other routers, and until when.
     recent: Vec<(Evidence, Instant)>,
     /// Whether there is evidence that is to be sent before the next gossip round.
@@ -146,6 +149,7 @@
             quarantine: Quarantine::new(quarantine),
             outbox: Outbox::default(),
             candidates: Vec::new(),
+            deaths: Deaths::default(),
             recent: Vec::new(),
             has_news: false,
             last_repeated: None,
@@ -209,6 +213,24 @@
             .retain(|request| request.server != *server || request.incarnation != incarnation);
     }
 
+    /// Records that a response on a connection from `connected_at` has begun at `at`. Returns whether
+    /// that shows that the server was taken for dead while it was only silent: no request gets a
+    /// strike from that.
+    pub fn record_survival(
+        &mut self,
+        server: &backend::Server,
+        incarnation: u64,
+        connected_at: Instant,
+        at: Instant,
+    ) -> bool {
+        let crash = Crash::new(server, incarnation);
+        let is_pause = self.deaths.record_survival(crash, connected_at, at);
+        if is_pause {
+            self.excuse_crashes();
+        }
+        is_pause
+    }
+
     /// Records that a request completed, which clears it of suspicion on all routers.
     pub fn record_completed(&mut self, fingerprint: Fingerprint, now: Instant) {
         if let Some(completion) = self.suspects.record_completion(fingerprint, now) {
@@ -258,6 +280,11 @@
 
     /// Applies evidence. Returns whether it was new.
     fn apply(&mut self, evidence: Evidence, now: Instant) -> bool {
+        if let Evidence::Strike(strike) = &evidence
+            && self.deaths.record(strike, now)
+        {
+            self.excuse_crashes();
+        }
         let is_new = self.suspects.apply(&evidence, now);
         if is_new {
             self.push_recent(evidence, now);
--- a/crates/gateway/src/crashes/shared_parts.rs
+++ b/crates/gateway/src/crashes/shared_parts.rs
@@ -65,9 +65,12 @@
         self.excuse_crashes();
     }
 
-    /// Lets crashes that refused parts have caused count against no request.
-    fn excuse_crashes(&mut self) {
-        self.suspects.excuse(self.quarantine.explained_crashes());
+    /// Lets crashes that refused parts have caused, and those that were pauses, count against no
+    /// request.
+    pub(super) fn excuse_crashes(&mut self) {
+        let mut crashes = self.quarantine.explained_crashes();
+        crashes.extend(self.deaths.pauses());
+        self.suspects.excuse(crashes);
     }
 
     /// Decides which parts are refused. Returns those that are refused from now on.
--- a/crates/gateway/src/dispatch/crashes.rs
+++ b/crates/gateway/src/dispatch/crashes.rs
@@ -25,7 +25,9 @@
         match outcome {
             Outcome::Broken => self.record_sign(Sign::Broken, ticket, now),
             // Another process has the address.
-            Outcome::Moved => self.record_death(&ticket.server, ticket.incarnation, now),
+            Outcome::Moved => {
+                self.record_death(&ticket.server, ticket.incarnation, now);
+            }
             // The network between this router and the server may refuse connections, too.
             Outcome::Refused => self.probe(ticket, now),
             Outcome::Completed => {
@@ -109,8 +111,10 @@
         self.settle_failures(probe, liveness, now);
         match liveness {
             Liveness::Ended => {
-                self.leave_out(probe, now);
-                self.record_death(&probe.server, probe.incarnation, now);
+                let confirmed_after = self.record_death(&probe.server, probe.incarnation, now);
+                // Nothing contradicts the end of a server at which no request waits.
+                let suspected_at = confirmed_after.map_or(Instant::ZERO, |after| now - after);
+                self.leave_out(probe, suspected_at, now);
             }
             Liveness::Accepts | Liveness::Resumed => {
                 self.crashes.record_alive(&probe.server, probe.incarnation)
@@ -124,21 +128,27 @@
     }
 
     /// Sends nothing to a server that has ended, until its entry shows its next process.
-    fn leave_out(&mut self, probe: &Probe, now: Instant) {
+    fn leave_out(&mut self, probe: &Probe, suspected_at: Instant, now: Instant) {
         for queue in self.queues.values_mut() {
             if let Some(server) = queue.pool_mut().server_mut(&probe.server)
                 && server.incarnation() == probe.incarnation
             {
-                server.record_end(now);
+                server.record_end(suspected_at, now);
             }
         }
     }
 
-    fn record_death(&mut self, server: &backend::Server, incarnation: u64, now: Instant) {
+    /// Records the end of a process. Returns the time since the first sign of it, if a request
+    /// showed one.
+    fn record_death(
+        &mut self,
+        server: &backend::Server,
+        incarnation: u64,
+        now: Instant,
+    ) -> Option<Duration> {
         let suspicions = self.crashes.record_death(server, incarnation, now);
-        if suspicions.is_empty() {
-            return;
-        }
+        let after = suspicions.iter();
+        let confirmed_after = after.map(|suspicion| suspicion.confirmed_after).max()?;
         let count = suspicions.len();
         logging::event!(info, "server_died", server = server, requests = count);
         for suspicion in suspicions {
@@ -155,6 +165,7 @@
                 strikes = suspicion.strikes
             );
         }
+        Some(confirmed_after)
     }
 
     /// Merges what another router knows of requests that may crash servers.
--- a/crates/gateway/src/dispatch/paths.rs
+++ b/crates/gateway/src/dispatch/paths.rs
@@ -113,10 +113,14 @@
         let Some(at) = ticket.last_byte_at else {
             return;
         };
+        let (server, incarnation) = (&ticket.server, ticket.incarnation);
+        let is_pause = self
+            .crashes
+            .record_survival(server, incarnation, connected_at, at);
         let has_survived = self
             .server_of(ticket)
             .is_some_and(|server| server.record_response(connected_at, at));
-        if has_survived {
+        if is_pause || has_survived {
             logging::event!(
                 info,
                 "server_resumed",
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -268,8 +268,10 @@
         !self.connect_backoff.is_active(now)
     }
 
-    /// Records that the process of the server has ended.
-    pub fn record_end(&mut self, now: Instant) {
+    /// Records that the process of the server seems to have ended, which it was suspected of from
+    /// `suspected_at` on.
+    pub fn record_end(&mut self, suspected_at: Instant, now: Instant) {
+        self.outage.record_failure(suspected_at, now);
         self.connect_backoff.extend(now);
         self.outage.cold_until = self.connect_backoff.until() + COLD_AFTER_OUTAGE;
     }
--- a/crates/gateway/tests/decisions/pauses.rs
+++ b/crates/gateway/tests/decisions/pauses.rs
@@ -4,14 +4,20 @@
 
 use gateway::{
     clock::Clock,
+    crashes::{Sign, Tracker},
+    dial::Controls,
     dispatch::{Dispatch, Message, Permit},
     pool::{Outcome, Standing},
+    probe::{Liveness, Probe, Purpose},
     status,
 };
 use tokio::sync::{mpsc, oneshot};
-use units::backend;
+use units::{backend, request::Fingerprint, time::Instant};
 
-use crate::prefixes::{acquire, task};
+use crate::{
+    prefixes::{acquire, task},
+    world::{START, server},
+};
 
 /// More than the clocks of the test and of the task differ by.
 const MOMENT: Duration = Duration::from_millis(5);
@@ -62,6 +68,29 @@
         self.deliver();
     }
 
+    /// Ends the probe of a server.
+    fn probed(&mut self, server: &backend::Server, liveness: Liveness) {
+        let probe = Probe {
+            purpose: Purpose::Crash,
+            server: server.clone(),
+            incarnation: 1,
+            address: ([127, 0, 0, 1], 1).into(),
+            controls: Controls::new(),
+            is_alone: false,
+            egress: None,
+        };
+        self.task.handle_message(Message::Probed(probe, liveness));
+        self.deliver();
+    }
+
+    /// The strikes that other routers are told of.
+    fn strikes(&mut self) -> usize {
+        let (reply, mut update) = oneshot::channel();
+        self.task.handle_message(Message::PeerUpdate(reply));
+        let update = update.try_recv().expect("an immediate reply");
+        update.reports.len()
+    }
+
     /// The state of a server.
     fn row(&mut self, server: &backend::Server) -> status::Row {
         let (reply, mut report) = oneshot::channel();
@@ -118,3 +147,95 @@
     router.deliver();
     assert!(router.row(&server).is_cold);
 }
+
+/// Guards against a server that is left out for seconds and started slowly, and against requests
+/// that get a strike, because connections to it hung for so long in a pause that it was taken for
+/// crashed. A real crash looks the same until then: its strikes count at once.
+#[test]
+fn a_server_that_was_taken_for_crashed_in_a_pause_is_in_service_after_it() {
+    let mut router = Router::new();
+    let mut waiting = router.send();
+    let server = waiting.placement().server.clone();
+    waiting.stalled();
+    router.deliver();
+    router.probed(&server, Liveness::Ended);
+    let row = router.row(&server);
+    assert!(row.standing == Standing::Away && row.is_cold, "{row}");
+    assert_eq!(router.strikes(), 1);
+    router.receive(&mut waiting);
+    let row = router.row(&server);
+    assert!(row.standing == Standing::Sound && !row.is_cold, "{row}");
+    assert_eq!(router.strikes(), 0);
+}
+
+const PAUSED: Fingerprint = Fingerprint(7);
+const PAUSE: Duration = Duration::from_secs(4);
+
+/// A request waits at a server that falls silent at `at`, looks dead and goes on after a pause of
+/// four seconds. Returns the end of the pause.
+fn pause(tracker: &mut Tracker, server: &backend::Server, at: Instant) -> Instant {
+    let signed_at = at + Duration::from_millis(1500);
+    tracker.record_sign(Sign::Silent, PAUSED, server, 1, at, signed_at);
+    let dead_at = at + Duration::from_millis(2900);
+    assert_eq!(tracker.record_death(server, 1, dead_at).len(), 1);
+    at + PAUSE
+}
+
+/// Pauses `count` servers one after the other. Each ends with a response to a request from before.
+fn pauses(tracker: &mut Tracker, count: u64) -> Instant {
+    let mut now = START;
+    for index in 0..count {
+        let name = server(&format!("s{index}"));
+        let end = pause(tracker, &name, now);
+        tracker.record_survival(&name, 1, now, end);
+        now = end + Duration::from_secs(1);
+    }
+    now
+}
+
+/// Guards against a harmless request that is refused because the servers at which it waited were
+/// silent for some seconds, one after the other.
+#[test]
+fn pauses_are_no_strikes() {
+    let mut tracker = Tracker::default();
+    let now = pauses(&mut tracker, 5);
+    assert!(!tracker.is_refused(PAUSED, now));
+    assert!(tracker.reports(now).is_empty());
+}
+
+/// Guards against strikes that other routers have told, and tell again, after a pause.
+#[test]
+fn pauses_that_others_took_for_crashes_are_no_strikes() {
+    let (mut other, mut tracker) = (Tracker::default(), Tracker::default());
+    let mut now = START;
+    for index in 0..5 {
+        let name = server(&format!("s{index}"));
+        let end = pause(&mut other, &name, now);
+        let reports = other.reports(end);
+        assert_eq!(reports.len().min(1), 1);
+        tracker.merge(&reports, now + Duration::from_millis(3000));
+        tracker.record_survival(&name, 1, now, end);
+        tracker.merge(&reports, end + Duration::from_millis(200));
+        now = end + Duration::from_secs(1);
+        assert!(!tracker.is_refused(PAUSED, now), "{index}");
+    }
+    assert!(other.is_refused(PAUSED, now));
+}
+
+/// Guards against a real crash that is overlooked because its server was silent before and went
+/// on then, or because of a byte from before the crash.
+#[test]
+fn a_crash_after_a_pause_is_a_strike() {
+    let mut tracker = Tracker::default();
+    let mut now = pauses(&mut tracker, 3);
+    for index in 0..3 {
+        let name = server(&format!("s{index}"));
+        assert!(!tracker.is_refused(PAUSED, now));
+        let end = pause(&mut tracker, &name, now);
+        // It arrived before the silence, and from a process after it.
+        tracker.record_survival(&name, 1, now, now);
+        tracker.record_survival(&name, 1, end, end);
+        now = end + Duration::from_secs(1);
+    }
+    assert!(tracker.is_refused(PAUSED, now));
+}
