Keep tunnels to a router whose host is silent for some seconds

What callers saw: a router that has lost its paths, and whose host is silent for 4 to 6 s while it waits for an answer through another router, never gets that answer: its caller waits up to the deadline, although router and server are sound.

Cause: the router that carries the tunnel took the other one for dead after two keep-alive probes without an answer, 6 s after its last packet. The silence may begin up to 2 s after that packet, so 4 s of it were enough. It then closed the connection to the server and freed what it held.

Change: four probes, so that a silence of 8 s at least is needed (10 s after the last packet at most).

Ruled out: more than that. A router that has lost power holds the server's slot and the tunnel of its dead caller 4 s longer than before; the time that the request has plus 2 s is a bound as before.

The silence of the egress router or of the server needs no change here: nothing on this side has a shorter time than the request since the user timeout follows it, and the asking side sends no probes.

--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -35,6 +35,9 @@
 /// The idle time of a connection to another router after which it is probed, and the interval
 /// between probes.
 const KEEPALIVE: Duration = Duration::from_secs(2);
+/// The probes without an answer after which the other router has lost power. A sound host may be
+/// silent for 6 s and go on, and the first probe may follow right after its last packet.
+const KEEPALIVE_PROBES: u32 = 4;
 /// The size of the copy buffer of each direction, in bytes.
 const BUFFER: usize = 8 * 1024;
 
@@ -199,7 +202,7 @@
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
-        .with_retries(2);
+        .with_retries(KEEPALIVE_PROBES);
     socket2::SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
--- a/crates/gateway/tests/network/pauses.rs
+++ b/crates/gateway/tests/network/pauses.rs
@@ -1,13 +1,20 @@
 //! Connections to servers whose hosts fall silent for some seconds and go on.
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use gateway::{
+    clock::Clock,
     connection::Failure,
     connector::{Connector, Path},
+    dial,
+    dispatch::{Location, Message},
+    gate::Gates,
+    link::Link,
+    metrics::Metrics,
     pool::Placement,
-    tunnel,
+    shutdown::Phase,
+    tunnel::{self, Open, Reply},
 };
 use http_body_util::Full;
 use hyper::Request;
@@ -15,12 +22,14 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
     time,
 };
 use units::{
     cost::Cost,
     time::{Instant, Millis},
 };
+use wire::{hop::Frame, seal::Key};
 use yare::parameterized;
 
 use crate::protocol::Plain;
@@ -126,3 +135,74 @@
     });
     assert_eq!(status, Ok(200));
 }
+
+/// The router that the tunnels of the test go through. It finds one server, at `address`.
+async fn egress_router(address: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let own_address = listener.local_addr().expect("an address");
+    let (dispatch, mut messages) = mpsc::unbounded_channel();
+    let server = tunnel::Server {
+        protocol: Plain,
+        key: watch::channel(Some(key())).1,
+        dispatch,
+        clock: Clock::start(),
+        metrics: Arc::new(Metrics::default()),
+        gates: Gates::default(),
+        phase: watch::channel(Phase::Serving).1,
+    };
+    tokio::spawn(tunnel::serve(listener, server, 8));
+    tokio::spawn(async move {
+        while let Some(message) = messages.recv().await {
+            if let Message::Locate(_, _, reply) = message {
+                let location = Location {
+                    pool: "llm".parse().expect("a name"),
+                    address,
+                    slots: 8,
+                    connect_timeout: Millis(300),
+                    controls: dial::Controls::new(),
+                };
+                reply.send(Ok(location)).expect("a receiver");
+            }
+        }
+    });
+    own_address
+}
+
+fn key() -> Key {
+    Key::from_bytes([7; 32])
+}
+
+/// Guards against an answer that ends because the host of the router that its caller is connected
+/// to is silent for some seconds: the router that carries the tunnel took it for dead after two
+/// keep-alive probes without an answer.
+#[tokio::test]
+async fn a_tunnel_outlasts_the_silence_of_its_router() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let egress = egress_router(listener.local_addr().expect("an address")).await;
+    let mut link = Link::connect(egress, &key()).await.expect("a link");
+    let open = Open {
+        server: "s1".parse().expect("a name"),
+        incarnation: 1,
+        remaining: REMAINING,
+        is_gated: false,
+    };
+    link.writer.send(&open).await.expect("a write");
+    let reply = link.reader.receive::<Reply>().await.expect("a reply");
+    assert_eq!(reply, Frame::Message(Reply::Opened));
+    let (mut server, _) = listener.accept().await.expect("a connection");
+    // The silence begins shortly before the first probe.
+    time::sleep(Duration::from_millis(1_500)).await;
+    let socket = SockRef::from(link.socket());
+    socket.attach_filter(&DROP_ALL).expect("a filter");
+    time::sleep(Duration::from_millis(6_000)).await;
+    let socket = SockRef::from(link.socket());
+    socket.detach_filter().expect("no filter");
+    server.write_all(RESPONSE).await.expect("a write");
+    let frame = link.reader.receive::<Reply>();
+    let frame = time::timeout(Duration::from_secs(5), frame).await;
+    let frame = frame.expect("a frame in time").expect("an open tunnel");
+    assert!(
+        matches!(&frame, Frame::Data(bytes) if bytes == RESPONSE),
+        "{frame:?}"
+    );
+}
