Keep a silent server until the other one responds at least to checks

A check that was under way at the hang timeout held a request up for 0.35 s, and one without a place waited for another check before it asked again.

Change: the first connection is closed after 0.3 s only if the other server responds to a check; no check is begun that would end after the hang timeout; a refused request asks again after 0.25 s. A place at a server that does not respond to a check within 0.1 s is given back, and up to two others are tried at once.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -18,12 +18,9 @@
     metrics::Metrics,
     pool::{Outcome, Placement},
     protocol::Protocol,
-    silence::Health,
+    silence::{CHECK_TIMEOUT, Health},
 };
 
-/// The timeout of a check.
-const TIMEOUT: Duration = Duration::from_millis(400);
-
 /// The time after which a response to a check shows that the server was silent until then.
 const MAX_DELAY: Duration = Duration::from_millis(100);
 
@@ -118,7 +115,7 @@
 
 /// Checks a server once.
 async fn run<P: Protocol>(connector: &Connector<P>, placement: &Placement, path: &str) -> Health {
-    let checked = time::timeout(TIMEOUT, respond(connector, placement, path)).await;
+    let checked = time::timeout(CHECK_TIMEOUT, respond(connector, placement, path)).await;
     checked.unwrap_or(Health::Silent)
 }
 
@@ -127,8 +124,8 @@
     placement: &Placement,
     path: &str,
 ) -> Health {
-    let remaining = Millis::from(TIMEOUT);
-    let connected = connector.connect(placement, remaining, TIMEOUT).await;
+    let remaining = Millis::from(CHECK_TIMEOUT);
+    let connected = connector.connect(placement, remaining, CHECK_TIMEOUT).await;
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) if error.outcome() == Outcome::Refused => return Health::Refuses,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -222,7 +222,7 @@
                     (placement, waited)
                 }
                 None => {
-                    let permit = match self.acquire(None).await {
+                    let permit = match self.acquire(&[]).await {
                         Ok(permit) => permit,
                         Err(refusal) => return self.failure.take().ok_or(refusal),
                     };
@@ -343,14 +343,15 @@
         override_rank.unwrap_or(self.plan.route.rank)
     }
 
-    /// Acquires a slot at a server other than `held`, queueing for it if necessary.
-    async fn acquire(&self, held: Option<&backend::Server>) -> Result<Permit, Refusal> {
+    /// Acquires a slot at a server, queueing for it if necessary. The request is still at some of the
+    /// servers that are `excluded`.
+    async fn acquire(&self, excluded: &[backend::Server]) -> Result<Permit, Refusal> {
         let now = self.context.clock.now();
         if now + MIN_REMAINING >= self.plan.deadline {
             return Err(self.refusal(Code::Deadline, "The time was up."));
         }
         let mut demand = self.plan.demand.clone();
-        demand.tried.extend(held.cloned());
+        demand.tried.extend(excluded.iter().cloned());
         let request = AcquireRequest {
             pool: self.plan.pool.clone(),
             route: counts::Route::named(&self.plan.route.name),
@@ -364,7 +365,7 @@
             latest_start: self.latest_start(now),
             demand,
             unreached: self.unreached.clone(),
-            is_retry: self.sent_attempts > 0 || held.is_some(),
+            is_retry: self.sent_attempts > 0 || !excluded.is_empty(),
             fingerprint: self.plan.fingerprint,
         };
         let (reply, response) = oneshot::channel();
--- a/crates/gateway/src/serve/exchange/wait.rs
+++ b/crates/gateway/src/serve/exchange/wait.rs
@@ -1,13 +1,17 @@
 //! Waits for a backend server, and sends the request to another one if it stays silent.
 
-use std::pin::{self, Pin};
+use std::{
+    pin::{self, Pin},
+    time::Duration,
+};
 
+use smallvec::SmallVec;
 use tokio::{
     sync::oneshot,
     task::JoinSet,
-    time::{sleep_until, timeout_at},
+    time::{sleep_until, timeout, timeout_at},
 };
-use units::time::Instant;
+use units::{backend, time::Instant};
 use verdict::{Refusal, Verdict};
 
 use super::Exchange;
@@ -20,6 +24,16 @@
     silence::{Cause, Health, Step, Watch},
 };
 
+/// The most servers whose slots are taken for one move of a request from a silent server.
+const MAX_PLACES: usize = 3;
+/// The time within which a server that works responds to a check.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// The interval between two checks of a server that has received a request and is silent.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The servers that a request must not be sent to.
+pub(super) type Excluded = SmallVec<[backend::Server; MAX_PLACES + 1]>;
+
 /// The server that a request is waiting for.
 #[derive(Clone, Copy, Debug)]
 pub struct Held<'a> {
@@ -155,7 +169,7 @@
                 return Some(Waited::Left(running, Some(received), watch.cause()));
             }
             end = running.end() => end,
-            () = sleep_until(self.context.clock.at(close_at)) => {
+            () = self.responds_to_checks(&placement, close_at) => {
                 self.log_leaving(held, watch, &placement);
                 return Some(Waited::Left(Box::new(running), None, watch.cause()));
             }
@@ -176,25 +190,44 @@
         }
     }
 
+    /// Waits from `since` on until a server responds to a check.
+    async fn responds_to_checks(&self, placement: &Placement, since: Instant) {
+        let clock = self.context.clock;
+        sleep_until(clock.at(since)).await;
+        while self.check(placement).await != Health::Responds {
+            sleep_until(clock.at(clock.now() + RECHECK_INTERVAL)).await;
+        }
+    }
+
     /// Acquires a slot at a server other than the one of `held`. If that one may only have paused,
     /// the other one has to respond to a check, since it may have paused as well.
     async fn place_beside(&self, held: &Held<'_>, watch: &Watch) -> Option<Permit> {
-        let permit = match self.acquire(Some(&held.placement.server)).await {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                self.log_staying(held, watch, &refusal);
-                return None;
+        let mut excluded = Excluded::from_iter([held.placement.server.clone()]);
+        while excluded.len() <= MAX_PLACES {
+            let permit = match self.acquire(&excluded).await {
+                Ok(permit) => permit,
+                Err(refusal) => {
+                    self.log_staying(held, watch, &refusal);
+                    return None;
+                }
+            };
+            if watch.health() == Some(Health::Responds)
+                || self.responds_promptly(permit.placement()).await
+            {
+                return Some(permit);
             }
-        };
-        if watch.health() == Some(Health::Responds)
-            || self.check(permit.placement()).await == Health::Responds
-        {
-            return Some(permit);
+            excluded.push(permit.placement().server.clone());
+            permit.end(Outcome::Withdrawn);
         }
-        permit.end(Outcome::Withdrawn);
         None
     }
 
+    /// Whether a server responds to a check at once.
+    async fn responds_promptly(&self, placement: &Placement) -> bool {
+        let checked = timeout(MAX_CHECK_DELAY, self.check(placement)).await;
+        checked.is_ok_and(|health| health == Health::Responds)
+    }
+
     /// Records an attempt that is given up because the server before it has responded.
     fn withdraw(&mut self, placement: Placement) {
         self.context.metrics.attempt_ended("superseded");
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -12,7 +12,10 @@
 const GRACE: Duration = Duration::from_millis(100);
 /// The interval between two checks of a server, and between two attempts to leave it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a server that responds to checks is kept after the request was sent elsewhere.
+/// The timeout of a check.
+pub const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a server that responds to checks is kept after the request was sent elsewhere, if the
+/// other server responds to checks as well.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What a check of a server on a new connection shows.
@@ -62,8 +65,8 @@
     Wait(Instant),
     /// Check it on a new connection.
     Check,
-    /// Send the request to another server, and close the connection to this one at this instant
-    /// unless either has responded before.
+    /// Send the request to another server. If neither has responded at this instant, and the other
+    /// one responds to checks, close the connection to this one.
     Leave(Instant),
 }
 
@@ -109,10 +112,11 @@
             Some(Health::Responds) => Step::Wait(self.leave_at),
             Some(Health::Refuses) if now >= self.leave_at => Step::Leave(self.deadline),
             Some(Health::Silent) if now >= self.hang_at => Step::Leave(self.deadline),
+            // A check that ends later would hold the request up.
+            Some(Health::Silent) if now + CHECK_TIMEOUT > self.hang_at => Step::Wait(self.hang_at),
             _ if now >= self.check_at => Step::Check,
             Some(Health::Refuses) => Step::Wait(self.check_at.min(self.leave_at)),
-            Some(Health::Silent) => Step::Wait(self.check_at.min(self.hang_at)),
-            Some(Health::Resumed) | None => Step::Wait(self.check_at),
+            Some(Health::Silent | Health::Resumed) | None => Step::Wait(self.check_at),
         }
     }
 
@@ -129,8 +133,9 @@
 
     /// Records that no other server takes the request.
     pub fn stay(&mut self, now: Instant) {
-        self.health = None;
-        self.check_at = now + CHECK_INTERVAL;
+        let retry_at = now + CHECK_INTERVAL;
+        self.leave_at = self.leave_at.max(retry_at);
+        self.hang_at = self.hang_at.max(retry_at);
     }
 
     /// The result of the last check.
