Weigh ways to treat silent servers in virtual time

The ways to mend that differ in repeats, checks and in how long streams of lost connections and of servers that hang wait.

Short versions run as tests of the way that silence::Watch takes.

--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -33,6 +33,7 @@
 mod roster;
 mod route;
 mod silence;
+mod silence_fleet;
 mod slow_start;
 mod throttling;
 mod value;
