Close the first connection in the emulator as the router does

The emulator closed the first connection of a stream 0.3 s after it went elsewhere. The router does so now only if the other server responds to a check, and so does the emulator.

--- a/crates/gateway/tests/decisions/silence_fleet/ways.rs
+++ b/crates/gateway/tests/decisions/silence_fleet/ways.rs
@@ -14,7 +14,7 @@
 /// The silence after which a stream may leave its server.
 const PATIENCE: Duration = Duration::from_millis(900);
 /// The interval between two attempts to leave.
-const AGAIN: Duration = Duration::from_millis(250);
+pub const AGAIN: Duration = Duration::from_millis(250);
 /// The time that a check of a server that responds takes.
 const CHECK: Duration = Duration::from_millis(5);
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/gateway/tests/decisions/silence_fleet/world.rs
+++ b/crates/gateway/tests/decisions/silence_fleet/world.rs
@@ -179,16 +179,27 @@
                 }
             }
             Event::Checked(target, health) => self.checked(target, health),
-            Event::CloseFirst(stream, sent_at) => {
-                let attempts = &self.streams[stream].attempts;
-                if attempts.len() > 1 && attempts[0].sent_at == sent_at {
-                    self.give_up(stream, 0);
-                }
-            }
+            Event::CloseFirst(stream, sent_at) => self.close_before(stream, sent_at),
             Event::CallerLeaves(stream, last_event_at) => self.leave(stream, last_event_at),
         }
     }
 
+    /// Closes the first attempt of a stream as soon as the server of the other one responds to a
+    /// check.
+    fn close_before(&mut self, stream: usize, sent_at: Instant) {
+        let it = &self.streams[stream];
+        if it.attempts.len() < 2 || it.attempts[0].sent_at != sent_at {
+            return;
+        }
+        let (router, server) = (it.router, it.attempts[1].server);
+        self.summary.checks += 1;
+        self.summary.record_connection(router, self.now);
+        if self.servers[server].responds_at(self.now) <= self.now {
+            return self.give_up(stream, 0);
+        }
+        self.schedule(self.now + ways::AGAIN, Event::CloseFirst(stream, sent_at));
+    }
+
     fn leave(&mut self, stream: usize, last_event_at: Instant) {
         let it = &self.streams[stream];
         if it.attempts.is_empty() || it.last_event_at != last_event_at {
