Do not take a slot for a request whose caller left its queue

What callers saw: a server took fewer requests than it has slots, for good, after a caller had left the queue of one service at the moment at which a slot of another service became free. Cause: the callers that have left were taken from the pending requests of all services, but cancelled in the queue of one; the other queue placed such a request later, and nobody ended it. Change: only requests of the service whose queue is looked at.

--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -159,7 +159,11 @@
             return;
         }
         // Callers that disconnected while queued get no slot.
-        let disconnected = self.pending.extract_if(|_, (_, reply)| reply.is_closed());
+        let is_disconnected =
+            |request: &AcquireRequest, reply: &Reply| request.pool == *name && reply.is_closed();
+        let pending = &mut self.pending;
+        let disconnected =
+            pending.extract_if(|_, (request, reply)| is_disconnected(request, reply));
         let disconnected: Vec<_> = disconnected.collect();
         for (attempt, _) in &disconnected {
             queue.cancel(*attempt);
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a router's decisions, without a network.
 
+mod abandoned;
 mod advisories;
 mod aggregation;
 mod bound_streams;
--- a/crates/gateway/tests/decisions/prefixes.rs
+++ b/crates/gateway/tests/decisions/prefixes.rs
@@ -205,7 +205,7 @@
     );
 }
 
-fn settings() -> Settings {
+pub fn settings() -> Settings {
     let unused_address = ([127, 0, 0, 1], 1).into();
     Settings {
         host: host("r0"),
