Count the overlap of two servers from when the request was sent

Found by the review of the changes for silent servers: - The 0.3 s for which a server that responds to checks is kept began before the request had a place at the other one. After a wait in the queue the first was closed at once, though the other one could still refuse: a cut answer. It counts from when the request is being sent now. - A server that always responds late to checks was taken for one that goes on after a pause, again and again, so that requests on a lost connection waited for their deadline. The second late response in a row counts. - A result was kept while a request found no place, also if its server had paused meanwhile. It is checked again. Evidence: by reading; decision tests for the second and third (the second would have waited up to the deadline); the first has none of its own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,6 +120,7 @@
         permit.end(Outcome::Withdrawn);
         return End::Withdrawn;
     }
+    permit.sent();
     let probe_at = deadline.min(now + PROBE_AFTER);
     let mut response = pin::pin!(connection.send(request));
     let mut sent = time::timeout_at(clock.at(probe_at), &mut response).await;
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -4,7 +4,7 @@
 
 use recovery::quarantine::Combination;
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use units::{host, request::Fingerprint, time::Instant};
 
 use super::{Announcement, Message, Ticket};
@@ -53,6 +53,7 @@
     placement: Placement,
     withdrawals: Withdrawals,
     sender: mpsc::UnboundedSender<Message>,
+    sent: Option<oneshot::Sender<()>>,
 }
 
 impl Permit {
@@ -68,6 +69,22 @@
             placement,
             withdrawals,
             sender,
+            sent: None,
+        }
+    }
+
+    /// Signals when the request is being sent; the signal is dropped if it is not.
+    pub fn signal_sent(&mut self) -> oneshot::Receiver<()> {
+        let (sent, is_sent) = oneshot::channel();
+        self.sent = Some(sent);
+        is_sent
+    }
+
+    /// Records that the request is being sent.
+    pub fn sent(&mut self) {
+        if let Some(sent) = self.sent.take() {
+            // Nobody may wait for it any more.
+            let _ = sent.send(());
         }
     }
 
--- a/crates/gateway/src/serve/exchange/wait.rs
+++ b/crates/gateway/src/serve/exchange/wait.rs
@@ -1,6 +1,7 @@
 //! Waits for a backend server, and sends the request to another one if it stays silent.
 
 use std::{
+    future,
     pin::{self, Pin},
     time::Duration,
 };
@@ -9,7 +10,7 @@
 use tokio::{
     sync::oneshot,
     task::JoinSet,
-    time::{sleep_until, timeout, timeout_at},
+    time::{sleep, timeout, timeout_at},
 };
 use units::{backend, time::Instant};
 use verdict::{Refusal, Verdict};
@@ -21,7 +22,7 @@
     dispatch::Permit,
     pool::{Outcome, Placement},
     protocol::Protocol,
-    silence::{Cause, Health, Step, Watch},
+    silence::{Cause, Health, MAX_OVERLAP, Overlap, Step, Watch},
 };
 
 /// The most servers whose slots are taken for one move of a request from a silent server.
@@ -115,9 +116,9 @@
                     received = &mut first => return self.received(received, &watch),
                     health = self.check(held.placement) => watch.checked(health, clock.now()),
                 },
-                Step::Leave(close_at) => {
+                Step::Leave(overlap) => {
                     let judges = (&goes_on, &is_usable);
-                    let left = self.leave(first.as_mut(), held, &watch, close_at, judges);
+                    let left = self.leave(first.as_mut(), held, &watch, overlap, judges);
                     if let Some(waited) = left.await {
                         return waited;
                     }
@@ -147,14 +148,15 @@
         mut first: Pin<&mut impl Future<Output = T>>,
         held: &Held<'_>,
         watch: &Watch,
-        close_at: Instant,
+        overlap: Overlap,
         (goes_on, is_usable): (impl Fn(&T) -> bool, impl Fn(&Response) -> bool),
     ) -> Option<Waited<T>> {
-        let permit = tokio::select! {
+        let mut permit = tokio::select! {
             biased;
             received = &mut first => return Some(self.received(received, watch)),
             permit = self.place_beside(held, watch) => permit?,
         };
+        let is_sent = permit.signal_sent();
         let placement = permit.placement().clone();
         let attempt = self.attempt(permit, held.last_event_id);
         let mut running = Running::spawn(placement.clone(), attempt);
@@ -169,7 +171,7 @@
                 return Some(Waited::Left(running, Some(received), watch.cause()));
             }
             end = running.end() => end,
-            () = self.responds_to_checks(&placement, close_at) => {
+            () = self.overlap(&placement, is_sent, overlap) => {
                 self.log_leaving(held, watch, &placement);
                 return Some(Waited::Left(Box::new(running), None, watch.cause()));
             }
@@ -190,12 +192,19 @@
         }
     }
 
-    /// Waits from `since` on until a server responds to a check.
-    async fn responds_to_checks(&self, placement: &Placement, since: Instant) {
-        let clock = self.context.clock;
-        sleep_until(clock.at(since)).await;
+    /// Waits until the request has been at the server of `placement` for as long as it may be at two.
+    async fn overlap(
+        &self,
+        placement: &Placement,
+        is_sent: oneshot::Receiver<()>,
+        overlap: Overlap,
+    ) {
+        if overlap == Overlap::UntilResponse || is_sent.await.is_err() {
+            return future::pending().await;
+        }
+        sleep(MAX_OVERLAP).await;
         while self.check(placement).await != Health::Responds {
-            sleep_until(clock.at(clock.now() + RECHECK_INTERVAL)).await;
+            sleep(RECHECK_INTERVAL).await;
         }
     }
 
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -14,9 +14,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The timeout of a check.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a server that responds to checks is kept after the request was sent elsewhere, if the
-/// other server responds to checks as well.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
+/// How long a server that responds to checks is kept after the request was sent to another one that
+/// responds to checks as well: both may be working on it.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What a check of a server on a new connection shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,9 +65,17 @@
     Wait(Instant),
     /// Check it on a new connection.
     Check,
-    /// Send the request to another server. If neither has responded at this instant, and the other
-    /// one responds to checks, close the connection to this one.
-    Leave(Instant),
+    /// Send the request to another server as well.
+    Leave(Overlap),
+}
+
+/// How long a request stays at two servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Overlap {
+    /// For [`MAX_OVERLAP`] at most.
+    Brief,
+    /// Until one of them has responded.
+    UntilResponse,
 }
 
 /// Watches one request at a server that is silent.
@@ -76,7 +84,7 @@
 /// server that hangs. Only one that responds to checks while the request stays silent is given up.
 #[derive(Clone, Debug)]
 pub struct Watch {
-    deadline: Instant,
+    /// When the last check is outdated.
     check_at: Instant,
     /// The earliest instant at which the request leaves a server that responds.
     leave_at: Instant,
@@ -93,7 +101,6 @@
         let half_remaining = deadline.since(silent_since) / 2;
         let patience = leave_at.since(silent_since);
         Self {
-            deadline,
             check_at: silent_since + patience.saturating_sub(GRACE),
             leave_at,
             hang_at: leave_at.max(silent_since + HANG_TIMEOUT.min(half_remaining)),
@@ -106,22 +113,24 @@
     /// What to do at `now`.
     pub fn step(&self, now: Instant) -> Step {
         match self.health {
-            Some(Health::Responds) if now >= self.leave_at => {
-                Step::Leave(self.deadline.min(now + MAX_OVERLAP))
-            }
-            Some(Health::Responds) => Step::Wait(self.leave_at),
-            Some(Health::Refuses) if now >= self.leave_at => Step::Leave(self.deadline),
-            Some(Health::Silent) if now >= self.hang_at => Step::Leave(self.deadline),
+            Some(Health::Refuses) if now >= self.leave_at => Step::Leave(Overlap::UntilResponse),
+            Some(Health::Silent) if now >= self.hang_at => Step::Leave(Overlap::UntilResponse),
             // A check that ends later would hold the request up.
             Some(Health::Silent) if now + CHECK_TIMEOUT > self.hang_at => Step::Wait(self.hang_at),
             _ if now >= self.check_at => Step::Check,
-            Some(Health::Refuses) => Step::Wait(self.check_at.min(self.leave_at)),
+            Some(Health::Responds) if now >= self.leave_at => Step::Leave(Overlap::Brief),
+            Some(Health::Responds | Health::Refuses) => {
+                Step::Wait(self.check_at.min(self.leave_at))
+            }
             Some(Health::Silent | Health::Resumed) | None => Step::Wait(self.check_at),
         }
     }
 
     /// Records the result of a check.
     pub fn checked(&mut self, health: Health, now: Instant) {
+        // A server that always responds late does not pause.
+        let is_slow = health == Health::Resumed && self.health == Some(Health::Resumed);
+        let health = if is_slow { Health::Responds } else { health };
         self.health = Some(health);
         self.has_checked = true;
         self.check_at = now + CHECK_INTERVAL;
@@ -134,6 +143,7 @@
     /// Records that no other server takes the request.
     pub fn stay(&mut self, now: Instant) {
         let retry_at = now + CHECK_INTERVAL;
+        self.check_at = self.check_at.min(now + (CHECK_INTERVAL - GRACE));
         self.leave_at = self.leave_at.max(retry_at);
         self.hang_at = self.hang_at.max(retry_at);
     }
--- a/crates/gateway/tests/decisions/silence.rs
+++ b/crates/gateway/tests/decisions/silence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::silence::{Cause, Health, Step, Watch};
+use gateway::silence::{Cause, Health, Overlap, Step, Watch};
 use units::time::Instant;
 use yare::parameterized;
 
@@ -88,7 +88,7 @@
     let deadline = start + Duration::from_millis(1000);
     let mut watch = Watch::new(start, start + Duration::from_millis(400), deadline);
     watch.checked(Health::Silent, at(400));
-    assert_eq!(watch.step(at(500)), Step::Leave(deadline));
+    assert_eq!(watch.step(at(500)), Step::Leave(Overlap::UntilResponse));
 }
 
 /// Guards against two servers that work on the same stream for long.
@@ -96,16 +96,30 @@
 fn a_server_that_responds_is_kept_for_a_moment_only() {
     let mut watch = watch();
     watch.checked(Health::Responds, at(800));
-    assert_eq!(watch.step(at(900)), Step::Leave(at(1200)));
+    assert_eq!(watch.step(at(900)), Step::Leave(Overlap::Brief));
 }
 
-/// Guards against a request that asks for a place at other servers all the time, or waits for
-/// another check in between.
+/// Guards against a request that asks for a place at other servers all the time, and against one
+/// that leaves a server which has paused since it responded to a check.
 #[test]
-fn a_refused_request_asks_for_another_place_after_a_while() {
+fn a_refused_request_asks_for_another_place_after_another_check() {
     let mut watch = watch();
-    watch.checked(Health::Responds, at(800));
+    watch.checked(Health::Responds, at(900));
     watch.stay(at(1000));
-    assert_eq!(watch.step(at(1000)), Step::Wait(at(1250)));
-    assert!(matches!(watch.step(at(1250)), Step::Leave(_)));
+    assert_eq!(watch.step(at(1000)), Step::Wait(at(1150)));
+    assert_eq!(watch.step(at(1150)), Step::Check);
+    let mut paused = watch.clone();
+    watch.checked(Health::Responds, at(1150));
+    assert_eq!(watch.step(at(1249)), Step::Wait(at(1250)));
+    assert_eq!(watch.step(at(1250)), Step::Leave(Overlap::Brief));
+    paused.checked(Health::Silent, at(1150));
+    assert!(!matches!(paused.step(at(1250)), Step::Leave(_)));
+}
+
+/// Guards against requests that wait for their deadline on a lost connection because their server
+/// always responds late to checks.
+#[test]
+fn a_request_leaves_a_server_that_is_slow_to_respond() {
+    let left = play(4000, |_| Health::Resumed);
+    assert_eq!(left, Some((1150, Cause::Pause)));
 }
--- a/crates/gateway/tests/decisions/silence_fleet/ways.rs
+++ b/crates/gateway/tests/decisions/silence_fleet/ways.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::silence::{Health, Step, Watch};
+use gateway::silence::{Health, MAX_OVERLAP, Overlap, Step, Watch};
 use units::time::Instant;
 
 use super::{
@@ -158,7 +158,13 @@
                 let server = attempts.last().expect("an attempt").server;
                 self.check(stream, server, false);
             }
-            Step::Leave(until) => self.move_on(stream, watch.health(), until),
+            Step::Leave(overlap) => {
+                let until = match overlap {
+                    Overlap::Brief => self.now + MAX_OVERLAP,
+                    Overlap::UntilResponse => self.streams[stream].deadline,
+                };
+                self.move_on(stream, watch.health(), until);
+            }
         }
     }
 
