--- a/crates/gateway/src/serve/exchange/wait.rs
+++ b/crates/gateway/src/serve/exchange/wait.rs
@@ -29,7 +29,7 @@
 const MAX_PLACES: usize = 3;
 /// The time within which a server that works responds to a check.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
-/// The interval between two checks of a server that has received a request and is silent.
+/// The interval between two checks of a server that has received the request as the second one.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The servers that a request must not be sent to.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -52,7 +52,7 @@
 /// Why a request leaves a silent server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
-    /// The server responded to all checks.
+    /// The server responded to all checks: the request hangs, or its connection is lost.
     Request,
     /// The server was silent on new connections, too: it or the path to it paused.
     Pause,
@@ -81,7 +81,8 @@
 /// Watches one request at a server that is silent.
 ///
 /// Silence alone does not tell a paused server, which will go on, from a lost connection or a
-/// server that hangs. Only one that responds to checks while the request stays silent is given up.
+/// server that hangs. Checks do: a request leaves a server that responds to them, and one that
+/// does not only after the hang timeout.
 #[derive(Clone, Debug)]
 pub struct Watch {
     /// When the last check is outdated.
