Work out in one place when a request may leave a silent server

The time by the route's target stood twice, in the relay and in the exchange, under the same names with different lower bounds. Why a stream leaves its server moves to a file of its own. No decision is changed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards the body of a response from a backend server to the caller.
 
 mod events;
+mod failure;
 
 use std::{error, fmt, pin, time::Duration};
 
@@ -18,6 +19,8 @@
 
 pub use events::Splitter;
 
+use failure::Failure;
+
 use crate::{
     activity::Guard,
     attempt::Response,
@@ -29,13 +32,10 @@
     protocol::Protocol,
     route::Kind,
     serve::{Exchange, Held, Running, Waited},
-    silence::Cause,
+    silence::{self, Cause},
 };
 
-/// The time without a byte after which a resumable stream may leave its server, as a multiple of
-/// the route's target.
-const MAX_SILENCE_TARGETS: u32 = 3;
-/// The lower bound of that time.
+/// The least time without a byte after which a resumable stream may leave its server.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
 
 /// The time without a byte of a response that has begun after which its server is probed.
@@ -185,7 +185,7 @@
         let can_resume = self.can_resume();
         let clock = self.exchange.context().clock;
         let plan = self.exchange.plan();
-        let max_silence = plan.route.target.duration() * MAX_SILENCE_TARGETS;
+        let target = plan.route.target;
         let now = clock.now();
         let deadline = plan.deadline;
         let Some(body) = &mut self.body else {
@@ -198,7 +198,7 @@
         let held = Held {
             placement: permit.placement(),
             silent_since: now,
-            leave_at: now + max_silence.max(MIN_SILENCE),
+            leave_at: silence::leave_at(now, target, MIN_SILENCE),
             is_settled: true,
             last_event_id: self.splitter.as_ref().and_then(Splitter::last_id),
         };
@@ -379,33 +379,6 @@
     }
 }
 
-/// Why a stream leaves its server.
-enum Failure {
-    /// The connection broke, or the response ended too early.
-    Broken(String),
-    /// The server was silent.
-    Silent(Cause),
-}
-
-impl Failure {
-    /// The outcome of the attempt. A pause is no failure of the server.
-    const fn outcome(&self) -> Outcome {
-        match self {
-            Self::Broken(_) | Self::Silent(Cause::Request) => Outcome::Broken,
-            Self::Silent(Cause::Pause) => Outcome::Interrupted,
-        }
-    }
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Broken(reason) => f.write_str(reason),
-            Self::Silent(_) => f.write_str("silent"),
-        }
-    }
-}
-
 /// The tracker of a stream that `response` continues, if it does.
 fn continued(tracker: &Tracker, method: &Method, response: &Response) -> Option<Tracker> {
     let head = &response.head;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -30,6 +30,7 @@
     pool::{Demand, Denial, Outcome, Placement},
     protocol::{Attempt, Head, Protocol},
     route::{KeyOwner, Route},
+    silence,
 };
 
 /// The number of failed connection attempts after which a request is refused.
@@ -54,10 +55,7 @@
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(600);
 /// The minimum time before the deadline for an attempt to be worthwhile.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
-/// The time without a response after which a request may leave its server, as a multiple of the
-/// route's target.
-const MAX_SILENCE_TARGETS: u32 = 3;
-/// The lower bound of that time.
+/// The least time without a response head after which a request may leave its server.
 const MIN_SILENCE: Duration = Duration::from_millis(400);
 
 /// A request that has passed validation.
@@ -261,11 +259,10 @@
         last_event_id: Option<&str>,
     ) -> Waited<End> {
         let now = self.context.clock.now();
-        let max_silence = self.plan.route.target.duration() * MAX_SILENCE_TARGETS;
         let held = Held {
             placement,
             silent_since: now,
-            leave_at: now + max_silence.max(MIN_SILENCE),
+            leave_at: silence::leave_at(now, self.plan.route.target, MIN_SILENCE),
             is_settled: false,
             last_event_id,
         };
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -2,8 +2,11 @@
 
 use std::{fmt, time::Duration};
 
-use units::time::Instant;
+use units::time::{Instant, Millis};
 
+/// The time without a byte after which a request may leave its server, as a multiple of the route's
+/// target.
+const MAX_SILENCE_TARGETS: u32 = 3;
 /// How long a server may be silent on all connections until its requests may also be sent
 /// elsewhere. Sound servers fall silent for about a second and go on.
 const HANG_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -18,6 +21,12 @@
 /// responds to checks as well: both may be working on it.
 pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// When a request may leave a server that is silent since `silent_since`, by the route's target and
+/// the least time without a byte.
+pub fn leave_at(silent_since: Instant, target: Millis, min_silence: Duration) -> Instant {
+    silent_since + (target.duration() * MAX_SILENCE_TARGETS).max(min_silence)
+}
+
 /// What a check of a server on a new connection shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
