Add a bound on the bytes before a response's head

An HTTP client skips any number of interim responses and reads them as fast as they come. Nothing bounds their sum: hyper's buffer size holds for one head only.

Nothing uses it yet.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -8,6 +8,7 @@
 //! keep arriving ([`progress`]).
 
 mod error;
+pub mod head;
 pub mod hosts;
 pub mod http;
 pub mod objects;
