Bound what the store may send before the head of a response

A store, or whatever answers in its place, that writes interim responses without end held a call up to its deadline: the HTTP client skips them all. The reader of the platform's table, object store and host list was then lost for the time of the call, and weirctl for six seconds.

The client now opens its connections through head::limit: 64 KiB before the final head, all interim responses together, and nothing more once the call was given up. A sound store sends a head of some hundred bytes.

--- a/crates/standin/src/fixed.rs
+++ b/crates/standin/src/fixed.rs
@@ -61,18 +61,35 @@
     method: &str,
     response: &[u8],
 ) -> io::Result<()> {
+    let Some(request) = read_request(&mut client).await? else {
+        return Ok(());
+    };
+    if request.starts_with(format!("{method} ").as_bytes()) {
+        client.write_all(response).await?;
+        return client.shutdown().await;
+    }
+    forward(client, target, &request).await
+}
+
+/// Reads a request with all of its body, `None` if the client closes the connection before.
+pub(crate) async fn read_request(client: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
     let mut request = Vec::new();
     while !is_whole(&request) {
         if client.read_buf(&mut request).await? == 0 {
-            return Ok(());
+            return Ok(None);
         }
     }
-    if request.starts_with(format!("{method} ").as_bytes()) {
-        client.write_all(response).await?;
-        return client.shutdown().await;
-    }
+    Ok(Some(request))
+}
+
+/// Forwards `request`, which was read from `client`, and what follows to the server at `target`.
+pub(crate) async fn forward(
+    mut client: TcpStream,
+    target: SocketAddr,
+    request: &[u8],
+) -> io::Result<()> {
     let mut server = TcpStream::connect(target).await?;
-    server.write_all(&request).await?;
+    server.write_all(request).await?;
     copy_bidirectional(&mut client, &mut server).await?;
     Ok(())
 }
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -11,7 +11,7 @@
 use hyper::{
     Method, Request, StatusCode,
     body::{self, Body as _},
-    client::conn::http1,
+    client::conn::{TrySendError, http1},
     header,
 };
 use hyper_util::rt::TokioIo;
@@ -19,6 +19,7 @@
 
 use crate::{
     error::Error,
+    head::{self, Limit},
     progress::Progress,
     traffic::{Metered, Traffic},
 };
@@ -34,6 +35,14 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// A connection to the server.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    /// Bounds the bytes before the head of a response, and ends their reading with the call.
+    limit: Limit,
+}
+
 /// A response that was read completely.
 #[derive(Debug)]
 pub struct Response {
@@ -59,7 +68,7 @@
 #[derive(Debug)]
 pub struct Client {
     address: net::SocketAddr,
-    idle: sync::Mutex<Vec<Sender>>,
+    idle: sync::Mutex<Vec<Connection>>,
     traffic: sync::Arc<Traffic>,
 }
 
@@ -115,16 +124,16 @@
     ) -> Result<Response, Error> {
         let request = self.with_host_header(request)?;
         let deadline = response_deadline.first_byte_deadline();
-        let mut sender = self.connection(deadline).await?;
+        let mut connection = self.connection(deadline).await?;
         // Without this check, a process that was paused here would send the request
         // long after its deadline: a timeout checks its timer only after it has
         // polled the future once.
         if time::Instant::now() >= deadline {
             return Err(unreachable(self.address, "the deadline has passed"));
         }
-        let response = send_on(&mut sender, request, response_deadline).await;
+        let response = connection.send(request, response_deadline).await;
         match &response {
-            Ok(_) => self.return_idle(sender),
+            Ok(_) => self.return_idle(connection),
             Err(_) => self.close_idle(),
         }
         response.map_err(|error| match error {
@@ -145,31 +154,31 @@
         Ok(request)
     }
 
-    async fn connection(&self, deadline: time::Instant) -> Result<Sender, Error> {
+    async fn connection(&self, deadline: time::Instant) -> Result<Connection, Error> {
         match time::timeout_at(deadline, self.idle_or_new()).await {
             Ok(connected) => connected,
             Err(_) => Err(unreachable(self.address, "no connection by the deadline")),
         }
     }
 
-    async fn idle_or_new(&self) -> Result<Sender, Error> {
-        while let Some(mut sender) = self.take_idle() {
+    async fn idle_or_new(&self) -> Result<Connection, Error> {
+        while let Some(mut idle) = self.take_idle() {
             // An idle connection that the server has closed is not ready.
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+            if idle.sender.ready().await.is_ok() {
+                return Ok(idle);
             }
         }
         connect(self.address, &self.traffic).await
     }
 
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self) -> Option<Connection> {
         self.lock().pop()
     }
 
-    fn return_idle(&self, sender: Sender) {
+    fn return_idle(&self, connection: Connection) {
         let mut idle = self.lock();
-        if idle.len() < MAX_IDLE_CONNECTIONS && !sender.is_closed() {
-            idle.push(sender);
+        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(connection);
         }
     }
 
@@ -177,7 +186,7 @@
         self.lock().clear();
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Vec<Sender>> {
+    fn lock(&self) -> sync::MutexGuard<'_, Vec<Connection>> {
         self.idle
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -185,7 +194,10 @@
 }
 
 /// Opens a connection. Its task ends when its sender is dropped.
-async fn connect(address: net::SocketAddr, traffic: &sync::Arc<Traffic>) -> Result<Sender, Error> {
+async fn connect(
+    address: net::SocketAddr,
+    traffic: &sync::Arc<Traffic>,
+) -> Result<Connection, Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| unreachable(address, error))?;
@@ -194,6 +206,7 @@
         .set_nodelay(true)
         .map_err(|error| unreachable(address, error))?;
     let stream = Metered::new(stream, sync::Arc::clone(traffic));
+    let (stream, limit) = head::limit(stream, head::MAX_BYTES);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(address, error))?;
@@ -202,7 +215,7 @@
             log::debug!("event=platform_connection_ended address={address} reason={error:?}");
         }
     });
-    Ok(sender)
+    Ok(Connection { sender, limit })
 }
 
 fn unreachable(address: net::SocketAddr, reason: impl fmt::Display) -> Error {
@@ -243,46 +256,51 @@
     Other(Error),
 }
 
-/// Sends `request` on one connection and reads the whole response.
-async fn send_on(
-    sender: &mut Sender,
-    request: Request<Full<Bytes>>,
-    response_deadline: Deadline,
-) -> Result<Response, Failure> {
-    let progress = Progress::new(time::Instant::now());
-    let method = request.method().clone();
-    let sending = time::timeout_at(
-        response_deadline.first_byte_deadline(),
-        sender.try_send_request(request),
-    )
-    .await;
-    let response = match sending.map_err(|_| Failure::TimedOut(progress))? {
-        Ok(response) => response,
-        Err(mut failed) => {
-            // The request is returned only when no byte of it has been sent.
-            let unsent = failed.take_message().is_some();
-            let reason = failed.into_error().to_string();
-            return Err(Failure::Other(if unsent {
-                Error::NotRun(reason)
-            } else {
-                Error::MayHaveRun(reason)
-            }));
-        }
-    };
-    let (head, body) = response.into_parts();
-    let mut tracker = Tracker::new(&method, head.status, &head.headers);
-    let (body, progress) = read_body(body, progress, response_deadline).await?;
-    tracker.record(&body);
-    tracker
-        .end()
-        .map_err(|truncation| Failure::Other(Error::MayHaveRun(truncation.to_string())))?;
-    Ok(Response {
-        status: head.status,
-        delimiter: tracker.delimiter(),
-        headers: head.headers,
-        body,
-        progress,
-    })
+impl Connection {
+    /// Sends `request` and reads the whole response.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        response_deadline: Deadline,
+    ) -> Result<Response, Failure> {
+        let progress = Progress::new(time::Instant::now());
+        let method = request.method().clone();
+        let response = self.limit.wait(self.sender.try_send_request(request));
+        let response = time::timeout_at(response_deadline.first_byte_deadline(), response).await;
+        let response = response
+            .map_err(|_| Failure::TimedOut(progress))?
+            .map_err(|exceeded| interrupted(&exceeded))?
+            .map_err(|failed| Failure::Other(send_error(failed)))?;
+        let (head, body) = response.into_parts();
+        let mut tracker = Tracker::new(&method, head.status, &head.headers);
+        let (body, progress) = read_body(body, progress, response_deadline).await?;
+        tracker.record(&body);
+        tracker
+            .end()
+            .map_err(|truncation| interrupted(&truncation))?;
+        Ok(Response {
+            status: head.status,
+            delimiter: tracker.delimiter(),
+            headers: head.headers,
+            body,
+            progress,
+        })
+    }
+}
+
+fn send_error(mut error: TrySendError<Request<Full<Bytes>>>) -> Error {
+    // The request is returned only when no byte of it has been sent.
+    let unsent = error.take_message().is_some();
+    let reason = error.into_error().to_string();
+    if unsent {
+        Error::NotRun(reason)
+    } else {
+        Error::MayHaveRun(reason)
+    }
+}
+
+fn interrupted(reason: &impl fmt::Display) -> Failure {
+    Failure::Other(Error::MayHaveRun(reason.to_string()))
 }
 
 async fn read_body(
@@ -290,21 +308,20 @@
     mut progress: Progress,
     response_deadline: Deadline,
 ) -> Result<(Bytes, Progress), Failure> {
-    let interrupted = |reason: String| Failure::Other(Error::MayHaveRun(reason));
     let length_hint = usize::try_from(body.size_hint().lower()).unwrap_or(MAX_PREALLOCATED_BYTES);
     let mut bytes = BytesMut::with_capacity(length_hint.min(MAX_PREALLOCATED_BYTES));
     loop {
         let frame =
             time::timeout_at(response_deadline.next_byte_deadline(progress), body.frame()).await;
         let frame = match frame.map_err(|_| Failure::TimedOut(progress))? {
-            Some(frame) => frame.map_err(|error| interrupted(error.to_string()))?,
+            Some(frame) => frame.map_err(|error| interrupted(&error))?,
             None => return Ok((bytes.freeze(), progress)),
         };
         let Ok(data) = frame.into_data() else {
             continue;
         };
         if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
-            return Err(interrupted(String::from("the answer is too long")));
+            return Err(interrupted(&"the answer is too long"));
         }
         progress.received(data.len(), time::Instant::now());
         bytes.extend_from_slice(&data);
