Bound the bytes between the parts of a body from the store

A chunk's size may be written with any number of leading zeros, and with any number of spaces after it: the HTTP library bounds chunk extensions and trailers (16 KB each), but not these. A server that writes them without end delivered nothing, was read at full speed, and held the call up to its deadline.

The bound of the head now applies anew to each part of the body. What was ruled out: a sound part of more than 64 KiB isn't refused, since the library hands out what it has of a chunk as it comes; the reads of 1 MB over a slow link pass as before.

--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -39,7 +39,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: Sender,
-    /// Bounds the bytes before the head of a response, and ends their reading with the call.
+    /// Bounds the bytes before the head of a response and each part of its body, and ends their
+    /// reading with the call.
     limit: Limit,
 }
 
@@ -273,7 +274,7 @@
             .map_err(|failed| Failure::Other(send_error(failed)))?;
         let (head, body) = response.into_parts();
         let mut tracker = Tracker::new(&method, head.status, &head.headers);
-        let (body, progress) = read_body(body, progress, response_deadline).await?;
+        let (body, progress) = self.read_body(body, progress, response_deadline).await?;
         tracker.record(&body);
         tracker
             .end()
@@ -286,6 +287,38 @@
             progress,
         })
     }
+
+    async fn read_body(
+        &self,
+        mut body: body::Incoming,
+        mut progress: Progress,
+        response_deadline: Deadline,
+    ) -> Result<(Bytes, Progress), Failure> {
+        let length_hint =
+            usize::try_from(body.size_hint().lower()).unwrap_or(MAX_PREALLOCATED_BYTES);
+        let mut bytes = BytesMut::with_capacity(length_hint.min(MAX_PREALLOCATED_BYTES));
+        loop {
+            // The limit applies anew to each frame: the size of a chunk may be written with any
+            // number of digits and spaces, which are no part of the body.
+            let frame = self.limit.wait(async { body.frame().await.transpose() });
+            let frame = time::timeout_at(response_deadline.next_byte_deadline(progress), frame);
+            let frame = frame.await.map_err(|_| Failure::TimedOut(progress))?;
+            let frame = frame
+                .map_err(|_| interrupted(&"too many bytes between the parts of the body"))?
+                .map_err(|error| interrupted(&error))?;
+            let Some(frame) = frame else {
+                return Ok((bytes.freeze(), progress));
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
+                return Err(interrupted(&"the answer is too long"));
+            }
+            progress.received(data.len(), time::Instant::now());
+            bytes.extend_from_slice(&data);
+        }
+    }
 }
 
 fn send_error(mut error: TrySendError<Request<Full<Bytes>>>) -> Error {
@@ -303,31 +336,6 @@
     Failure::Other(Error::MayHaveRun(reason.to_string()))
 }
 
-async fn read_body(
-    mut body: body::Incoming,
-    mut progress: Progress,
-    response_deadline: Deadline,
-) -> Result<(Bytes, Progress), Failure> {
-    let length_hint = usize::try_from(body.size_hint().lower()).unwrap_or(MAX_PREALLOCATED_BYTES);
-    let mut bytes = BytesMut::with_capacity(length_hint.min(MAX_PREALLOCATED_BYTES));
-    loop {
-        let frame =
-            time::timeout_at(response_deadline.next_byte_deadline(progress), body.frame()).await;
-        let frame = match frame.map_err(|_| Failure::TimedOut(progress))? {
-            Some(frame) => frame.map_err(|error| interrupted(&error))?,
-            None => return Ok((bytes.freeze(), progress)),
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
-            return Err(interrupted(&"the answer is too long"));
-        }
-        progress.received(data.len(), time::Instant::now());
-        bytes.extend_from_slice(&data);
-    }
-}
-
 /// Builds a request with a JSON body, which may be empty.
 ///
 /// # Errors
--- a/crates/storage/tests/endless.rs
+++ b/crates/storage/tests/endless.rs
@@ -23,6 +23,7 @@
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 const OK: &str = "HTTP/1.1 200 OK\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNK_SIZE: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5";
 const EXTENSION: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
 const TRAILERS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
 
@@ -59,6 +60,8 @@
     one_header = { "HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxx" },
     headers = { OK, "X-More: 1\r\n" },
     chunk_extension = { EXTENSION, "xxxxxxxx" },
+    chunk_size = { CHUNKED, "00000000" },
+    spaces_after_a_chunk_size = { CHUNK_SIZE, "        " },
     trailers = { TRAILERS, "X-More: 1\r\n" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
