Lower the bound of a response of the store to 32 MiB

A response's body was read up to 256 MiB, and the smallest host of a router has 160 MB of memory. A list or object without end would have ended the router before the bound was reached. A list of 10,000 servers of 300 bytes takes 3 MB, a configuration 1 MB; 32 MiB leaves ten times as much. A declared length above the bound is refused before anything of the body is read.

--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -28,7 +28,13 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
 /// The maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 256 * 1024 * 1024;
+///
+/// A list of 10,000 backend servers of 300 bytes takes 3 MB, and a configuration 1 MB. The smallest
+/// host of a router has 160 MB of memory.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why a response body of more than [`MAX_RESPONSE_BYTES`] is not read.
+const TOO_LONG: &str = "the answer is too long";
 
 /// The maximum memory allocated for a response before its body arrives, in bytes.
 const MAX_PREALLOCATED_BYTES: usize = 8 * 1024 * 1024;
@@ -294,8 +300,10 @@
         mut progress: Progress,
         response_deadline: Deadline,
     ) -> Result<(Bytes, Progress), Failure> {
-        let length_hint =
-            usize::try_from(body.size_hint().lower()).unwrap_or(MAX_PREALLOCATED_BYTES);
+        let length_hint = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if length_hint > MAX_RESPONSE_BYTES {
+            return Err(interrupted(&TOO_LONG));
+        }
         let mut bytes = BytesMut::with_capacity(length_hint.min(MAX_PREALLOCATED_BYTES));
         loop {
             // The limit applies anew to each frame: the size of a chunk may be written with any
@@ -313,7 +321,7 @@
                 continue;
             };
             if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
-                return Err(interrupted(&"the answer is too long"));
+                return Err(interrupted(&TOO_LONG));
             }
             progress.received(data.len(), time::Instant::now());
             bytes.extend_from_slice(&data);
--- a/crates/storage/tests/endless.rs
+++ b/crates/storage/tests/endless.rs
@@ -10,7 +10,7 @@
 use yare::parameterized;
 
 /// The deadline of a call, far beyond what any refused response takes.
-const DEADLINE: Duration = Duration::from_secs(10);
+const DEADLINE: Duration = Duration::from_secs(30);
 /// The deadline of a call that is expected to last until then.
 const SHORT_DEADLINE: Duration = Duration::from_millis(400);
 /// The pause between two units of a response that trickles.
@@ -20,10 +20,19 @@
 /// The most that one connection may deliver before the final head: what the client reads, the
 /// buffers of both sockets, and one more block. The buffers take some MB.
 const MAX_UNANSWERED_BYTES: u64 = 16 * 1024 * 1024;
+/// The most that a response may have, and as above what the buffers of the sockets take.
+const MAX_BODY_BYTES: u64 = (32 + 16) * 1024 * 1024;
+
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 const OK: &str = "HTTP/1.1 200 OK\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHUNK_SIZE: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5";
+const CHUNK: &str = "100\r\n\
+    xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+    xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+    xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+    xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+    \r\n";
 const EXTENSION: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
 const TRAILERS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
 
@@ -94,6 +103,25 @@
     wait_closed(&server).await;
 }
 
+/// Guards against a body without end that takes more memory than a router may have.
+#[parameterized(
+    chunks = { CHUNKED, CHUNK },
+    until_close = { "HTTP/1.1 200 OK\r\n\r\n", CHUNK },
+    huge_length = { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", CHUNK },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_body_without_end_is_not_read_beyond_its_limit(begin: &'static str, unit: &'static str) {
+    let server = start(begin, unit, Duration::ZERO).await;
+    let client = http::Client::new(server.address());
+    let deadline = time::Instant::now() + DEADLINE;
+    let failed = client.read(get(), deadline).await;
+    let too_long = Error::MayHaveRun(String::from("the answer is too long"));
+    assert_eq!(failed.err(), Some(too_long));
+    wait_closed(&server).await;
+    let bytes = server.bytes();
+    assert!(bytes < MAX_BODY_BYTES, "{bytes} bytes");
+}
+
 /// Guards against a body that trickles without end and holds a call as long as it does.
 #[parameterized(call = { false }, read = { true })]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
