--- a/crates/router/tests/fleet/cluster.rs
+++ b/crates/router/tests/fleet/cluster.rs
@@ -8,7 +8,7 @@
 };
 
 use serde_json::{Value, json};
-use standin::{engine, fixed, platform, platform::Host, service};
+use standin::{endless, engine, fixed, platform, platform::Host, service};
 
 use crate::{
     client::{Call, Response},
@@ -76,6 +76,17 @@
     pub handle: service::Handle,
     /// A server in front of it that answers bookings, if there is one.
     pub front: Option<fixed::Server>,
+    /// A server in front of it that answers some calls without end, if there is one.
+    pub endless: Option<endless::Server>,
+}
+
+impl Service {
+    /// The address of the server that stands in front, or its own.
+    fn address(&self) -> SocketAddr {
+        let front = self.front.as_ref().map(fixed::Server::address);
+        let endless = self.endless.as_ref().map(endless::Server::address);
+        front.or(endless).unwrap_or(self.handle.address())
+    }
 }
 
 /// The name of a zone.
@@ -143,6 +154,7 @@
             zone: zone.clone(),
             handle: handle.expect("the service starts"),
             front: None,
+            endless: None,
         });
     }
 
@@ -177,8 +189,7 @@
             hosts.push(host(&engine.name, &engine.zone, address, Some("llm")));
         }
         for service in &self.services {
-            let front = service.front.as_ref().map(fixed::Server::address);
-            let address = front.unwrap_or(service.handle.address());
+            let address = service.address();
             hosts.push(host(&service.name, &service.zone, address, Some("api")));
         }
         self.platform.set_hosts(hosts);
