End a request whose owner replies without end at its deadline

The router that a caller reaches waits for the owner of a server by frames: each frame within two seconds kept the request, whatever it said. An owner that sends keepalives, or data frames without data, held it beyond its deadline and without end, and so did one that sends a body without end. Nothing at the entry knew the deadline.

The replies to a request now end two seconds (the time for any frame) after its deadline, at which a sound owner ends it itself. An owner sends a keepalive each 500 ms; twice as many are accepted, and no data frame without data, so that frames at full speed end the link at once.

--- a/crates/router/src/hop.rs
+++ b/crates/router/src/hop.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod head;
+mod replies;
 pub mod server;
 
 use std::time::Duration;
--- a/crates/router/src/hop/client.rs
+++ b/crates/router/src/hop/client.rs
@@ -14,8 +14,9 @@
 };
 
 use super::{
-    KEEPALIVE_TIMEOUT, from_wire, head,
+    from_wire, head,
     link::{Error, Link},
+    replies::Replies,
 };
 use crate::{
     clock::Clock,
@@ -86,7 +87,7 @@
 /// A request that was admitted by the owner and whose body was not sent yet.
 #[derive(Debug)]
 pub struct Admitted {
-    link: Link,
+    replies: Replies,
     links: Links,
     address: net::SocketAddr,
     /// The total load of the owner's servers in the pool.
@@ -137,15 +138,15 @@
 
 /// The owner's decision on a request for admission.
 enum Admission {
-    Ready(Link, wire::hop::Slot),
+    Ready(Replies, wire::hop::Slot),
     Refused(Link, Rejected),
 }
 
 impl Admission {
     fn into_result(self, links: &Links, address: net::SocketAddr) -> Result<Admitted, Rejected> {
         match self {
-            Self::Ready(link, slot) => Ok(Admitted {
-                link,
+            Self::Ready(replies, slot) => Ok(Admitted {
+                replies,
                 links: links.clone(),
                 address,
                 load: slot.load,
@@ -163,17 +164,16 @@
     link.writer
         .send(&Call::Open(Box::new(open.clone())))
         .await?;
-    loop {
-        match link.reader.receive_within(KEEPALIVE_TIMEOUT).await? {
-            Frame::Message(Reply::Alive) => {}
-            Frame::Message(Reply::Ready(slot)) => return Ok(Admission::Ready(link, slot)),
-            Frame::Message(Reply::Refused(refused)) => {
-                let load = refused.load;
-                let refusal = from_wire(refused, clock);
-                return Ok(Admission::Refused(link, Rejected { refusal, load }));
-            }
-            _ => return Err(Error::Frame(wire::Error::Malformed)),
+    let mut replies = Replies::new(link, Duration::from_millis(open.remaining_ms));
+    match replies.next().await? {
+        Frame::Message(Reply::Ready(slot)) => Ok(Admission::Ready(replies, slot)),
+        Frame::Message(Reply::Refused(refused)) => {
+            let load = refused.load;
+            let refusal = from_wire(refused, clock);
+            let link = replies.into_link();
+            Ok(Admission::Refused(link, Rejected { refusal, load }))
         }
+        _ => Err(Error::Frame(wire::Error::Malformed)),
     }
 }
 
@@ -192,26 +192,23 @@
                 "The router that owns the backend server went away.",
             ));
         }
-        if let Err(error) = self.link.writer.send(&Call::End).await {
+        if let Err(error) = self.replies.writer().send(&Call::End).await {
             return Err(self.link_failure(&error));
         }
-        loop {
-            match self.link.reader.receive_within(KEEPALIVE_TIMEOUT).await {
-                Ok(Frame::Message(Reply::Alive)) => {}
-                Ok(Frame::Message(Reply::Head(head))) => return self.into_response(head, clock),
-                Ok(Frame::Message(Reply::Refused(refused))) => {
-                    let refusal = from_wire(refused, &clock);
-                    self.links.put(self.address, self.link);
-                    return Err(refusal);
-                }
-                Ok(_) => return Err(self.link_failure(&Error::Frame(wire::Error::Malformed))),
-                Err(error) => return Err(self.link_failure(&error)),
+        match self.replies.next().await {
+            Ok(Frame::Message(Reply::Head(head))) => self.into_response(head, clock),
+            Ok(Frame::Message(Reply::Refused(refused))) => {
+                let refusal = from_wire(refused, &clock);
+                self.links.put(self.address, self.replies.into_link());
+                Err(refusal)
             }
+            Ok(_) => Err(self.link_failure(&Error::Frame(wire::Error::Malformed))),
+            Err(error) => Err(self.link_failure(&error)),
         }
     }
 
     async fn send_body(&mut self, body: &Bytes) -> Result<(), Error> {
-        self.link.writer.send_data(body).await
+        self.replies.writer().send_data(body).await
     }
 
     /// Returns the refusal for a link that failed after the body was sent.
@@ -243,7 +240,7 @@
     async fn forward(mut self, chunks: mpsc::Sender<Chunk>, clock: Clock) {
         loop {
             let frame = tokio::select! {
-                frame = self.link.reader.receive_within(KEEPALIVE_TIMEOUT) => frame,
+                frame = self.replies.next() => frame,
                 // Dropping the link makes the owner cancel the request.
                 () = chunks.closed() => return,
             };
@@ -253,16 +250,15 @@
                         return;
                     }
                 }
-                Ok(Frame::Message(Reply::Alive)) => {}
                 Ok(Frame::Message(Reply::End)) => {
-                    self.links.put(self.address, self.link);
+                    self.links.put(self.address, self.replies.into_link());
                     // The receiver is dropped if the caller disconnected.
                     drop(chunks.send(Chunk::End).await);
                     return;
                 }
                 Ok(Frame::Message(Reply::Refused(refused))) => {
                     let refusal = from_wire(refused, &clock);
-                    self.links.put(self.address, self.link);
+                    self.links.put(self.address, self.replies.into_link());
                     // As above.
                     let _ = chunks.send(Chunk::Broken(refusal)).await;
                     return;
