Read on after a refusal, so that callers that still send can read it

A caller whose request was refused before its body was read had its connection reset while it sent: its next write failed, a delaying path dropped the refusal it held, and it had neither an answer nor a refusal.

Cause: the HTTP library closes the connection once the response is written and the body was dropped. The kernel resets a connection that is closed with bytes unread.

The rest is read and discarded, and the connection is kept. Where the end of the request is not known, or the caller asked by Expect, the sending side is closed and the rest is read until the caller closes.

Ruled out: connections above the limit of a router, which are closed unread on purpose, and responses of servers, which start only after the body was read.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -5,7 +5,7 @@
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
@@ -17,7 +17,7 @@
 };
 use units::time::Instant;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, discard::Discard};
 
 /// Represents the absence of an instant.
 const NONE: u64 = u64::MAX;
@@ -31,6 +31,7 @@
     head_since_us: AtomicU64,
     head_started: Notify,
     ends_with_connection: AtomicBool,
+    discard: Mutex<Option<Discard>>,
 }
 
 impl Activity {
@@ -42,6 +43,7 @@
             head_since_us: AtomicU64::new(NONE),
             head_started: Notify::new(),
             ends_with_connection: AtomicBool::new(false),
+            discard: Mutex::new(None),
             clock,
         }
     }
@@ -71,6 +73,12 @@
         self.ends_with_connection.load(Ordering::Relaxed)
     }
 
+    /// The discarding that is left to do at the end of the connection.
+    pub fn take_discard(&self) -> Option<Discard> {
+        let mut discard = self.discard.lock().unwrap_or_else(PoisonError::into_inner);
+        discard.take()
+    }
+
     fn received(&self) {
         if self.idle_since().is_none() || self.head_since_us.load(Ordering::Relaxed) != NONE {
             return;
@@ -99,6 +107,13 @@
     pub fn end_with_connection(&self) {
         self.0.ends_with_connection.store(true, Ordering::Relaxed);
     }
+
+    /// Has what the caller still sends discarded when the connection has ended.
+    pub fn discard_at_end(&self, discard: Discard) {
+        let kept = &self.0.discard;
+        let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = Some(discard);
+    }
 }
 
 impl Drop for Guard {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod connector;
 pub mod crashes;
 pub mod dial;
+pub mod discard;
 pub mod dispatch;
 pub mod egress;
 pub mod follow;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -15,6 +15,7 @@
 use crate::{
     activity::{Activity, Guard, Tracked},
     clock::Clock,
+    discard::{self, Discard},
     protocol::Protocol,
     refusal,
     route::{Limits, Table},
@@ -109,8 +110,9 @@
                 (&mut connection).await
             }
             Expired::SlowHead => {
-                let stream = connection.into_parts().io.into_inner().into_inner();
-                refuse_slow_head(&shared_context, stream).await;
+                let mut stream = into_stream(connection.into_parts());
+                refuse_slow_head(&shared_context, &mut stream).await;
+                discard_unparsed(&shared_context).run(&mut stream).await;
                 return;
             }
         },
@@ -119,14 +121,31 @@
             (&mut connection).await
         }
     };
+    let mut discard = activity.take_discard();
     if let Err(error) = result {
         logging::event!(debug, "caller_connection_broken", reason = error);
         if activity.ends_with_connection() {
-            reset(connection.into_parts().io.into_inner().into_inner());
+            reset(into_stream(connection.into_parts()));
+            return;
         }
+        if error.is_parse() {
+            discard = discard.or_else(|| Some(discard_unparsed(&shared_context)));
+        }
+    }
+    if let Some(discard) = discard {
+        discard.run(&mut into_stream(connection.into_parts())).await;
     }
 }
 
+fn into_stream<S>(parts: http1::Parts<TokioIo<Tracked<TcpStream>>, S>) -> TcpStream {
+    parts.io.into_inner().into_inner()
+}
+
+/// Prepares to discard what follows bytes that are no request.
+fn discard_unparsed<P>(context: &Context<P>) -> Discard {
+    Discard::new(context, String::from(serve::UNREAD), discard::MIN_BYTES)
+}
+
 /// Closes a connection so that the response on it does not look complete.
 fn reset(stream: TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
@@ -134,15 +153,15 @@
     }
 }
 
-/// Refuses a caller whose request head took too long, and closes the connection.
+/// Refuses a caller whose request head took too long, and closes the sending side.
 ///
 /// No request has begun, so the caller may retry.
-async fn refuse_slow_head<P: Protocol>(context: &Context<P>, mut stream: TcpStream) {
+async fn refuse_slow_head<P: Protocol>(context: &Context<P>, stream: &mut TcpStream) {
     let refused = Refusal::not_run(Code::SlowCaller, "The head took too long to arrive.");
     logging::event!(
         info,
         "request_rejected",
-        request = "unread",
+        request = serve::UNREAD,
         code = refused.code,
         verdict = refused.verdict,
         reason = refused.message
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use verdict::Refusal;
 
 use crate::{
+    discard,
     pool::{Outcome, Standing},
     serve::Finding,
     silence::Health,
@@ -64,6 +65,8 @@
 pub struct Metrics {
     registry: Registry,
     refusals: Family<labels::Refusal, Counter>,
+    rests: Family<labels::Rest, Counter>,
+    discarded_bytes: Counter,
     responses: Family<labels::Response, Counter>,
     response_ends: Family<labels::End, Counter>,
     calls: Family<labels::Call, Counter>,
@@ -95,6 +98,8 @@
     fn default() -> Self {
         let mut registry = Registry::default();
         let refusals = Family::default();
+        let rests = Family::default();
+        let discarded_bytes = Counter::default();
         let responses = Family::default();
         let response_ends = Family::default();
         let calls = Family::default();
@@ -121,6 +126,16 @@
         let servers = Gauge::default();
         let members = Gauge::default();
         registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
+        registry.register(
+            "weir_discarded_rests",
+            "Requests that were refused while their callers still sent, by how reading on ended",
+            Family::clone(&rests),
+        );
+        registry.register(
+            "weir_discarded_bytes",
+            "Bytes that callers sent after their refusal",
+            discarded_bytes.clone(),
+        );
         registry.register(
             "weir_answers",
             "Answers by status",
@@ -241,6 +256,8 @@
         Self {
             registry,
             refusals,
+            rests,
+            discarded_bytes,
             responses,
             response_ends,
             calls,
@@ -280,6 +297,13 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts the rest of a refused request, of which `bytes` were read.
+    pub fn rest_discarded(&self, end: discard::End, bytes: u64) {
+        let labels = labels::Rest { end: end.name() };
+        self.rests.get_or_create(&labels).inc();
+        self.discarded_bytes.inc_by(bytes);
+    }
+
     /// Records that the head of a response was sent after `waited`.
     pub fn response_started(&self, status: StatusCode, waited: Duration) {
         let labels = labels::Response {
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -9,6 +9,12 @@
     pub(super) verdict: String,
 }
 
+/// The labels of the discarded rest of a refused request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct Rest {
+    pub(super) end: &'static str,
+}
+
 /// The labels of a response.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct Response {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,13 +22,13 @@
 use verdict::{Code, Refusal};
 
 pub use exchange::{Exchange, Held, Running, Waited};
-pub use intake::BODY_UNIT;
+pub use intake::{BODY_UNIT, UNREAD};
 pub use origin::Finding;
 
 use crate::{
-    activity, check, clock::Clock, connector::Connector, dispatch, metrics::Metrics, origins,
-    protocol::Protocol, readiness::Readiness, refusal, relay, route::Table, shutdown::Phase,
-    staleness::Staleness,
+    activity, check, clock::Clock, connector::Connector, discard, dispatch, metrics::Metrics,
+    origins, protocol::Protocol, readiness::Readiness, refusal, relay, route::Table,
+    shutdown::Phase, staleness::Staleness,
 };
 
 /// The state that all requests share.
@@ -50,6 +50,8 @@
     pub anonymous: workspace::Id,
     /// The memory for request bodies, in units of [`BODY_UNIT`] bytes.
     pub body_memory: Arc<Semaphore>,
+    /// The connections that are read on after a refusal.
+    pub discards: discard::Room,
     /// The most bytes of an event that are held back.
     pub max_event_bytes: usize,
     /// The metrics.
@@ -77,7 +79,7 @@
     request: Request<Incoming>,
     guard: activity::Guard,
 ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, relay::Error>> + Send>> {
-    let is_closing = *context.phase.borrow() > Phase::Serving;
+    let mut is_closing = *context.phase.borrow() > Phase::Serving;
     let started = context.clock.now();
     let version = request.version();
     let mut response = match respond(&context, request).await {
@@ -90,10 +92,11 @@
             let stream = relay::stream(exchange, upstream, guard);
             Response::from_parts(head, Either::Right(StreamBody::new(stream)))
         }
-        Err(refused) => {
-            context.metrics.refused(&refused);
+        Err(Rejected { refusal, unread }) => {
+            context.metrics.refused(&refusal);
             let now = context.clock.now();
-            let response = refusal::response(&context.connector.protocol, &refused, now);
+            let response = refusal::response(&context.connector.protocol, &refusal, now);
+            is_closing |= unread.is_some_and(|unread| !unread.discard(&context, guard));
             response.map(|body| Either::Left(Full::new(body)))
         }
     };
@@ -106,18 +109,35 @@
     response
 }
 
+/// A refused request.
+#[derive(Debug)]
+struct Rejected {
+    refusal: Refusal,
+    /// What the caller still sends of it.
+    unread: Option<discard::Unread>,
+}
+
+impl From<Refusal> for Rejected {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            unread: None,
+        }
+    }
+}
+
 type Exchanged<P> = (Exchange<P>, Box<crate::attempt::Response>);
 
 async fn respond<P: Protocol>(
     context: &Arc<Context<P>>,
     request: Request<Incoming>,
-) -> Result<Exchanged<P>, Refusal> {
+) -> Result<Exchanged<P>, Rejected> {
     let mut exchange = intake::accept(context, request).await?;
     match exchange.respond(None, None).await {
         Ok(upstream) => Ok((exchange, upstream)),
         Err(refusal) => {
             exchange.log_refusal(&refusal);
-            Err(refusal)
+            Err(refusal.into())
         }
     }
 }
@@ -151,6 +171,12 @@
         drop(time::timeout_at(self.clock.at(self.start_deadline), ready).await);
     }
 
+    /// The most bytes of a body that the configuration allows.
+    fn body_limit(&self) -> u64 {
+        let table = self.table.borrow();
+        table.as_ref().map_or(0, |table| table.limits.body_bytes)
+    }
+
     /// Creates the refusal of a request that arrived before any configuration.
     fn not_ready(&self) -> Refusal {
         let refusal = Refusal::not_run(Code::NotReady, "The router has no configuration yet.");
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -14,16 +14,19 @@
 use xxhash_rust::xxh3;
 
 use super::{
-    Context, Exchange, exchange,
+    Context, Exchange, Rejected, exchange,
     origin::{self, Origin},
 };
 use crate::{
+    discard::Unread,
     headers,
     pool::Demand,
     protocol::{Head, Protocol},
     route::{KeyOwner, Route, Table},
 };
 
+/// The id in logs of a request whose head could not be read.
+pub const UNREAD: &str = "unread";
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a request waits for memory for the start of its body.
@@ -36,23 +39,38 @@
 ///
 /// # Errors
 ///
-/// The refusal of an invalid request, which has not run.
-pub async fn accept<P: Protocol>(
+/// The refusal of an invalid request, which has not run, and what is unread of the request.
+pub(super) async fn accept<P: Protocol>(
     context: &Arc<Context<P>>,
     request: Request<Incoming>,
-) -> Result<Exchange<P>, Refusal> {
+) -> Result<Exchange<P>, Rejected> {
     let arrived = context.clock.now();
-    let (mut parts, body) = request.into_parts();
-    let head = context.connector.protocol.read(&parts);
-    let head = head.inspect_err(log_malformed)?;
-    context.wait_until_ready().await;
-    let table = context.table.borrow().clone();
-    let table = table.ok_or_else(|| context.not_ready());
-    let table = table.inspect_err(|refusal| log_refusal(&head, &Table::default(), refusal))?;
-    let checked = check(&table, &head, parts.uri.path(), &body);
-    let (route, key_owner) = checked.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
-    let body = read(body, table.limits.body_bytes, &context.body_memory).await;
-    let (body, reserved) = body.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
+    let (mut parts, mut body) = request.into_parts();
+    let head = match context.connector.protocol.read(&parts) {
+        Ok(head) => head,
+        Err(refusal) => {
+            log_malformed(&refusal);
+            let unread = Unread::new(UNREAD, body, &parts.headers, 0);
+            return Err(Rejected { refusal, unread });
+        }
+    };
+    let admitted = match admit(context, &head, parts.uri.path(), &mut body).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            let limit = context.body_limit();
+            let unread = Unread::new(&head.id, body, &parts.headers, limit);
+            let is_lost = matches!(refusal.code, Code::Malformed | Code::SlowCaller);
+            let unread = unread.map(|unread| if is_lost { unread.closing() } else { unread });
+            return Err(Rejected { refusal, unread });
+        }
+    };
+    let Admitted {
+        table,
+        route,
+        key_owner,
+        body,
+        reserved,
+    } = admitted;
     headers::strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
     let origin = origin::resolve(context, &head, &route, key_owner.as_deref()).await;
@@ -94,6 +112,38 @@
     ))
 }
 
+/// A valid request whose body has been read.
+struct Admitted {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    key_owner: Option<Arc<KeyOwner>>,
+    body: Bytes,
+    reserved: Option<OwnedSemaphorePermit>,
+}
+
+async fn admit<P: Protocol>(
+    context: &Context<P>,
+    head: &Head,
+    path: &str,
+    body: &mut Incoming,
+) -> Result<Admitted, Refusal> {
+    context.wait_until_ready().await;
+    let table = context.table.borrow().clone();
+    let table = table.ok_or_else(|| context.not_ready());
+    let table = table.inspect_err(|refusal| log_refusal(head, &Table::default(), refusal))?;
+    let checked = check(&table, head, path, body);
+    let (route, key_owner) = checked.inspect_err(|refusal| log_refusal(head, &table, refusal))?;
+    let body = read(body, table.limits.body_bytes, &context.body_memory).await;
+    let (body, reserved) = body.inspect_err(|refusal| log_refusal(head, &table, refusal))?;
+    Ok(Admitted {
+        table,
+        route,
+        key_owner,
+        body,
+        reserved,
+    })
+}
+
 type Checked = (Arc<Route>, Option<Arc<KeyOwner>>);
 
 fn check(table: &Table, head: &Head, path: &str, body: &Incoming) -> Result<Checked, Refusal> {
@@ -123,7 +173,7 @@
 /// bodies would exhaust the memory of the process, which would be killed together with
 /// every request in flight.
 async fn read(
-    body: Incoming,
+    body: &mut Incoming,
     limit: u64,
     memory: &Arc<Semaphore>,
 ) -> Result<BodyWithPermit, Refusal> {
@@ -137,7 +187,7 @@
 }
 
 async fn collect(
-    mut body: Incoming,
+    body: &mut Incoming,
     limit: u64,
     memory: &Arc<Semaphore>,
 ) -> Result<BodyWithPermit, Refusal> {
@@ -240,7 +290,7 @@
     logging::event!(
         info,
         "request_rejected",
-        request = "unread",
+        request = UNREAD,
         code = refusal.code,
         verdict = refusal.verdict,
         reason = refusal.message
