Write the head of a response that breaks off at once

Callers saw: a connection that is closed without a byte, that is neither an answer nor a refusal, where a server sent a sound head and broke the body off in the same moment.

Cause: the HTTP library writes a head together with the first of the body. When the stream of the body fails before anything was written, it closes the connection and drops what it holds, the head included. The same holds for the last pieces of a body before it breaks off.

Change: the relay lets the connection be polled once, which writes what it holds, before it returns the error. The response still breaks off: neither the last chunk nor the rest of the length is written. What a caller that does not read keeps in the socket is still lost.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
     Method,
     body::{Frame, Incoming},
 };
-use tokio::time;
+use tokio::{task, time};
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
 
@@ -161,7 +161,7 @@
                 },
                 Next::TimedOut => {
                     self.finish(Outcome::Cancelled, "late");
-                    return Some(Err(Error::Deadline));
+                    return Some(Err(broken_off(Error::Deadline).await));
                 }
                 Next::Replaced(response, cause) => {
                     self.leave(&Failure::Silent(cause));
@@ -174,7 +174,7 @@
             if let Err(reason) = self.resume(&failure, running).await {
                 let ending = reason.map_or_else(|| failure.to_string(), String::from);
                 self.finish(Outcome::Broken, &ending);
-                return Some(Err(Error::Server));
+                return Some(Err(broken_off(Error::Server).await));
             }
         }
     }
@@ -387,6 +387,13 @@
     is_continuation.then_some(tracker)
 }
 
+/// Lets the HTTP library write what it has of a response that breaks off: with the error it drops
+/// what it has not written, the head included.
+async fn broken_off(error: Error) -> Error {
+    task::yield_now().await;
+    error
+}
+
 /// Waits for the next bytes of `body`, until `deadline` at the latest.
 async fn frame(
     body: &mut Incoming,
