Log how much of a response was received since its last whole event

Of a stream that ends late or broken off, request_done did not tell whether its server was silent, wrote comments, or wrote an event that never ended. It has `received` and `unfinished` now: the bytes of the last server's body, and those after its last whole event.

--- a/crates/framing/src/events.rs
+++ b/crates/framing/src/events.rs
@@ -37,6 +37,10 @@
     is_after_cr: bool,
     /// The number of events that have ended.
     events: u64,
+    /// The bytes after the last event that has ended.
+    unfinished: u64,
+    /// How many of them end outside of an event.
+    ignored: u64,
 }
 
 impl Default for Scanner {
@@ -46,6 +50,8 @@
             has_fields: false,
             is_after_cr: false,
             events: 0,
+            unfinished: 0,
+            ignored: 0,
         }
     }
 }
@@ -58,6 +64,7 @@
         for (offset, byte) in bytes.iter().enumerate() {
             self.advance(*byte);
             if !self.is_inside() {
+                self.ignored = self.unfinished;
                 boundary = offset + 1;
             }
         }
@@ -74,10 +81,24 @@
         self.events
     }
 
+    /// The number of bytes after the last event that has ended: comments, `retry` fields, blank
+    /// lines, and the beginning of an event.
+    pub fn unfinished(&self) -> u64 {
+        self.unfinished
+    }
+
+    /// How many of the [`Scanner::unfinished`] bytes belong to no event.
+    pub fn ignored(&self) -> u64 {
+        self.ignored
+    }
+
     fn advance(&mut self, byte: u8) {
         let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
+        if byte == b'\n' && is_after_cr {
+            return;
+        }
+        self.unfinished += 1;
         match byte {
-            b'\n' if is_after_cr => {}
             b'\n' | b'\r' => self.end_line(),
             _ => self.line = self.line.extended_by(byte),
         }
@@ -86,8 +107,10 @@
     fn end_line(&mut self) {
         match self.line {
             Line::Start | Line::Mark(0) => {
-                self.events += u64::from(self.has_fields);
-                self.has_fields = false;
+                if std::mem::take(&mut self.has_fields) {
+                    self.events += 1;
+                    self.unfinished = 0;
+                }
             }
             Line::Comment | Line::Retry => {}
             Line::Name(matched) if matched == RETRY.len() => {}
--- a/crates/framing/src/tracker.rs
+++ b/crates/framing/src/tracker.rs
@@ -99,6 +99,22 @@
         self.format == Format::EventStream && self.scanner.is_inside()
     }
 
+    /// The bytes of the body that have been read.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// The bytes of an event stream after the last event that has ended.
+    pub fn unfinished(&self) -> u64 {
+        self.scanner.unfinished()
+    }
+
+    /// How many of the [`Tracker::unfinished`] bytes belong to no event: those of comments, `retry`
+    /// fields and blank lines.
+    pub fn ignored(&self) -> u64 {
+        self.scanner.ignored()
+    }
+
     /// The number of events that have ended.
     pub fn events(&self) -> u64 {
         self.earlier_events + self.scanner.events()
--- a/crates/framing/tests/events.rs
+++ b/crates/framing/tests/events.rs
@@ -74,6 +74,29 @@
     assert!(scanner.is_inside());
 }
 
+/// Guards against counts that depend on where the network cut the stream, or that never end.
+#[parameterized(
+    nothing = { b"", 0, 0 },
+    comment = { b": a\n", 4, 4 },
+    comments_and_blank_lines = { b": a\n\n\n\r\r", 8, 8 },
+    retry = { b"retry: 5\n", 9, 9 },
+    event = { b"data: a\n\n", 0, 0 },
+    event_with_two_bytes_for_a_line_end = { b"data: a\r\n\r\n", 0, 0 },
+    comment_before_an_event = { b": a\ndata: a\n\n", 0, 0 },
+    comment_after_an_event = { b"data: a\n\n: a\n", 4, 4 },
+    piece_of_an_event = { b"data: a\n\n: a\ndata: b\n", 12, 4 },
+    comment_inside_an_event = { b"data: a\n: a\n", 12, 0 },
+    piece_of_a_comment = { b": a", 3, 0 },
+)]
+fn bytes_are_counted_from_the_last_whole_event(stream: &[u8], unfinished: u64, ignored: u64) {
+    for size in [1, 2, 5, stream.len().max(1)] {
+        let pieces: Vec<&[u8]> = stream.chunks(size).collect();
+        let scanner = scan(&pieces);
+        let counted = (scanner.unfinished(), scanner.ignored());
+        assert_eq!(counted, (unfinished, ignored), "pieces of {size}");
+    }
+}
+
 /// A stream of lines as a server would write it.
 fn stream() -> impl Strategy<Value = Vec<u8>> {
     let line = prop_oneof![
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -463,6 +463,8 @@
             delimiter = self.tracker.delimiter(),
             format = self.tracker.format(),
             inside_event = self.tracker.is_inside_event(),
+            received = self.tracker.received(),
+            unfinished = self.tracker.unfinished(),
             ending = ending,
             sends = self.exchange.sent_attempts(),
             first_ms = waited.as_millis(),
