--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
     Method,
     body::{Frame, Incoming},
 };
-use tokio::time;
+use tokio::{task, time};
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
 
@@ -164,7 +164,7 @@
                 },
                 Next::TimedOut => {
                     self.finish(Outcome::Cancelled, "late");
-                    return Some(Err(Error::Deadline));
+                    return Some(Err(broken_off(Error::Deadline).await));
                 }
                 Next::Replaced(response, cause) => {
                     self.leave(&Failure::Silent(cause));
@@ -177,7 +177,7 @@
             if let Err(reason) = self.resume(&failure, running).await {
                 let ending = reason.map_or_else(|| failure.to_string(), String::from);
                 self.finish(Outcome::Broken, &ending);
-                return Some(Err(Error::Server));
+                return Some(Err(broken_off(Error::Server).await));
             }
         }
     }
@@ -402,6 +402,13 @@
     is_continuation.then_some(tracker)
 }
 
+/// Lets the HTTP library write what it has of a response that breaks off: with the error it drops
+/// what it has not written, the head included.
+async fn broken_off(error: Error) -> Error {
+    task::yield_now().await;
+    error
+}
+
 /// Waits for the next bytes of `body`, until `deadline` at the latest.
 async fn frame(
     body: &mut Incoming,
@@ -471,6 +478,8 @@
             delimiter = self.tracker.delimiter(),
             format = self.tracker.format(),
             inside_event = self.tracker.is_inside_event(),
+            received = self.tracker.received(),
+            unfinished = self.tracker.unfinished(),
             ending = ending,
             sends = self.exchange.sent_attempts(),
             first_ms = waited.as_millis(),
