--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,13 +6,17 @@
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::response};
 use tokio::time;
-use units::time::{Instant, Millis};
+use units::{
+    backend,
+    time::{Instant, Millis},
+};
 
 use crate::{
     clock::Clock,
-    connection::Failure,
+    connection::{Failure, Received},
     connector::Connector,
     dispatch::Permit,
+    metrics::Metrics,
     pool::Outcome,
     protocol::{Classification, Protocol},
 };
@@ -78,6 +82,33 @@
     }
 }
 
+/// Logs a response head that does not arrive, when it is dropped.
+struct Awaited<'a> {
+    id: &'a str,
+    server: backend::Server,
+    received: Received,
+    metrics: &'a Metrics,
+    has_arrived: bool,
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        let bytes = self.received.bytes();
+        if self.has_arrived || bytes == 0 {
+            return;
+        }
+        self.metrics.head_missing();
+        logging::event!(
+            info,
+            "head_missing",
+            request = self.id,
+            server = self.server,
+            bytes = bytes,
+            interim_responses = self.received.interim_responses()
+        );
+    }
+}
+
 /// Sends a request on a new connection and waits for the response head.
 ///
 /// Connections are not reused. On a reused connection, a close, a reset or a duplicate
@@ -90,6 +121,7 @@
     id: &str,
     clock: Clock,
     deadline: Instant,
+    metrics: &Metrics,
 ) -> End {
     let placement = permit.placement();
     let timeout = clock.remaining(deadline.min(placement.connect_deadline));
@@ -121,6 +153,13 @@
         return End::Withdrawn;
     }
     permit.sent();
+    let mut awaited = Awaited {
+        id,
+        server: permit.placement().server.clone(),
+        received: connection.received().clone(),
+        metrics,
+        has_arrived: false,
+    };
     let probe_at = deadline.min(now + PROBE_AFTER);
     let mut response = pin::pin!(connection.send(request));
     let mut sent = time::timeout_at(clock.at(probe_at), &mut response).await;
@@ -141,6 +180,7 @@
             End::Broken(error.to_string())
         }
         Ok(Ok(response)) => {
+            awaited.has_arrived = true;
             let (head, body) = response.into_parts();
             let classification = connector.protocol.classify(id, head.status, &head.headers);
             if classification != Classification::Foreign {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,10 +1,17 @@
 //! HTTP/1.1 connections to backend servers.
 
-use std::{io, net, sync::Arc, time::Duration};
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{Request, Response, body::Incoming, client::conn::http1, ext};
 use hyper_util::rt::TokioIo;
 use storage::traffic::{Metered, Traffic};
 use tokio::{
@@ -23,10 +30,30 @@
 /// The most time for it: the kernel's option is a number of milliseconds.
 const MAX_ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3600);
 
+/// What a server has sent on a connection so far.
+#[derive(Clone, Debug, Default)]
+pub struct Received {
+    traffic: Arc<Traffic>,
+    interim_responses: Arc<AtomicU64>,
+}
+
+impl Received {
+    /// All bytes.
+    pub fn bytes(&self) -> u64 {
+        self.traffic.received()
+    }
+
+    /// The interim responses, which precede the response itself.
+    pub fn interim_responses(&self) -> u64 {
+        self.interim_responses.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection to a backend server that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    received: Received,
 }
 
 impl Connection {
@@ -47,7 +74,7 @@
     pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure(&stream, MIN_ACKNOWLEDGEMENT_TIMEOUT)?;
-        Self::over(Metered::new(stream, traffic)).await
+        Self::counted(stream, traffic).await
     }
 
     /// Speaks HTTP over an open TCP connection, which will be needed for `remaining`.
@@ -69,6 +96,18 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
+        Self::counted(stream, Arc::default()).await
+    }
+
+    async fn counted<S>(stream: S, traffic: Arc<Traffic>) -> io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let received = Received {
+            traffic: Arc::clone(&traffic),
+            interim_responses: Arc::default(),
+        };
+        let stream = Metered::new(stream, traffic);
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -80,7 +119,12 @@
                 logging::event!(debug, "backend_connection_ended", reason = error);
             }
         });
-        Ok(Self { sender })
+        Ok(Self { sender, received })
+    }
+
+    /// What the server has sent so far.
+    pub fn received(&self) -> &Received {
+        &self.received
     }
 
     /// Whether the connection can send another request.
@@ -95,11 +139,15 @@
     /// [`Failure::Unsent`] when no byte of the request was sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
         if self.sender.ready().await.is_err() {
             return Err(Failure::Unsent(Box::new(request)));
         }
+        let interim_responses = Arc::clone(&self.received.interim_responses);
+        ext::on_informational(&mut request, move |_| {
+            interim_responses.fetch_add(1, Ordering::Relaxed);
+        });
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,7 @@
     standings: Family<labels::Standing, Counter>,
     checks: Family<labels::Check, Counter>,
     silences: Family<labels::Silence, Counter>,
+    missing_heads: Counter,
     rollout_stages: Family<labels::Stage, Counter>,
     ages: Family<labels::View, Gauge<f64, AtomicU64>>,
     control_bytes: Family<labels::Direction, Counter>,
@@ -112,6 +113,7 @@
         let standings = Family::default();
         let checks = Family::default();
         let silences = Family::default();
+        let missing_heads = Counter::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
         let control_bytes = Family::default();
@@ -211,6 +213,11 @@
             "Requests whose server was silent for so long that it was checked, by what followed",
             Family::clone(&silences),
         );
+        registry.register(
+            "weir_missing_heads",
+            "Attempts at servers that sent something, but no head of a response",
+            missing_heads.clone(),
+        );
         registry.register(
             "weir_view_age_seconds",
             "Time since the store confirmed a view",
@@ -258,6 +265,7 @@
             standings,
             checks,
             silences,
+            missing_heads,
             rollout_stages,
             ages,
             control_bytes,
@@ -337,6 +345,11 @@
             .inc();
     }
 
+    /// Counts an attempt whose server sent something, but no head of a response.
+    pub fn head_missing(&self) {
+        self.missing_heads.inc();
+    }
+
     /// Counts an attempt at a server that had asked this router to send nothing.
     pub fn sent_while_throttled(&self) {
         self.throttled_attempts.inc();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -299,7 +299,8 @@
         let deadline = self.plan.deadline;
         async move {
             let (connector, clock) = (&context.connector, context.clock);
-            attempt::run(connector, permit, request, &id, clock, deadline).await
+            let metrics = &context.metrics;
+            attempt::run(connector, permit, request, &id, clock, deadline, metrics).await
         }
     }
 
