Leave a server whose response head does not end

Callers: sixteen requests of all kinds, two servers, one of which writes interim responses (100 Continue) without end at full speed, deadline 4 s. Safe and resumable requests at that server were answered after 1.3 s though the other one was idle, unsafe ones and streams got 504 at 4.0 s; with both servers faulty all sixteen got 504. One connection brought up to 18.7 MB with a small send buffer at the server, 65 MB on all of them, and up to five connections were still read half a second after the last answer.

Cause: the HTTP client skips interim responses and reads on. Its buffer size bounds one head, not their sum, and the wait for a head ends only with the final one. While bytes keep coming, the connection's driver does not get to see that nobody waits any more.

Change: a connection to a backend server gives up at 64 KiB before the end of the head (storage::head), and at the moment the attempt, or the check, is dropped. The attempt counts as failed, as with a response that belongs to another request: no sign of a crash, since the server is reached and writes. An idempotent request goes elsewhere at once. weir-router uses the same connections and reports the new failure like a closed connection, without its question whether the server has crashed; tests/network/pauses.rs names the new variant.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -179,6 +179,11 @@
             permit.end(Outcome::Broken);
             End::Broken(error.to_string())
         }
+        Ok(Err(Failure::Exceeded(exceeded))) => {
+            // The server is reached and works, so that this is no sign of a crash.
+            permit.end(Outcome::Failed);
+            End::Broken(exceeded.to_string())
+        }
         Ok(Ok(response)) => {
             awaited.has_arrived = true;
             let (head, body) = response.into_parts();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,7 +13,10 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1, ext};
 use hyper_util::rt::TokioIo;
-use storage::traffic::{Metered, Traffic};
+use storage::{
+    head::{self, Limit},
+    traffic::{Metered, Traffic},
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -30,17 +33,17 @@
 /// The most time for it: the kernel's option is a number of milliseconds.
 const MAX_ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3600);
 
-/// What a server has sent on a connection so far.
-#[derive(Clone, Debug, Default)]
+/// What a server has sent before the head of its response.
+#[derive(Clone, Debug)]
 pub struct Received {
-    traffic: Arc<Traffic>,
+    limit: Limit,
     interim_responses: Arc<AtomicU64>,
 }
 
 impl Received {
     /// All bytes.
     pub fn bytes(&self) -> u64 {
-        self.traffic.received()
+        self.limit.received()
     }
 
     /// The interim responses, which precede the response itself.
@@ -74,7 +77,7 @@
     pub async fn metered(address: net::SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure(&stream, MIN_ACKNOWLEDGEMENT_TIMEOUT)?;
-        Self::counted(stream, traffic).await
+        Self::over(Metered::new(stream, traffic)).await
     }
 
     /// Speaks HTTP over an open TCP connection, which will be needed for `remaining`.
@@ -96,18 +99,11 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        Self::counted(stream, Arc::default()).await
-    }
-
-    async fn counted<S>(stream: S, traffic: Arc<Traffic>) -> io::Result<Self>
-    where
-        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
-    {
+        let (stream, limit) = head::limit(stream, head::MAX_BYTES);
         let received = Received {
-            traffic: Arc::clone(&traffic),
+            limit,
             interim_responses: Arc::default(),
         };
-        let stream = Metered::new(stream, traffic);
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -132,11 +128,13 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the response head. If the returned future is dropped before,
+    /// the connection is closed, even while bytes keep coming.
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] when no byte of the request was sent.
+    /// [`Failure::Unsent`] when no byte of the request was sent, [`Failure::Exceeded`] when the head
+    /// and the interim responses before it exceed [`head::MAX_BYTES`].
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -148,9 +146,11 @@
         ext::on_informational(&mut request, move |_| {
             interim_responses.fetch_add(1, Ordering::Relaxed);
         });
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
+        let response = self.sender.try_send_request(request);
+        match self.received.limit.wait(response).await {
+            Ok(Ok(response)) => Ok(response),
+            Err(exceeded) => Err(Failure::Exceeded(exceeded)),
+            Ok(Err(mut error)) => match error.take_message() {
                 Some(request) => Err(Failure::Unsent(Box::new(request))),
                 None => Err(Failure::Broken(error.into_error())),
             },
@@ -187,4 +187,6 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
+    /// The server sent too many bytes, and no response head.
+    Exceeded(head::Exceeded),
 }
--- a/crates/gateway/tests/network/pauses.rs
+++ b/crates/gateway/tests/network/pauses.rs
@@ -132,6 +132,7 @@
     let status = status.map_err(|failure| match failure {
         Failure::Unsent(_) => String::from("unsent"),
         Failure::Broken(error) => format!("{error:?}"),
+        Failure::Exceeded(exceeded) => exceeded.to_string(),
     });
     assert_eq!(status, Ok(200));
 }
--- a/crates/router/src/backend/relay.rs
+++ b/crates/router/src/backend/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use storage::head;
 use tokio::time;
 use units::{request, time::Instant};
 use verdict::{Code, Refusal};
@@ -67,6 +68,8 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection was closed or failed.
     Closed(hyper::Error),
+    /// The server sent too many bytes before the end of the head.
+    Exceeded(head::Exceeded),
     /// The caller's deadline passed.
     DeadlineExceeded,
     /// The attempt was given up after checks of its server.
@@ -80,6 +83,7 @@
         match self {
             Self::Unsent(_) => f.write_str("unsent"),
             Self::Closed(error) => write!(f, "closed: {error}"),
+            Self::Exceeded(exceeded) => exceeded.fmt(f),
             Self::DeadlineExceeded => f.write_str("late"),
             Self::Lost(Loss::Stalled) => f.write_str("silent"),
             Self::Lost(Loss::Refused) => f.write_str("dead"),
@@ -132,6 +136,7 @@
     match failure {
         Failure::Unsent(request) => Error::Unsent(request),
         Failure::Broken(error) => Error::Closed(error),
+        Failure::Exceeded(exceeded) => Error::Exceeded(exceeded),
     }
 }
 
@@ -228,6 +233,11 @@
             let message = format!("Backend server {server} closed the connection.");
             Refusal::may_have_run(code, message)
         }
+        Error::Exceeded(_) => {
+            permit.finish(owner::Outcome::Failed, None);
+            let message = format!("Backend server {server} sent no answer.");
+            Refusal::may_have_run(Code::BackendFailed, message)
+        }
         Error::DeadlineExceeded => {
             permit.finish(owner::Outcome::DeadlineExceeded, None);
             Refusal::may_have_run(Code::Deadline, "The answer did not come by the deadline.")
--- a/crates/storage/src/head.rs
+++ b/crates/storage/src/head.rs
@@ -47,7 +47,7 @@
 }
 
 /// Tells a [`Limited`] stream when a response's head is awaited.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Limit {
     state: Arc<Mutex<State>>,
 }
