Bound the memory that rows from another router take

A router that fetches rows from a peer read as many as came: the deadline is extended while bytes arrive, and only single values had a bound (8 MiB). Rows without end would have taken all memory of the router that asks. A packed batch may hold millions of rows of three bytes, which compress to kilobytes and take 200 bytes each once decoded.

A response now has 32 MiB of memory, in which each row and batch counts 256 bytes beside its key and value, and the rows of a packed batch are counted before they are decoded. 10,000 rows of servers of 300 bytes take 6 MB, a configuration 16 MB at most, packed and unpacked. Data frames without data, which no router sends, end the fetch.

Over sockets, before: rows were read up to the 256 MiB after which the test's router stops (268,442,019 bytes); removed rows and packed batches hadn't ended after 20 s; a batch of 2,000,000 rows was accepted. Topics and a value without data passed.

--- a/crates/gateway/src/peers/fetch/client.rs
+++ b/crates/gateway/src/peers/fetch/client.rs
@@ -18,6 +18,12 @@
 
 /// The maximum size of a row's value, in bytes.
 const MAX_VALUE: u64 = 8 * 1024 * 1024;
+/// The maximum memory that the rows of a response take, in bytes.
+///
+/// 10,000 rows of servers take 6 MB, and a configuration at most [`MAX_VALUE`].
+const MAX_RESPONSE_MEMORY: usize = 32 * 1024 * 1024;
+/// The memory that a row takes besides its key and value, in bytes; a batch counts as one.
+const ROW_MEMORY: usize = 256;
 
 /// Requests from the router at `address` the rows that are newer than `versions`.
 ///
@@ -46,6 +52,7 @@
     let now = time::Instant::now();
     let mut response = Response {
         deadline: now + TIMEOUT,
+        free_memory: MAX_RESPONSE_MEMORY,
         progress: Progress::new(now),
     };
     let result = response.request(address, key, request).await;
@@ -85,6 +92,8 @@
 /// A response that is being received.
 struct Response {
     deadline: time::Instant,
+    /// The memory that further rows may take, in bytes.
+    free_memory: usize,
     progress: Progress,
 }
 
@@ -114,6 +123,7 @@
                     version,
                     is_snapshot,
                 }) => {
+                    self.reserve(ROW_MEMORY)?;
                     let batch = Batch {
                         rows: Vec::new(),
                         version,
@@ -126,6 +136,7 @@
                     version,
                     content,
                 }) => {
+                    self.reserve(ROW_MEMORY + key.len())?;
                     let value = self.read_value(link, content).await?;
                     if let Some((_, batch)) = batches.last_mut() {
                         batch.rows.push(Row {
@@ -142,6 +153,7 @@
                     bytes,
                     length,
                 }) => {
+                    self.reserve(ROW_MEMORY)?;
                     let rows = self.read_rows(link, bytes, length).await?;
                     let batch = Batch {
                         rows,
@@ -157,6 +169,13 @@
         }
     }
 
+    /// Takes `bytes` from the memory that is left for the response.
+    fn reserve(&mut self, bytes: usize) -> Result<(), Error> {
+        let free_memory = self.free_memory.checked_sub(bytes);
+        self.free_memory = free_memory.ok_or(Error::Frame(wire::Error::TooLong))?;
+        Ok(())
+    }
+
     async fn read_value(
         &mut self,
         link: &mut Link,
@@ -183,6 +202,7 @@
     ) -> Result<Value, Error> {
         let packed = self.read_bytes(link, bytes).await?;
         let length = usize::try_from(length.min(MAX_VALUE)).unwrap_or_default();
+        self.reserve(length)?;
         Value::unpack(packed, length).map_err(|_| Error::Corrupt)
     }
 
@@ -193,16 +213,19 @@
         length: u64,
     ) -> Result<Vec<Row>, Error> {
         let value = self.read_packed(link, bytes, length).await?;
+        let rows = pack::count(&value).ok_or(Error::Corrupt)?;
+        self.reserve(rows.saturating_mul(ROW_MEMORY))?;
         pack::decode(&value).ok_or(Error::Corrupt)
     }
 
     async fn read_bytes(&mut self, link: &mut Link, length: u64) -> Result<Bytes, Error> {
         let length = usize::try_from(length.min(MAX_VALUE)).unwrap_or_default();
+        self.reserve(length)?;
         let mut bytes = BytesMut::with_capacity(length);
         while bytes.len() < length {
             match self.next_frame(link).await? {
-                Frame::Data(chunk) => bytes.extend_from_slice(&chunk),
-                Frame::Message(_) => return Err(Error::Closed),
+                Frame::Data(chunk) if !chunk.is_empty() => bytes.extend_from_slice(&chunk),
+                _ => return Err(Error::Closed),
             }
         }
         Ok(bytes.freeze())
--- a/crates/gateway/src/peers/fetch/pack.rs
+++ b/crates/gateway/src/peers/fetch/pack.rs
@@ -75,6 +75,14 @@
     postcard::to_stdvec(&rows.collect::<Vec<_>>()).ok()
 }
 
+/// The number of rows of an unpacked batch, before they are decoded; `None` if it is malformed.
+///
+/// A row takes three bytes at least, and a multiple of that once it is decoded.
+pub(super) fn count(bytes: &[u8]) -> Option<usize> {
+    let (count, _) = postcard::take_from_bytes(bytes).ok()?;
+    Some(count)
+}
+
 /// Decodes the rows of an unpacked batch; `None` if they are malformed.
 pub(super) fn decode(bytes: &[u8]) -> Option<Vec<Row>> {
     let rows: Vec<PackedRow> = postcard::from_bytes(bytes).ok()?;
--- a/crates/gateway/tests/network/main.rs
+++ b/crates/gateway/tests/network/main.rs
@@ -1,5 +1,6 @@
 //! Tests of requests between routers over real connections.
 
+mod endless;
 mod fetch;
 mod options;
 mod pauses;
