End the fetch of a configuration or a host list that makes no progress

A router that asks a peer for changes or hosts, when the platform doesn't answer, gave each frame two seconds and the whole 64 MiB: one byte a frame held the task that keeps the configuration for hours, and data frames without data for ever. A timeout around the wait for a frame doesn't look at its timer while the next one is always there.

A fetch now has two seconds and is extended while bytes arrive, as for rows between routers (64 KiB a second at least), and 32 MiB: a list of 10,000 hosts takes 1 MB. The check of the deadline before each frame is in the link, for the replies of owners and the rows between routers too.

a_list_without_end_ends_a_fetch, over sockets, before: three of five cases hadn't ended after 20 s, one had read 67,633,152 bytes, keepalives passed; all pass now.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -180,6 +180,24 @@
         }
     }
 
+    /// Receives the next frame by `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Reader::receive`], and [`Error::Timeout`].
+    pub async fn receive_by<T: DeserializeOwned>(
+        &mut self,
+        deadline: time::Instant,
+    ) -> Result<hop::Frame<T>, Error> {
+        // A timeout does not look at its timer while the next frame is always there.
+        if time::Instant::now() >= deadline {
+            return Err(Error::Timeout);
+        }
+        time::timeout_at(deadline, self.receive())
+            .await
+            .map_err(|_| Error::Timeout)?
+    }
+
     /// Receives the next frame within `timeout`.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/fetch/client.rs
+++ b/crates/gateway/src/peers/fetch/client.rs
@@ -233,8 +233,7 @@
 
     async fn next_frame(&mut self, link: &mut Link) -> Result<Frame<Reply>, Error> {
         let deadline = self.progress.extended_deadline(self.deadline);
-        let received = time::timeout_at(deadline, link.reader.receive()).await;
-        let frame = received.map_err(|_| Error::Timeout)??;
+        let frame = link.reader.receive_by(deadline).await?;
         let length = match &frame {
             Frame::Message(_) => 0,
             Frame::Data(chunk) => chunk.len(),
--- a/crates/router/src/hop/client.rs
+++ b/crates/router/src/hop/client.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
-use storage::hosts;
-use tokio::sync::{mpsc, oneshot};
+use storage::{hosts, progress::Progress};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 use units::{backend, revision};
 use verdict::{Code, Refusal};
 use wire::{
@@ -28,8 +31,11 @@
 /// Maximum number of idle links per peer.
 const MAX_IDLE: usize = 16;
 /// Maximum size of a configuration update or a host list.
-const MAX_UPDATE_BYTES: usize = 64 * 1024 * 1024;
-/// Timeout for the next frame of a reply to a fetch from a peer.
+///
+/// A list of 10,000 hosts takes 1 MB, and so does a configuration. The smallest host of a router has
+/// 160 MB of memory.
+const MAX_UPDATE_BYTES: usize = 32 * 1024 * 1024;
+/// Timeout of a fetch from a peer; a reply that keeps making progress may take longer.
 const UPDATE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Handle of the task that holds the idle links to peers.
@@ -334,14 +340,19 @@
     let malformed = Error::Frame(wire::Error::Malformed);
     let mut link = Link::connect(address, key).await?;
     link.writer.send(call).await?;
-    match link.reader.receive_within(UPDATE_TIMEOUT).await? {
+    let now = time::Instant::now();
+    let deadline = now + UPDATE_TIMEOUT;
+    let mut progress = Progress::new(now);
+    match link.reader.receive_by(deadline).await? {
         Frame::Message(Reply::Json) => {}
         _ => return Err(malformed),
     }
     let mut bytes = Vec::new();
     loop {
-        match link.reader.receive_within(UPDATE_TIMEOUT).await? {
-            Frame::Data(data) if bytes.len() + data.len() <= MAX_UPDATE_BYTES => {
+        let deadline = progress.extended_deadline(deadline);
+        match link.reader.receive_by(deadline).await? {
+            Frame::Data(data) if is_acceptable(&bytes, &data) => {
+                progress.received(data.len(), time::Instant::now());
                 bytes.extend_from_slice(&data);
             }
             Frame::Message(Reply::End) => break,
@@ -350,3 +361,8 @@
     }
     Ok(bytes)
 }
+
+/// Whether `data` may follow the `received` bytes of an update.
+fn is_acceptable(received: &[u8], data: &[u8]) -> bool {
+    !data.is_empty() && received.len() + data.len() <= MAX_UPDATE_BYTES
+}
--- a/crates/router/src/hop/replies.rs
+++ b/crates/router/src/hop/replies.rs
@@ -54,13 +54,8 @@
     }
 
     async fn receive(&mut self) -> Result<Frame<Reply>, Error> {
-        let now = time::Instant::now();
-        // A timeout would not notice the deadline while frames are always there.
-        if now >= self.deadline {
-            return Err(Error::Timeout);
-        }
-        let timeout = KEEPALIVE_TIMEOUT.min(self.deadline - now);
-        self.link.reader.receive_within(timeout).await
+        let next = time::Instant::now() + KEEPALIVE_TIMEOUT;
+        self.link.reader.receive_by(next.min(self.deadline)).await
     }
 
     /// The sending half of the link.
--- a/crates/router/tests/hop.rs
+++ b/crates/router/tests/hop.rs
@@ -35,9 +35,14 @@
 /// the buffers of both sockets take, 10 MB in frames of 20 bytes and more.
 const MAX_FRAMES: u64 = 500_000;
 
+/// The most data of a list: its limit, and what the buffers of both sockets take, in bytes.
+const MAX_LIST_BYTES: u64 = (32 + 10) * 1024 * 1024;
+
 /// The phase of a request in which an owner goes on without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
+    /// The fetch of a list, instead of a request.
+    Fetch,
     Admission,
     Head,
     Body,
@@ -49,6 +54,7 @@
     Keepalives,
     NoData,
     Data,
+    LongData,
 }
 
 impl What {
@@ -58,6 +64,7 @@
             Self::Keepalives => hop::encode(&Reply::Alive).expect("a short message"),
             Self::NoData => vec![hop::DATA],
             Self::Data => vec![hop::DATA, b'x'],
+            Self::LongData => vec![hop::DATA; hop::MAX_DATA],
         }
     }
 }
@@ -99,7 +106,10 @@
 
     async fn serve(self, mut link: Link, meter: &Meter) -> Result<(), gateway::link::Error> {
         let _: Frame<Call> = link.reader.receive().await?;
-        if self.phase != Phase::Admission {
+        if self.phase == Phase::Fetch {
+            link.writer.send(&Reply::Json).await?;
+        }
+        if matches!(self.phase, Phase::Head | Phase::Body) {
             link.writer.send(&Reply::Ready(Slot::default())).await?;
             while link.reader.receive().await? != Frame::Message(Call::End) {}
         }
@@ -213,3 +223,24 @@
     let frames = meter.frames.load(Ordering::Relaxed);
     assert!(what == What::Data || frames < MAX_FRAMES, "{frames} frames");
 }
+
+/// Guards against a peer that holds the task of the configuration by a list without end, or takes
+/// all memory.
+#[parameterized(
+    data = { What::Data, TRICKLE },
+    long_data_at_full_speed = { What::LongData, Duration::ZERO },
+    no_data = { What::NoData, TRICKLE },
+    no_data_at_full_speed = { What::NoData, Duration::ZERO },
+    keepalives = { What::Keepalives, TRICKLE },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_list_without_end_ends_a_fetch(what: What, pause: Duration) {
+    let phase = Phase::Fetch;
+    let (address, meter) = Owner { phase, what, pause }.start().await;
+    let fetched = time::timeout(HANG, client::fetch_hosts(address, &key())).await;
+    let fetched = fetched.expect("the fetch ends");
+    assert!(fetched.is_err(), "{fetched:?}");
+    let frames = meter.frames.load(Ordering::Relaxed);
+    let bytes = frames * what.payload().len() as u64;
+    assert!(bytes < MAX_LIST_BYTES, "{bytes} bytes");
+}
