End a request's body that another router does not send in time

An owner grants a slot of a server before it reads the request's body from the entry router, and gave each frame of it five seconds. One byte a frame, or frames without data, held the slot for hours; a slot that is held is one request less that the server runs.

The body is now read up to the deadline of the request, and a frame without data, which no router sends, breaks the link.

an_entry_router_cannot_hold_a_slot_beyond_the_deadline, over sockets, deadline 1.5 s: before, the owner hadn't closed the link after 30 s in any of its three cases; all pass now, and the slot is free again.

--- a/crates/router/src/hop/server.rs
+++ b/crates/router/src/hop/server.rs
@@ -125,6 +125,7 @@
 
 async fn serve_request(link: &mut Link, open: Open, context: &Context) -> Result<(), Error> {
     let clock = context.clock;
+    let deadline = clock.now() + Duration::from_millis(open.remaining_ms);
     // The entry router may not know the crashes that other routers recorded, and
     // this router may not know those that the entry router recorded.
     if let Err(refusal) = context.tracker.check(open.fingerprint, &open.crashes).await {
@@ -150,7 +151,7 @@
         boot: permit.boot_hash(),
     };
     link.writer.send(&Reply::Ready(slot)).await?;
-    let body = receive_body(&mut link.reader, open.length).await?;
+    let body = receive_body(&mut link.reader, open.length, clock.at(deadline)).await?;
     let attempt = tracker::Attempt {
         crash: entry::crash(&open.server, permit.boot_hash(), open.attempt),
         began_at: clock.now(),
@@ -202,7 +203,11 @@
     }
 }
 
-async fn receive_body(reader: &mut Reader, length: u64) -> Result<Bytes, Error> {
+async fn receive_body(
+    reader: &mut Reader,
+    length: u64,
+    deadline: time::Instant,
+) -> Result<Bytes, Error> {
     let malformed = Error::Frame(wire::Error::Malformed);
     let length = usize::try_from(length).unwrap_or(usize::MAX);
     if length > MAX_BODY_BYTES {
@@ -210,8 +215,9 @@
     }
     let mut body = BytesMut::new();
     loop {
-        match reader.receive_within(BODY_TIMEOUT).await? {
-            Frame::Data(data) if body.len() + data.len() <= length => {
+        let next = time::Instant::now() + BODY_TIMEOUT;
+        match reader.receive_by(next.min(deadline)).await? {
+            Frame::Data(data) if !data.is_empty() && body.len() + data.len() <= length => {
                 body.extend_from_slice(&data);
             }
             Frame::Message(Call::End) if body.len() == length => return Ok(body.freeze()),
--- a/crates/router/tests/fleet/endless.rs
+++ b/crates/router/tests/fleet/endless.rs
@@ -2,13 +2,21 @@
 
 use std::time::Duration;
 
+use gateway::link::{Error, Link};
+use smallvec::SmallVec;
 use standin::endless;
-use tokio::time;
+use tokio::{io::AsyncWriteExt as _, time};
+use units::{cost, request};
+use wire::{
+    hop::{self, Frame, Open, Reply, Terms},
+    seal,
+};
 use yare::parameterized;
 
 use crate::{
     client::{Call, Response},
     cluster::{Cluster, Topology, wait_until},
+    process,
 };
 
 /// The deadline of a call that is expected to last until then, in milliseconds.
@@ -89,3 +97,69 @@
     assert_eq!(server_of(&cluster).requests(), before + 1, "it ran once");
     wait_closed(&cluster).await;
 }
+
+/// A request that is offered to the owner of a service.
+fn open() -> Open {
+    Open {
+        id: request::Id(1),
+        attempt: request::Attempt(2),
+        workspace: "acme".parse().expect("a name"),
+        chat: None,
+        pool: "api".parse().expect("a name"),
+        server: "service-0".parse().expect("a name"),
+        cost: cost::Cost(1),
+        priority: request::Priority::default(),
+        remaining_ms: 1500,
+        terms: Terms::Queued,
+        fingerprint: request::Fingerprint(3),
+        crashes: SmallVec::new(),
+        suspect: false,
+        idempotent: false,
+        events: false,
+        method: String::from("POST"),
+        target: String::from("/bookings"),
+        headers: Vec::new(),
+        length: 1024 * 1024,
+    }
+}
+
+/// Sends the body of an admitted request in frames of `data` until the owner closes the link.
+async fn send_body(mut link: Link, data: &[u8], pause: Duration) -> Result<(), Error> {
+    link.writer.send(&hop::Call::Open(Box::new(open()))).await?;
+    let reply = link.reader.receive::<Reply>().await?;
+    assert!(
+        matches!(reply, Frame::Message(Reply::Ready(_))),
+        "{reply:?}"
+    );
+    let payload = [&[hop::DATA], data].concat();
+    let (mut socket, mut seals, _) = link.into_parts()?;
+    loop {
+        let header = seals.writer.header(&[&payload])?;
+        socket.write_all(&[&header[..], &payload].concat()).await?;
+        time::sleep(pause).await;
+    }
+}
+
+/// Guards against an entry router that holds a slot of a server beyond the deadline of its request by
+/// a body without end.
+#[parameterized(
+    data = { b"x", TRICKLE },
+    no_data = { b"", TRICKLE },
+    no_data_at_full_speed = { b"", Duration::ZERO },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_entry_router_cannot_hold_a_slot_beyond_the_deadline(data: &[u8], pause: Duration) {
+    let cluster = Cluster::start(Topology::one_zone()).await;
+    let key: seal::Key = process::KEY.parse().expect("a key");
+    let link = Link::connect(cluster.routers[0].peer, &key).await;
+    let sent = send_body(link.expect("a link"), data, pause);
+    let sent = time::timeout(HANG, sent).await;
+    let sent = sent.expect("the owner closes the link");
+    assert!(matches!(sent, Err(Error::Io(_))), "{sent:?}");
+    wait_until("the slot is free", async || {
+        let status = cluster.status(0).await;
+        let engines = status["engines"].as_array().cloned().unwrap_or_default();
+        engines.iter().all(|engine| engine["in_flight"] == 0)
+    })
+    .await;
+}
