--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,12 +1,22 @@
 //! HTTP/1.1 connections to backend servers.
 
-use std::{io, net, sync::Arc, time::Duration};
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{Request, Response, body::Incoming, client::conn::http1, ext};
 use hyper_util::rt::TokioIo;
-use storage::traffic::{Metered, Traffic};
+use storage::{
+    head::{self, Limit},
+    traffic::{Metered, Traffic},
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -23,10 +33,30 @@
 /// The most time for it: the kernel's option is a number of milliseconds.
 const MAX_ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3600);
 
+/// What a server has sent before the head of its response.
+#[derive(Clone, Debug)]
+pub struct Received {
+    limit: Limit,
+    interim_responses: Arc<AtomicU64>,
+}
+
+impl Received {
+    /// All bytes.
+    pub fn bytes(&self) -> u64 {
+        self.limit.received()
+    }
+
+    /// The interim responses, which precede the response itself.
+    pub fn interim_responses(&self) -> u64 {
+        self.interim_responses.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection to a backend server that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    received: Received,
 }
 
 impl Connection {
@@ -69,6 +99,11 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
+        let (stream, limit) = head::limit(stream, head::MAX_BYTES);
+        let received = Received {
+            limit,
+            interim_responses: Arc::default(),
+        };
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -80,7 +115,12 @@
                 logging::event!(debug, "backend_connection_ended", reason = error);
             }
         });
-        Ok(Self { sender })
+        Ok(Self { sender, received })
+    }
+
+    /// What the server has sent so far.
+    pub fn received(&self) -> &Received {
+        &self.received
     }
 
     /// Whether the connection can send another request.
@@ -88,21 +128,29 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the response head. If the returned future is dropped before,
+    /// the connection is closed, even while bytes keep coming.
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] when no byte of the request was sent.
+    /// [`Failure::Unsent`] when no byte of the request was sent, [`Failure::Exceeded`] when the head
+    /// and the interim responses before it exceed [`head::MAX_BYTES`].
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
         if self.sender.ready().await.is_err() {
             return Err(Failure::Unsent(Box::new(request)));
         }
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
+        let interim_responses = Arc::clone(&self.received.interim_responses);
+        ext::on_informational(&mut request, move |_| {
+            interim_responses.fetch_add(1, Ordering::Relaxed);
+        });
+        let response = self.sender.try_send_request(request);
+        match self.received.limit.wait(response).await {
+            Ok(Ok(response)) => Ok(response),
+            Err(exceeded) => Err(Failure::Exceeded(exceeded)),
+            Ok(Err(mut error)) => match error.take_message() {
                 Some(request) => Err(Failure::Unsent(Box::new(request))),
                 None => Err(Failure::Broken(error.into_error())),
             },
@@ -139,4 +187,6 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
+    /// The server sent too many bytes, and no response head.
+    Exceeded(head::Exceeded),
 }
