Try another port for other routers when the assigned one is in use by UDP

Cause: with port 0 the system assigns a port for TCP, and the same one is bound by UDP then, where another socket may have it. Now up to eight ports are tried; a port that the settings name is tried once, as before. The case is not provoked by a test: it needs the system's choice.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -59,6 +59,8 @@
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 /// The interval at which the settings are reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// How many ports of the operating system's choice are tried for other routers.
+const MAX_PORTS: u32 = 8;
 
 /// Why a router could not start or run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -378,11 +380,8 @@
         let readiness = listen(&mut settings.readiness, Error::Readiness).await?;
         let metrics = listen(&mut settings.metrics, Error::Metrics).await?;
         let tunnels = listen(&mut settings.tunnels, Error::Peers).await?;
-        let rows = listen(&mut settings.peers, Error::Peers).await?;
+        let (rows, digests) = listen_for_peers(&mut settings.peers).await?;
         let introductions = listen(&mut settings.introductions, Error::Peers).await?;
-        let digests = UdpSocket::bind(settings.peers)
-            .await
-            .change_context(Error::Peers)?;
         Ok(Self {
             callers,
             readiness,
@@ -397,6 +396,27 @@
     }
 }
 
+/// Binds the port for other routers by TCP and UDP. A port that the operating system assigned for
+/// one may be in use for the other, so another one is tried then.
+async fn listen_for_peers(
+    address: &mut SocketAddr,
+) -> Result<(TcpListener, UdpSocket), Report<Error>> {
+    let wanted = *address;
+    let mut attempts = if wanted.port() == 0 { MAX_PORTS } else { 1 };
+    loop {
+        attempts -= 1;
+        let rows = listen(address, Error::Peers).await?;
+        match UdpSocket::bind(*address).await {
+            Ok(digests) => return Ok((rows, digests)),
+            Err(error) if attempts > 0 => {
+                logging::event!(info, "port_in_use", address = address, reason = error);
+                *address = wanted;
+            }
+            Err(error) => return Err(error).change_context(Error::Peers),
+        }
+    }
+}
+
 async fn listen(address: &mut SocketAddr, error: Error) -> Result<TcpListener, Report<Error>> {
     let listener = TcpListener::bind(*address).await.change_context(error)?;
     *address = listener.local_addr().change_context(error)?;
