Break responses off whose servers write without an end in sight

Callers saw: the body of a failure, or comments of a stream, until their deadline: 44 to 389 KB of a failure in 2.5 s (code not optimized, 8 bytes a chunk), up to 279 KB of comments; one event without end is forwarded from `limits.event_bytes` on until the deadline.

Cause: only the deadline and flow control ended such a response.

Change: each kind has a limit in bytes, worked out from `limits.event_bytes` (64 KiB): comments, retry fields and blank lines between two events 1 times, the body of a failure without a declared length 4 times, one event 32 times. Past its limit a response breaks off in the middle, or goes on at another server where the stream can be resumed; the attempt counts as failed, not as a crash, and `response_without_end` says what had no end. The counts start again at each whole event, so no number of comments ends a stream that has events.

Two ways were weighed for the limits. A limit in time (that of a silent server) cuts a failure's body beside a sound pause of a second, and at full speed lets through what the path carries in that time; a limit in bytes lets a slow server hold its caller to the deadline, with few bytes. Bytes were taken. A failure with a declared length and a success of another format than events have no limit of their own: the deadline and flow control end them.

Evidence: the rows `failure` of the test of bodies without end had 22 faults in 36 cases before and none after; the cases of the decision run without a network.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards the body of a response from a backend server to the caller.
 
 mod events;
+mod excess;
 mod failure;
 
 use std::{error, fmt, pin, time::Duration};
@@ -18,6 +19,7 @@
 use verdict::Code;
 
 pub use events::Splitter;
+pub use excess::{Excess, Limit};
 
 use failure::Failure;
 
@@ -70,6 +72,8 @@
     End,
     Broken(String),
     TimedOut,
+    /// The response has no end in sight.
+    Endless(Excess),
     /// Another server continues the stream.
     Replaced(Box<Response>, Cause),
     /// The server was given up, and another one may continue the stream.
@@ -84,6 +88,8 @@
     permit: Option<Permit>,
     /// Decides whether the body is complete.
     tracker: Tracker,
+    /// How much the server may write without an end in sight.
+    limit: Limit,
     /// Holds the events of a resumable stream back until they are complete.
     splitter: Option<Splitter>,
     first_byte_at: Option<Instant>,
@@ -117,6 +123,7 @@
         && tracker.format() == Format::EventStream
         && !matches!(tracker.delimiter(), Delimiter::Length(_));
     let mut relay = Relay {
+        limit: Limit::new(head.status, exchange.context().max_event_bytes),
         tracker,
         status: response.head.status.as_u16(),
         is_failure: response.is_failure,
@@ -170,10 +177,14 @@
                 }
                 Next::Left(running, failure) => (failure, Some(running)),
                 Next::Broken(reason) => (Failure::Broken(reason), None),
+                Next::Endless(excess) => {
+                    self.log_excess(excess);
+                    (Failure::Endless(excess), None)
+                }
             };
             if let Err(reason) = self.resume(&failure, running).await {
                 let ending = reason.map_or_else(|| failure.to_string(), String::from);
-                self.finish(Outcome::Broken, &ending);
+                self.finish(failure.ending_outcome(), &ending);
                 return Some(Err(broken_off(Error::Server).await));
             }
         }
@@ -182,6 +193,9 @@
     /// Waits for the server's next bytes, until the request's deadline at the latest. A server that
     /// stays silent may be replaced meanwhile.
     async fn receive(&mut self) -> Next {
+        if let Some(excess) = self.limit.excess(&self.tracker) {
+            return Next::Endless(excess);
+        }
         let can_resume = self.can_resume();
         let clock = self.exchange.context().clock;
         let plan = self.exchange.plan();
@@ -419,6 +433,20 @@
 }
 
 impl<P> Relay<P> {
+    /// Logs that a response has no end in sight.
+    fn log_excess(&self, excess: Excess) {
+        let placement = self.permit.as_ref().map(Permit::placement);
+        logging::event!(
+            info,
+            "response_without_end",
+            request = self.exchange.plan().head.id,
+            server = placement.map_or("none", |placement| placement.server.as_str()),
+            what = excess,
+            received = self.tracker.received(),
+            unfinished = self.tracker.unfinished()
+        );
+    }
+
     /// Logs the server that continues the stream.
     fn log_continuation(&self) {
         let Some(placement) = self.permit.as_ref().map(Permit::placement) else {
--- a/crates/gateway/src/relay/failure.rs
+++ b/crates/gateway/src/relay/failure.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use super::Excess;
 use crate::{pool::Outcome, silence::Cause};
 
 /// Why a stream leaves its server.
@@ -10,6 +11,8 @@
     Broken(String),
     /// The server was silent.
     Silent(Cause),
+    /// The response has no end in sight.
+    Endless(Excess),
 }
 
 impl Failure {
@@ -18,6 +21,15 @@
         match self {
             Self::Broken(_) | Self::Silent(Cause::Request) => Outcome::Broken,
             Self::Silent(Cause::Pause) => Outcome::Interrupted,
+            Self::Endless(_) => Outcome::Failed,
+        }
+    }
+
+    /// The outcome of a response that breaks off for its caller.
+    pub(super) const fn ending_outcome(&self) -> Outcome {
+        match self {
+            Self::Endless(_) => Outcome::Failed,
+            Self::Broken(_) | Self::Silent(_) => Outcome::Broken,
         }
     }
 }
@@ -27,6 +39,7 @@
         match self {
             Self::Broken(reason) => f.write_str(reason),
             Self::Silent(_) => f.write_str("silent"),
+            Self::Endless(excess) => write!(f, "{excess} without end"),
         }
     }
 }
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod crash_fleet;
 mod crashes;
 mod events;
+mod excess;
 mod explore;
 mod failures;
 mod isolation;
