End connections with an incomplete head on shutdown

A router that shut down waited for callers whose first head had begun and did not end, until its grace period was over: once the closing phase had begun, the head timeout no longer counted.

The timeouts of a connection count until it has ended. Requests that have arrived are read before an idle timeout is looked at.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -102,12 +102,19 @@
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        expired = wait_for_timeout(&activity, clock, &table) => match expired {
+    let mut is_ending = false;
+    let result = loop {
+        let expired = tokio::select! {
+            // Requests that have arrived are read before their connection is closed.
+            biased;
+            result = &mut connection => break result,
+            expired = wait_for_timeout(&activity, clock, &table, is_ending) => expired,
+            () = Phase::reached(&mut phase, Phase::Closing), if !is_ending => Expired::Idle,
+        };
+        match expired {
             Expired::Idle => {
+                is_ending = true;
                 pin::Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
             }
             Expired::SlowHead => {
                 let mut stream = into_stream(connection.into_parts());
@@ -115,10 +122,6 @@
                 discard_unparsed(&shared_context).run(&mut stream).await;
                 return;
             }
-        },
-        () = Phase::reached(&mut phase, Phase::Closing) => {
-            pin::Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
         }
     };
     let mut discard = activity.take_discard();
@@ -193,20 +196,22 @@
 }
 
 /// Waits until the idle timeout or the head timeout expires, as configured at that time.
+///
+/// A connection that is ending is closed once it is idle, so its idle timeout does not count.
 async fn wait_for_timeout(
     activity: &Activity,
     clock: Clock,
     table: &watch::Receiver<Option<Arc<Table>>>,
+    is_ending: bool,
 ) -> Expired {
     loop {
         let limits = limits(table.borrow().as_deref());
         let now = clock.now();
-        let (deadline, expired) = match (activity.head_since(), activity.idle_since()) {
-            (Some(since), _) => (since + limits.head_timeout.duration(), Expired::SlowHead),
-            (None, since) => {
-                let limit = limits.idle_timeout.duration() + IDLE_GRACE;
-                (since.unwrap_or(now) + limit, Expired::Idle)
-            }
+        let patience = limits.idle_timeout.duration() + IDLE_GRACE;
+        let idle_since = activity.idle_since().filter(|_| !is_ending);
+        let (deadline, expired) = match activity.head_since() {
+            Some(since) => (since + limits.head_timeout.duration(), Expired::SlowHead),
+            None => (idle_since.unwrap_or(now) + patience, Expired::Idle),
         };
         if deadline <= now {
             return expired;
