Keep responses whole that their callers read slowly

A caller sent requests ahead and read their responses late. A response broke off in the middle, was followed by the text of a 408, and no later request was answered, although the router had read some of them.

Cause: a request counts as in flight until its response has been handed to the HTTP library. While the rest of it waited there for the caller, the bytes of the next request began a head timeout, and its refusal replaced what was left to write. For the same reason an idle connection whose caller never read was closed politely, which waited for the caller without end.

Evidence: 1000 requests 2 ms apart with responses of 14 KB, nothing read for 2 s, head timeout 0.15 s: response 295 broke off and the rest was lost; now all 1000 are whole. A caller that sends requests and never reads: open after 10 s before, reset after the idle timeout and its second now, logged as response_unread.

A connection is neither idle nor in a head while writes on it are blocked. If nothing was read for the idle timeout and no request is in flight, it is reset.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -30,6 +30,7 @@
     idle_since_us: AtomicU64,
     head_since_us: AtomicU64,
     head_started: Notify,
+    blocked_since_us: AtomicU64,
     ends_with_connection: AtomicBool,
     discard: Mutex<Option<Discard>>,
 }
@@ -42,21 +43,33 @@
             idle_since_us: AtomicU64::new(clock.now().as_micros()),
             head_since_us: AtomicU64::new(NONE),
             head_started: Notify::new(),
+            blocked_since_us: AtomicU64::new(NONE),
             ends_with_connection: AtomicBool::new(false),
             discard: Mutex::new(None),
             clock,
         }
     }
 
-    /// Since when no request has been in flight; `None` while one is.
+    /// Since when no request has been in flight and no response waited for its caller; `None`
+    /// while one is or does.
     pub fn idle_since(&self) -> Option<Instant> {
-        if self.in_flight.load(Ordering::Relaxed) > 0 {
+        if self.is_in_flight() || self.blocked_since_us.load(Ordering::Relaxed) != NONE {
             return None;
         }
         let idle_since = self.idle_since_us.load(Ordering::Relaxed);
         Some(Instant::from_micros(idle_since))
     }
 
+    /// Since when the caller has read nothing of the rest of a response, with no request in flight.
+    pub fn blocked_since(&self) -> Option<Instant> {
+        let since = self.blocked_since_us.load(Ordering::Relaxed);
+        (since != NONE && !self.is_in_flight()).then_some(Instant::from_micros(since))
+    }
+
+    fn is_in_flight(&self) -> bool {
+        self.in_flight.load(Ordering::Relaxed) > 0
+    }
+
     /// When the first bytes of an incomplete request head were received.
     pub fn head_since(&self) -> Option<Instant> {
         let since = self.head_since_us.load(Ordering::Relaxed);
@@ -79,6 +92,16 @@
         discard.take()
     }
 
+    fn wrote(&self, result: &Poll<io::Result<usize>>) {
+        let is_blocked = self.blocked_since_us.load(Ordering::Relaxed) != NONE;
+        if is_blocked != result.is_pending() {
+            let now = self.clock.now().as_micros();
+            let since = if is_blocked { NONE } else { now };
+            self.blocked_since_us.store(since, Ordering::Relaxed);
+            self.idle_since_us.store(now, Ordering::Relaxed);
+        }
+    }
+
     fn received(&self) {
         if self.idle_since().is_none() || self.head_since_us.load(Ordering::Relaxed) != NONE {
             return;
@@ -164,7 +187,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.activity.wrote(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -172,7 +197,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.activity.wrote(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -122,6 +122,15 @@
                 discard_unparsed(&shared_context).run(&mut stream).await;
                 return;
             }
+            Expired::Unread => {
+                let waited = activity
+                    .blocked_since()
+                    .map(|since| clock.now().since(since));
+                let waited_ms = waited.unwrap_or_default().as_millis();
+                logging::event!(info, "response_unread", waited_ms = waited_ms);
+                reset(into_stream(connection.into_parts()));
+                return;
+            }
         }
     };
     let mut discard = activity.take_discard();
@@ -191,6 +200,8 @@
 enum Expired {
     /// The idle timeout: no bytes were received.
     Idle,
+    /// The idle timeout: the caller read nothing of the rest of a response.
+    Unread,
     /// The head timeout: a request head began and was not completed.
     SlowHead,
 }
@@ -209,9 +220,10 @@
         let now = clock.now();
         let patience = limits.idle_timeout.duration() + IDLE_GRACE;
         let idle_since = activity.idle_since().filter(|_| !is_ending);
-        let (deadline, expired) = match activity.head_since() {
-            Some(since) => (since + limits.head_timeout.duration(), Expired::SlowHead),
-            None => (idle_since.unwrap_or(now) + patience, Expired::Idle),
+        let (deadline, expired) = match (activity.blocked_since(), activity.head_since()) {
+            (Some(since), _) => (since + patience, Expired::Unread),
+            (None, Some(since)) => (since + limits.head_timeout.duration(), Expired::SlowHead),
+            (None, None) => (idle_since.unwrap_or(now) + patience, Expired::Idle),
         };
         if deadline <= now {
             return expired;
