--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -97,7 +97,7 @@
         if self.has_arrived || bytes == 0 {
             return;
         }
-        self.metrics.head_missing();
+        self.metrics.head_missing(bytes);
         logging::event!(
             info,
             "head_missing",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,7 @@
     checks: Family<labels::Check, Counter>,
     silences: Family<labels::Silence, Counter>,
     missing_heads: Counter,
+    missing_head_bytes: Counter,
     rollout_stages: Family<labels::Stage, Counter>,
     ages: Family<labels::View, Gauge<f64, AtomicU64>>,
     control_bytes: Family<labels::Direction, Counter>,
@@ -114,6 +115,7 @@
         let checks = Family::default();
         let silences = Family::default();
         let missing_heads = Counter::default();
+        let missing_head_bytes = Counter::default();
         let rollout_stages = Family::default();
         let ages = Family::default();
         let control_bytes = Family::default();
@@ -218,6 +220,11 @@
             "Attempts at servers that sent something, but no head of a response",
             missing_heads.clone(),
         );
+        registry.register(
+            "weir_missing_head_bytes",
+            "Bytes that servers sent in these attempts",
+            missing_head_bytes.clone(),
+        );
         registry.register(
             "weir_view_age_seconds",
             "Time since the store confirmed a view",
@@ -266,6 +273,7 @@
             checks,
             silences,
             missing_heads,
+            missing_head_bytes,
             rollout_stages,
             ages,
             control_bytes,
@@ -345,9 +353,10 @@
             .inc();
     }
 
-    /// Counts an attempt whose server sent something, but no head of a response.
-    pub fn head_missing(&self) {
+    /// Counts an attempt whose server sent so many bytes, but no head of a response.
+    pub fn head_missing(&self, bytes: u64) {
         self.missing_heads.inc();
+        self.missing_head_bytes.inc_by(bytes);
     }
 
     /// Counts an attempt at a server that had asked this router to send nothing.
