Count only whole events as progress of a stream that can be resumed

Callers saw: a stream that can be resumed stays until the deadline at a server that writes comments, or one event without end, at any pace, and breaks off then, beside an idle server.

Cause: silence was measured from the last byte, and each read began the wait for a silent server anew.

Change: silence is measured from the last whole event, without the time in which the caller took nothing. The server is checked and left as a silent one is. Comments are forwarded at once until a silent server would be left; from then on bytes that are no progress are held back (up to `limits.event_bytes`, for 5 s at most) so that checks and the move to another server go on beside them.

Two ways were weighed for comments. If they counted as progress up to `limits.event_bytes`, a server that writes 10 bytes a second would keep a stream for nearly two hours; if they do not, a server that needs longer for an event than a silent one may is left although it writes comments, as one that writes none is. The second was taken: such a stream is moved once at most (`max_attempts`), loses no event, and stays where no other server has room.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,10 +3,11 @@
 mod events;
 mod excess;
 mod failure;
+mod progress;
 
 use std::{error, fmt, pin, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use framing::{Delimiter, Format, Tracker};
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
@@ -20,6 +21,7 @@
 
 pub use events::Splitter;
 pub use excess::{Excess, Limit};
+pub use progress::Progress;
 
 use failure::Failure;
 
@@ -43,6 +45,9 @@
 /// The time without a byte of a response that has begun after which its server is probed.
 const PROBE_AFTER: Duration = Duration::from_millis(500);
 
+/// The longest for which bytes that are no progress are held back while the server counts as silent.
+const MAX_HOLD: Duration = Duration::from_secs(5);
+
 /// The response body is truncated.
 ///
 /// The caller's connection is closed in the middle of the response, so that a partial
@@ -88,6 +93,7 @@
     permit: Option<Permit>,
     /// Decides whether the body is complete.
     tracker: Tracker,
+    progress: Progress,
     /// How much the server may write without an end in sight.
     limit: Limit,
     /// Holds the events of a resumable stream back until they are complete.
@@ -122,8 +128,10 @@
         && response.head.status.is_success()
         && tracker.format() == Format::EventStream
         && !matches!(tracker.delimiter(), Delimiter::Length(_));
+    let context = exchange.context();
     let mut relay = Relay {
-        limit: Limit::new(head.status, exchange.context().max_event_bytes),
+        progress: Progress::new(&tracker, context.clock.now()),
+        limit: Limit::new(head.status, context.max_event_bytes),
         tracker,
         status: response.head.status.as_u16(),
         is_failure: response.is_failure,
@@ -197,31 +205,40 @@
             return Next::Endless(excess);
         }
         let can_resume = self.can_resume();
-        let clock = self.exchange.context().clock;
+        let context = self.exchange.context();
+        let (clock, max_held) = (context.clock, context.max_event_bytes);
         let plan = self.exchange.plan();
         let target = plan.route.target;
-        let now = clock.now();
         let deadline = plan.deadline;
+        self.progress.wait(clock.now());
         let Some(body) = &mut self.body else {
             return Next::End;
         };
-        let frame = frame(body, self.permit.as_ref(), clock, deadline);
         let Some(permit) = self.permit.as_ref().filter(|_| can_resume) else {
-            return frame.await;
+            return frame(body, self.permit.as_ref(), clock, deadline).await;
         };
+        let silent_since = self.progress.silent_since();
         let held = Held {
             placement: permit.placement(),
-            silent_since: now,
-            leave_at: silence::leave_at(now, target, MIN_SILENCE),
+            silent_since,
+            leave_at: silence::leave_at(silent_since, target, MIN_SILENCE),
             is_settled: true,
             last_event_id: self.splitter.as_ref().and_then(Splitter::last_id),
         };
+        let ahead = Ahead {
+            tracker: self.tracker.clone(),
+            progress: self.progress,
+            hold_from: held.leave_at,
+            max_held,
+        };
+        let frame = ahead.receive(body, permit, clock, deadline);
         let method = self.exchange.plan().method.clone();
         let tracker = &self.tracker;
         let is_usable = |response: &Response| continued(tracker, &method, response).is_some();
         let goes_on = |next: &Next| match next {
             Next::Broken(_) => false,
             Next::End => tracker.end().is_ok(),
+            Next::Data(bytes) => has_event(tracker, bytes),
             _ => true,
         };
         let waited = self.exchange.wait(frame, &held, goes_on, is_usable);
@@ -231,6 +248,9 @@
             Waited::Left(running, Some(Next::Broken(reason)), _) => {
                 Next::Left(running, Failure::Broken(reason))
             }
+            Waited::Left(running, Some(Next::Data(_)), cause) => {
+                Next::Left(running, Failure::Silent(cause))
+            }
             Waited::Left(running, Some(_), _) => {
                 Next::Left(running, Failure::Broken(String::from("truncated")))
             }
@@ -252,6 +272,7 @@
             permit.received(now);
         }
         let boundary = self.tracker.record(&bytes);
+        self.progress.receive(&self.tracker, now);
         let forwarded = match &mut self.splitter {
             Some(splitter) => {
                 let protocol = &self.exchange.context().connector.protocol;
@@ -385,6 +406,7 @@
         let Some(tracker) = continued(&self.tracker, method, &response) else {
             return false;
         };
+        self.progress = Progress::new(&tracker, self.exchange.context().clock.now());
         self.tracker = tracker;
         self.body = Some(response.body);
         self.permit = response.permit;
@@ -401,6 +423,13 @@
     is_continuation.then_some(tracker)
 }
 
+/// Whether `bytes` complete an event of the stream that `tracker` follows.
+fn has_event(tracker: &Tracker, bytes: &[u8]) -> bool {
+    let mut ahead = tracker.clone();
+    ahead.record(bytes);
+    ahead.events() > tracker.events()
+}
+
 /// Lets the HTTP library write what it has of a response that breaks off: with the error it drops
 /// what it has not written, the head included.
 async fn broken_off(error: Error) -> Error {
@@ -408,6 +437,48 @@
     error
 }
 
+/// Receives a stream ahead of what is recorded, while its server may be replaced.
+struct Ahead {
+    tracker: Tracker,
+    progress: Progress,
+    /// From when on bytes that are no progress are held back, so that they do not end the wait.
+    hold_from: Instant,
+    /// The most bytes that are held back.
+    max_held: usize,
+}
+
+impl Ahead {
+    /// Waits for the next bytes of `body`; from `hold_from` on, for some that are progress.
+    async fn receive(
+        mut self,
+        body: &mut Incoming,
+        permit: &Permit,
+        clock: Clock,
+        deadline: Instant,
+    ) -> Next {
+        let release_at = clock.now() + MAX_HOLD;
+        let mut held = BytesMut::new();
+        loop {
+            let bytes = match frame(body, Some(permit), clock, deadline).await {
+                Next::Data(bytes) => bytes,
+                // The body ends again when the next frame is waited for.
+                Next::End if !held.is_empty() => return Next::Data(held.freeze()),
+                next => return next,
+            };
+            let now = clock.now();
+            if now < self.hold_from {
+                return Next::Data(bytes);
+            }
+            self.tracker.record(&bytes);
+            held.extend_from_slice(&bytes);
+            let is_progress = self.progress.receive(&self.tracker, now);
+            if is_progress || now >= release_at || held.len() > self.max_held {
+                return Next::Data(held.freeze());
+            }
+        }
+    }
+}
+
 /// Waits for the next bytes of `body`, until `deadline` at the latest.
 async fn frame(
     body: &mut Incoming,
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -24,6 +24,7 @@
 mod placing;
 mod poison;
 mod prefixes;
+mod progress;
 mod propagation;
 mod queue;
 mod reach;
