Don't begin a stream anew after an id that no header carries

Callers saw: events twice, where a stream broke off after an event whose id holds a control character.

Cause: such an id is no value of a header, so the request to the next server went out without one, which asks for the whole stream.

Change: after such an id the stream counts as one without ids: it is not continued once events were forwarded, and breaks off. Ids that are not ASCII can be sent and are continued as before (expected to fail at first; it did not).

--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -1,6 +1,7 @@
 //! Holds the events of a stream back until they are complete.
 
 use bytes::{Buf, Bytes, BytesMut};
+use hyper::header::HeaderValue;
 
 /// The byte order mark with which a stream may begin.
 const BYTE_ORDER_MARK: &str = "\u{feff}";
@@ -64,7 +65,9 @@
         };
         let mut lines = text.rsplit(['\r', '\n']);
         if let Some(last_id) = lines.find_map(event_id) {
-            self.last_id = Some(last_id);
+            // After an id that no header carries, another server would begin anew.
+            let is_sendable = HeaderValue::from_str(&last_id).is_ok();
+            self.last_id = is_sendable.then_some(last_id);
         }
         complete
     }
@@ -84,8 +87,8 @@
         self.partial.freeze()
     }
 
-    /// Whether another server can continue the stream. Without an id to continue after, events
-    /// that have been forwarded would be sent again.
+    /// Whether another server can continue the stream. Without an id to continue after, one that a
+    /// header carries, events that have been forwarded would be sent again.
     pub fn can_continue(&self, forwarded_events: u64) -> bool {
         self.last_id.is_some() || forwarded_events == 0
     }
--- a/crates/gateway/tests/decisions/events.rs
+++ b/crates/gateway/tests/decisions/events.rs
@@ -63,6 +63,18 @@
     assert_eq!(splitter.reset().as_deref(), Some("2"));
 }
 
+/// Guards against a stream that is begun anew, or continued after an earlier event, because the id of
+/// the last one is no value of a header.
+#[parameterized(
+    not_ascii = { "id: 1\n\nid: \u{e8}\n\n", true },
+    control_character = { "id: 1\n\nid: \u{1}\n\n", false },
+    in_an_earlier_event = { "id: \u{1}\n\nid: 2\n\n", true },
+)]
+fn only_an_id_that_can_be_sent_continues_a_stream(stream: &str, expected: bool) {
+    let (_, splitter) = split(&[stream]);
+    assert_eq!(splitter.can_continue(2), expected);
+}
+
 /// Guards against a byte order mark inside a stream, where it belongs to the name of a field.
 #[test]
 fn the_byte_order_mark_of_a_continuation_is_removed() {
