Bound the bytes of a caller's body with its framing

Cause: the HTTP library bounds extensions and trailers of chunks but not leading zeros of their sizes, and brings no part of the body meanwhile, so nothing counted. The timeout of the body stands in the same task, whose budget the reading had used up each time, so it was not looked at either.

Bytes are counted where they are read: eight for each byte of the limit and 64 KiB. At the bound reading stops and the request is refused as too large; what follows a refusal is bounded in the same way.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -17,7 +17,7 @@
 };
 use units::time::Instant;
 
-use crate::{clock::Clock, discard::Discard};
+use crate::{allowance::Allowance, clock::Clock, discard::Discard};
 
 /// Represents the absence of an instant.
 const NONE: u64 = u64::MAX;
@@ -33,6 +33,7 @@
     blocked_since_us: AtomicU64,
     ends_with_connection: AtomicBool,
     discard: Mutex<Option<Discard>>,
+    allowance: Allowance,
 }
 
 impl Activity {
@@ -46,6 +47,7 @@
             blocked_since_us: AtomicU64::new(NONE),
             ends_with_connection: AtomicBool::new(false),
             discard: Mutex::new(None),
+            allowance: Allowance::default(),
             clock,
         }
     }
@@ -121,6 +123,7 @@
     pub fn new(activity: &Arc<Activity>) -> Self {
         activity.in_flight.fetch_add(1, Ordering::Relaxed);
         activity.head_since_us.store(NONE, Ordering::Relaxed);
+        activity.allowance.lift();
         Self(Arc::clone(activity))
     }
 }
@@ -131,6 +134,11 @@
         self.0.ends_with_connection.store(true, Ordering::Relaxed);
     }
 
+    /// The bytes that may be received on the connection.
+    pub fn allowance(&self) -> &Allowance {
+        &self.0.allowance
+    }
+
     /// Has what the caller still sends discarded when the connection has ended.
     pub fn discard_at_end(&self, discard: Discard) {
         let kept = &self.0.discard;
@@ -143,7 +151,10 @@
     fn drop(&mut self) {
         let now = self.0.clock.now().as_micros();
         self.0.idle_since_us.store(now, Ordering::Relaxed);
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        // The next request may have begun, with bounds of its own.
+        if self.0.in_flight.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.allowance.lift();
+        }
     }
 }
 
@@ -172,9 +183,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.activity.allowance.is_left(cx) {
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
+        let count = buffer.filled().len() - before;
+        if count > 0 {
+            self.activity.allowance.take(count);
             self.activity.received();
         }
         result
--- a/crates/gateway/src/discard.rs
+++ b/crates/gateway/src/discard.rs
@@ -3,8 +3,9 @@
 //! When a connection is closed while bytes on it are unread, the kernel resets it. A caller that
 //! still sends, or whose path holds bytes back, may then lose the refusal.
 
-use std::{fmt, io, sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap,
@@ -130,10 +131,12 @@
             discard.log(End::Crowded);
             return false;
         }
-        tokio::spawn(async move {
-            discard.run(self.body).await;
-            drop(guard);
-        });
+        guard.allowance().set(self.most);
+        let body = Body {
+            body: self.body,
+            guard,
+        };
+        tokio::spawn(discard.run(body));
         true
     }
 }
@@ -177,12 +180,15 @@
     async fn read(&mut self, mut source: impl Source) -> End {
         let deadline = self.began + TIMEOUT;
         loop {
-            let until = deadline.min(self.clock.now() + SILENCE);
+            let now = self.clock.now();
+            if now >= deadline {
+                return End::Late;
+            }
+            let until = deadline.min(now + SILENCE);
             match time::timeout_at(self.clock.at(until), source.next()).await {
                 Ok(Ok(Some(count))) => self.bytes += count as u64,
                 Ok(Ok(None)) => return source.end(),
-                // The error only tells how the connection broke.
-                Ok(Err(_)) => return End::Broken,
+                Ok(Err(end)) => return end,
                 Err(_) if until == deadline => return End::Late,
                 Err(_) => return End::Silent,
             }
@@ -209,17 +215,28 @@
 /// What a caller still sends.
 pub trait Source: Send {
     /// The length of the next bytes; `None` at the end.
-    fn next(&mut self) -> impl Future<Output = io::Result<Option<usize>>> + Send;
+    fn next(&mut self) -> impl Future<Output = Result<Option<usize>, End>> + Send;
 
     /// What the end of the bytes stands for.
     fn end(&self) -> End;
 }
 
-impl Source for Incoming {
-    async fn next(&mut self) -> io::Result<Option<usize>> {
-        match self.frame().await {
-            Some(Ok(frame)) => Ok(Some(frame.data_ref().map_or(0, bytes::Bytes::len))),
-            Some(Err(error)) => Err(io::Error::other(error)),
+/// The rest of a body on a connection that is kept.
+struct Body {
+    body: Incoming,
+    guard: activity::Guard,
+}
+
+impl Source for Body {
+    async fn next(&mut self) -> Result<Option<usize>, End> {
+        let frame = tokio::select! {
+            frame = self.body.frame() => frame,
+            () = self.guard.allowance().used_up() => return Err(End::TooLong),
+        };
+        match frame {
+            Some(Ok(frame)) => Ok(Some(frame.data_ref().map_or(0, Bytes::len))),
+            // The error only tells how the connection broke.
+            Some(Err(_)) => Err(End::Broken),
             None => Ok(None),
         }
     }
@@ -230,8 +247,10 @@
 }
 
 impl Source for &mut TcpStream {
-    async fn next(&mut self) -> io::Result<Option<usize>> {
-        let count = self.read(&mut [0; BUFFER]).await?;
+    async fn next(&mut self) -> Result<Option<usize>, End> {
+        let count = self.read(&mut [0; BUFFER]).await;
+        // The error only tells how the connection broke.
+        let count = count.map_err(|_| End::Broken)?;
         Ok((count > 0).then_some(count))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod activity;
 pub mod advisory;
+pub mod allowance;
 pub mod attempt;
 pub mod check;
 pub mod clock;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,7 +82,7 @@
     let mut is_closing = *context.phase.borrow() > Phase::Serving;
     let started = context.clock.now();
     let version = request.version();
-    let mut response = match respond(&context, request).await {
+    let mut response = match respond(&context, request, &guard).await {
         Ok((exchange, upstream)) => {
             let mut head = upstream.head.clone();
             crate::headers::strip(&mut head.headers);
@@ -131,8 +131,9 @@
 async fn respond<P: Protocol>(
     context: &Arc<Context<P>>,
     request: Request<Incoming>,
+    guard: &activity::Guard,
 ) -> Result<Exchanged<P>, Rejected> {
-    let mut exchange = intake::accept(context, request).await?;
+    let mut exchange = intake::accept(context, request, guard.allowance()).await?;
     match exchange.respond(None, None).await {
         Ok(upstream) => Ok((exchange, upstream)),
         Err(refusal) => {
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -18,6 +18,7 @@
     origin::{self, Origin},
 };
 use crate::{
+    allowance::Allowance,
     discard::Unread,
     headers,
     pool::Demand,
@@ -27,6 +28,11 @@
 
 /// The id in logs of a request whose head could not be read.
 pub const UNREAD: &str = "unread";
+/// How many bytes may be received for each byte of a body, of which each may be a chunk.
+const FRAMED_BYTES_PER_BYTE: u64 = 8;
+/// How many bytes may be received beside a body: extensions of chunks, trailers, and the start of
+/// the next request.
+const MAX_OTHER_BYTES: u64 = 64 * 1024;
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a request waits for memory for the start of its body.
@@ -43,6 +49,7 @@
 pub(super) async fn accept<P: Protocol>(
     context: &Arc<Context<P>>,
     request: Request<Incoming>,
+    allowance: &Allowance,
 ) -> Result<Exchange<P>, Rejected> {
     let arrived = context.clock.now();
     let (mut parts, mut body) = request.into_parts();
@@ -54,7 +61,7 @@
             return Err(Rejected { refusal, unread });
         }
     };
-    let admitted = match admit(context, &head, parts.uri.path(), &mut body).await {
+    let admitted = match admit(context, &head, parts.uri.path(), &mut body, allowance).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let limit = context.body_limit();
@@ -126,6 +133,7 @@
     head: &Head,
     path: &str,
     body: &mut Incoming,
+    allowance: &Allowance,
 ) -> Result<Admitted, Refusal> {
     context.wait_until_ready().await;
     let table = context.table.borrow().clone();
@@ -133,7 +141,14 @@
     let table = table.inspect_err(|refusal| log_refusal(head, &Table::default(), refusal))?;
     let checked = check(&table, head, path, body);
     let (route, key_owner) = checked.inspect_err(|refusal| log_refusal(head, &table, refusal))?;
-    let body = read(body, table.limits.body_bytes, &context.body_memory).await;
+    let limit = table.limits.body_bytes;
+    let framed = limit.saturating_mul(FRAMED_BYTES_PER_BYTE);
+    allowance.set(framed.saturating_add(MAX_OTHER_BYTES));
+    let body = tokio::select! {
+        body = read(body, limit, &context.body_memory) => body,
+        () = allowance.used_up() => Err(too_large()),
+    };
+    allowance.lift();
     let (body, reserved) = body.inspect_err(|refusal| log_refusal(head, &table, refusal))?;
     Ok(Admitted {
         table,
