Let stand-ins answer without end

A fault of all stand-ins, `endless`, answers each request, except those for faults and ledgers, by headers, interim responses or chunks of a body without end, until the client closes the connection. The bytes of one write and the time between two are fields of the fault. `{"kind":"normal"}` ends it for further requests.

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -9,6 +9,10 @@
 /// The description at the top of the `--help` output.
 pub const ABOUT: &str = "A stand-in for an engine, a plain service or the platform";
 
+/// The faults of responses without end, at the end of each `--help` output.
+const FAULTS: &str = "POST /fault switches a fault on, such as {\"kind\":\"endless\",\"part\":\"head\",\"bytes\":1024,\
+    \"interval_ms\":50}: responses without end in part head, interim or body; {\"kind\":\"normal\"} ends all faults";
+
 /// The maximum duration of a flag in milliseconds.
 const MAX_MS: u64 = 3_600_000;
 /// The maximum duration of a flag in microseconds.
@@ -74,16 +78,19 @@
     let engine = engine
         .to_options()
         .descr("A model engine")
+        .footer(FAULTS)
         .command("engine");
     let service = service().map(RawRole::Service);
     let service = service
         .to_options()
         .descr("A plain service")
+        .footer(FAULTS)
         .command("service");
     let platform = platform().map(RawRole::Platform);
     let platform = platform
         .to_options()
         .descr("The platform")
+        .footer(FAULTS)
         .command("platform");
     construct!([engine, service, platform])
 }
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endless::Endless;
+
 /// A fault of an engine.
 ///
 /// A fault with a `count` affects that many requests and then ends.
@@ -30,6 +32,9 @@
     TurnCold,
     /// Currently open connections stop responding; new connections work.
     SilentConnections,
+    /// Requests are answered by responses that do not end, until the fault is cleared; further
+    /// faults leave it as it is.
+    Endless(Endless),
     /// The first byte of a response is delayed.
     LateAnswer {
         /// The delay in milliseconds.
--- a/crates/standin/src/engine/simulator.rs
+++ b/crates/standin/src/engine/simulator.rs
@@ -116,6 +116,7 @@
                 .send_modify(|active| active.slowdown = factor.max(1)),
             Fault::TurnCold => self.turn_cold(),
             Fault::SilentConnections => self.control.silence(from),
+            Fault::Endless(endless) => self.control.set_endless(Some(endless)),
             Fault::Poison { marker } => *lock(&self.poison) = Some(marker),
             other => lock(&self.pending).add(&other),
         }
@@ -128,6 +129,7 @@
     }
 
     fn clear_faults(&self) {
+        self.control.set_endless(None);
         *lock(&self.pending) = Pending::default();
         *lock(&self.poison) = None;
         self.active_faults.send_replace(NO_FAULTS);
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endless::Endless;
+
 /// A fault of the platform.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -28,4 +30,7 @@
     Crash,
     /// Currently open connections stop responding; new connections work.
     SilentConnections,
+    /// Requests are answered by responses that do not end, until the fault is cleared; further
+    /// faults leave it as it is.
+    Endless(Endless),
 }
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -77,7 +77,13 @@
         match fault {
             Fault::Crash => self.control.crash(),
             Fault::SilentConnections => self.control.silence(from),
-            other => *lock(&self.fault) = other,
+            Fault::Endless(endless) => self.control.set_endless(Some(endless)),
+            other => {
+                if other == Fault::Normal {
+                    self.control.set_endless(None);
+                }
+                *lock(&self.fault) = other;
+            }
         }
     }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,7 +20,7 @@
     task::{AbortHandle, JoinSet},
 };
 
-use crate::http;
+use crate::{endless::Endless, http};
 
 /// The effect of a crash.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,6 +33,9 @@
     Exit,
 }
 
+/// The paths by which tests control a stand-in.
+const EXEMPT_PATHS: [&str; 2] = ["/fault", "/ledger"];
+
 /// The number of a connection, in order of acceptance.
 pub type ConnectionId = u64;
 
@@ -55,6 +58,7 @@
     next_connection: AtomicU64,
     silent_below: AtomicU64,
     exempt: AtomicU64,
+    endless: Mutex<Option<Endless>>,
 }
 
 impl Control {
@@ -94,6 +98,18 @@
         self.silent_below.store(next, Ordering::SeqCst);
     }
 
+    /// Answers each further request without end, except those for faults and ledgers; `None` ends
+    /// this for further requests.
+    pub fn set_endless(&self, endless: Option<Endless>) {
+        *lock(&self.endless) = endless;
+    }
+
+    /// What is written without end as the response to a request.
+    fn endless(&self, request: &http::Request) -> Option<Endless> {
+        let is_exempt = EXEMPT_PATHS.contains(&request.uri().path());
+        lock(&self.endless).filter(|_| !is_exempt)
+    }
+
     fn is_silent(&self, connection: ConnectionId) -> bool {
         connection < self.silent_below.load(Ordering::SeqCst)
             && connection != self.exempt.load(Ordering::SeqCst)
@@ -212,16 +228,29 @@
     // Without TCP_NODELAY, each event of a stream waits for the acknowledgement of the previous
     // one.
     drop(connection.stream.set_nodelay(true));
+    let control = Arc::clone(&connection.control);
+    let endless = Mutex::new(None);
     let service = service::service_fn(|request| {
         let application = Arc::clone(&application);
-        application.handle(request, id)
+        let found = control.endless(&request);
+        *lock(&endless) = found;
+        async move {
+            match found {
+                Some(_) => Err(http::Disconnected),
+                None => application.handle(request, id).await,
+            }
+        }
     });
-    let result = http1::Builder::new()
-        .serve_connection(TokioIo::new(connection), service)
-        .await;
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(connection), service);
+    let result = (&mut connection).await;
     if let Err(error) = result {
         logging::event!(debug, "connection_ended", error = error);
     }
+    let client = connection.into_parts().io.into_inner();
+    let endless = lock(&endless).take();
+    if let Some(endless) = endless {
+        endless.write(client).await;
+    }
 }
 
 /// A connection that can be made silent: writes are accepted and discarded, and reads never
--- a/crates/standin/src/service/routes.rs
+++ b/crates/standin/src/service/routes.rs
@@ -92,7 +92,13 @@
         match fault {
             Fault::Crash => self.control.crash(),
             Fault::SilentConnections => self.control.silence(from),
-            other => drop(self.fault.send_replace(other)),
+            Fault::Endless(endless) => self.control.set_endless(Some(endless)),
+            other => {
+                if other == Fault::Normal {
+                    self.control.set_endless(None);
+                }
+                self.fault.send_replace(other);
+            }
         }
     }
 
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,6 +2,7 @@
 //! fault has the documented effect.
 
 mod client;
+mod endless;
 mod engine;
 mod platform;
 mod service;
