Give a failure up once another server responds

A response of a failure is kept while the request is sent elsewhere, to be forwarded if no other server responds. It was kept on after one had responded, for as long as that response lasts: a server that writes a failure without end kept its connection for a whole stream. Nothing is read of it meanwhile, but the connection and what the server holds for it stay.

Evidence: a_failure_is_given_up_once_another_server_responds timed out before (connection open 0.5 s after the first event of the other server), passes now.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -203,6 +203,8 @@
     ) -> Result<Box<Response>, Refusal> {
         let result = self.run_attempts(running, last_event_id).await;
         self.stage = Stage::Responded;
+        // It would keep its connection open for as long as the response lasts.
+        self.failure = None;
         result
     }
 
