--- a/crates/gateway/src/discard.rs
+++ b/crates/gateway/src/discard.rs
@@ -27,7 +27,7 @@
 pub const MIN_BYTES: u64 = 16 * 1024 * 1024;
 /// How long the rest of a refused request is read.
 pub const TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a caller may send nothing meanwhile.
+/// How long a caller may bring no part of its body meanwhile.
 pub const SILENCE: Duration = Duration::from_secs(2);
 /// One connection in this many may be read on at once after a refusal, so that refused callers
 /// leave connections to others.
@@ -44,7 +44,7 @@
     Closed,
     /// The connection broke, or the rest of the body was malformed.
     Broken,
-    /// The caller sent nothing for [`SILENCE`].
+    /// The caller brought no part of its body for [`SILENCE`].
     Silent,
     /// [`TIMEOUT`] had passed.
     Late,
