Wake the reader of a connection only when its limit changes for it

Each wait for a part of a response woke the task that reads the connection twice, when it began and when it ended, though that task waits for bytes of the server and finds none. It is woken now when it waits for the limit, or when nothing more may be read.

--- a/crates/storage/src/head.rs
+++ b/crates/storage/src/head.rs
@@ -146,8 +146,10 @@
     }
 
     fn enter(&mut self, phase: Phase) {
+        // A reader that waits for bytes of the server has nothing to do when more may be read.
+        let is_affected = self.phase == Phase::Exceeded || phase == Phase::Ended;
         self.phase = phase;
-        if let Some(reader) = self.reader.take() {
+        if let Some(reader) = self.reader.take_if(|_| is_affected) {
             reader.wake();
         }
     }
