Bound the bytes between the parts of a body in weir-router

A server that writes leading zeros, or spaces, in the size of a chunk without end sends no part of its body, and the HTTP library skips them. weir-router read them as fast as they came until its checks took the server for silent, 9 s later, or the deadline passed: one connection took a core for that time.

The wait for each part of a body has the bound of the head now, 64 KiB, at which the response counts as broken off: no sign of a crash, since the server's report of load decides that. Responses to a resumption of a stream keep their connection beside them, so that the bound holds for them too, and the connection is used again afterwards, as others are. Reports of load are read in the same way.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,8 +10,13 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1, ext};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+    client::conn::http1,
+    ext,
+};
 use hyper_util::rt::TokioIo;
 use storage::{
     head::{self, Limit},
@@ -158,6 +163,23 @@
     }
 }
 
+impl Connection {
+    /// Waits for the next part of the body of the response on this connection. If the returned future
+    /// is dropped before, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Broken`] when the body breaks off, [`Failure::Exceeded`] when more than
+    /// [`head::MAX_BYTES`] come that are no part of it, as in the size of a chunk.
+    pub async fn frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Failure> {
+        let frame = async { body.frame().await.transpose() };
+        match self.received.limit.wait(frame).await {
+            Ok(frame) => frame.map_err(Failure::Broken),
+            Err(exceeded) => Err(Failure::Exceeded(exceeded)),
+        }
+    }
+}
+
 /// Sets the options of a connection to a backend server, which will be needed for `remaining`.
 ///
 /// # Errors
--- a/crates/router/src/backend/load.rs
+++ b/crates/router/src/backend/load.rs
@@ -3,12 +3,12 @@
 use std::{error, fmt, io, net, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, header};
 use serde::Deserialize;
 use storage::traffic::Traffic;
 
-use super::Connection;
+use super::{Connection, Failure};
 
 /// Timeout for reading a load report.
 pub const TIMEOUT: Duration = Duration::from_millis(800);
@@ -75,15 +75,19 @@
 
 impl error::Error for Error {}
 
-/// Sends a GET request over a new connection.
+/// Sends a GET request over a new connection, which is returned with the response.
 ///
 /// # Errors
 ///
 /// If the server does not accept the connection or closes it.
-pub async fn get(address: net::SocketAddr, target: &str) -> Result<Response<Incoming>, Error> {
+pub async fn get(
+    address: net::SocketAddr,
+    target: &str,
+) -> Result<(Connection, Response<Incoming>), Error> {
     let mut connection = Connection::open(address).await.map_err(Error::Connect)?;
     let request = build_request(address, target)?;
-    connection.send(request).await.map_err(|_| Error::Closed)
+    let response = connection.send(request).await.map_err(|_| Error::Closed)?;
+    Ok((connection, response))
 }
 
 /// Reads the load report of a server over a new connection.
@@ -92,7 +96,8 @@
 ///
 /// If the server cannot be reached or its report is invalid.
 pub async fn read(address: net::SocketAddr) -> Result<Report, Error> {
-    report(get(address, "/load").await?).await
+    let (connection, response) = get(address, "/load").await?;
+    report(&connection, response).await
 }
 
 /// A client that polls the load reports of one server.
@@ -127,7 +132,8 @@
                 .map_err(Error::Connect)?,
         };
         let response = connection.send(build_request(self.address, "/load")?).await;
-        let report = report(response.map_err(|_| Error::Closed)?).await?;
+        let response = response.map_err(|_| Error::Closed)?;
+        let report = report(&connection, response).await?;
         self.connection = Some(connection);
         Ok(report)
     }
@@ -145,13 +151,22 @@
         .map_err(|_| Error::Malformed)
 }
 
-async fn report(response: Response<Incoming>) -> Result<Report, Error> {
+async fn report(connection: &Connection, response: Response<Incoming>) -> Result<Report, Error> {
     if !response.status().is_success() {
         return Err(Error::Status(response.status().as_u16()));
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES)
-        .collect()
-        .await
-        .map_err(|_| Error::Malformed)?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|_| Error::Malformed)
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    while let Some(frame) = connection.frame(&mut body).await.map_err(malformed)? {
+        let data = frame.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > MAX_REPORT_BYTES {
+            return Err(Error::Malformed);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    serde_json::from_slice(&bytes).map_err(|_| Error::Malformed)
+}
+
+fn malformed(_: Failure) -> Error {
+    Error::Malformed
 }
--- a/crates/router/src/backend/relay.rs
+++ b/crates/router/src/backend/relay.rs
@@ -111,13 +111,39 @@
     permit: &owner::Permit,
     watchdog: &Watchdog,
 ) -> Result<Response<Incoming>, Error> {
+    match first_head(connection, request, permit, watchdog).await? {
+        Head::Sent(response) => Ok(*response),
+        Head::Resumed(resumed) => {
+            *connection = resumed.connection;
+            Ok(resumed.response)
+        }
+    }
+}
+
+/// A response head.
+enum Head {
+    /// The head of the response to the request.
+    Sent(Box<Response<Incoming>>),
+    /// The head of the response to a resumption of the stream.
+    Resumed(Box<Resumed>),
+}
+
+async fn first_head(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    permit: &owner::Permit,
+    watchdog: &Watchdog,
+) -> Result<Head, Error> {
     let sent = connection.send(request);
     tokio::pin!(sent);
     let mut silence = Silence::default();
     loop {
         let checked = tokio::select! {
             biased;
-            result = &mut sent => return result.map_err(head_error),
+            result = &mut sent => {
+                let response = result.map_err(head_error)?;
+                return Ok(Head::Sent(Box::new(response)));
+            }
             checked = next_check(permit, watchdog, &silence, 0) => checked,
         };
         let Some(check) = checked else {
@@ -126,8 +152,8 @@
         if let Some(loss) = silence.record(&check, watchdog) {
             return Err(Error::Lost(loss));
         }
-        if let Check::Resumed(response) = check {
-            return Ok(*response);
+        if let Check::Resumed(resumed) = check {
+            return Ok(Head::Resumed(resumed));
         }
     }
 }
@@ -140,11 +166,20 @@
     }
 }
 
+/// The response to a resumption of an event stream.
+#[derive(Debug)]
+pub struct Resumed {
+    /// The connection of the response.
+    pub connection: Connection,
+    /// The response.
+    pub response: Response<Incoming>,
+}
+
 /// Result of a check of a server over a new connection.
 #[derive(Debug)]
 pub enum Check {
     /// The server resumed the event stream of the attempt.
-    Resumed(Box<Response<Incoming>>),
+    Resumed(Box<Resumed>),
     /// The server responds, but did not resume the attempt.
     Healthy,
     /// The server refuses or closes connections.
@@ -190,8 +225,11 @@
     }
     let target = resume_target(permit.attempt(), from);
     match time::timeout_at(until, load::get(address, &target)).await {
-        Ok(Ok(response)) if response.status() == StatusCode::OK => {
-            Check::Resumed(Box::new(response))
+        Ok(Ok((connection, response))) if response.status() == StatusCode::OK => {
+            Check::Resumed(Box::new(Resumed {
+                connection,
+                response,
+            }))
         }
         other => classify_check(other),
     }
--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -2,16 +2,19 @@
 
 use bytes::Bytes;
 use framing::{Format, Tracker};
-use http_body_util::BodyExt as _;
-use hyper::{HeaderMap, Method, Response, body::Incoming, header};
+use hyper::{
+    HeaderMap, Method, Response,
+    body::{Frame, Incoming},
+    header,
+};
 use tokio::{sync::mpsc, time};
 use units::request;
 use verdict::{Code, Refusal};
 use wire::hop;
 
 use super::{
-    ATTEMPT_HEADER, Connection,
-    relay::{self, Check, Mode, Watchdog},
+    ATTEMPT_HEADER, Connection, Failure,
+    relay::{self, Check, Mode, Resumed, Watchdog},
     silence::{Loss, Silence},
 };
 use crate::{
@@ -225,19 +228,12 @@
 
     async fn forward(&mut self) -> End {
         loop {
-            let frame = tokio::select! {
-                biased;
-                frame = self.body.frame() => frame,
-                () = self.chunks.closed() => return End::Cancelled,
-                checked = next_check(&self.permit, &self.watchdog, &self.silence, &self.tracker) => {
-                    match self.handle_check(checked) {
-                        Some(end) => return end,
-                        None => continue,
-                    }
-                }
+            let frame = match self.receive().await {
+                Ok(frame) => frame,
+                Err(end) => return end,
             };
             match frame {
-                Some(Ok(frame)) => {
+                Ok(Some(frame)) => {
                     let Ok(chunk) = frame.into_data() else {
                         continue;
                     };
@@ -251,37 +247,54 @@
                         return End::Cancelled;
                     }
                 }
-                Some(Err(_)) => return self.resume_or_fail().await,
-                None if self.is_complete() => return End::Complete,
-                None => return self.resume_or_fail().await,
+                Ok(None) if self.is_complete() => return End::Complete,
+                Ok(None) | Err(_) => return self.resume_or_fail().await,
             }
         }
     }
 
+    /// Waits for the next part of the body, and checks the server while there is none.
+    async fn receive(&mut self) -> Result<Result<Option<Frame<Bytes>>, Failure>, End> {
+        loop {
+            let resumed = {
+                let frame = self.connection.frame(&mut self.body);
+                tokio::pin!(frame);
+                loop {
+                    let checked = tokio::select! {
+                        biased;
+                        frame = &mut frame => return Ok(frame),
+                        () = self.chunks.closed() => return Err(End::Cancelled),
+                        checked = next_check(
+                            &self.permit, &self.watchdog, &self.silence, &self.tracker
+                        ) => checked,
+                    };
+                    let Some(check) = checked else {
+                        return Err(deadline_exceeded());
+                    };
+                    if let Some(loss) = self.silence.record(&check, &self.watchdog) {
+                        return Err(lost(loss));
+                    }
+                    if let Check::Resumed(resumed) = check {
+                        break resumed;
+                    }
+                }
+            };
+            self.resume(*resumed);
+        }
+    }
+
     fn is_complete(&self) -> bool {
         self.tracker.end().is_ok() && self.tail.has_final_event()
     }
 
     /// Continues with the response to a resumption of the stream.
-    fn resume(&mut self, response: Response<Incoming>) {
-        let (head, body) = response.into_parts();
+    fn resume(&mut self, resumed: Resumed) {
+        let (head, body) = resumed.response.into_parts();
         self.tracker = self
             .tracker
             .resumed(&Method::GET, head.status, &head.headers);
         self.body = body;
-    }
-
-    /// Handles the check of a stream without progress. Returns `None` if the
-    /// stream continues.
-    fn handle_check(&mut self, checked: Option<Check>) -> Option<End> {
-        let Some(check) = checked else {
-            return Some(deadline_exceeded());
-        };
-        let loss = self.silence.record(&check, &self.watchdog);
-        if let Check::Resumed(response) = check {
-            self.resume(*response);
-        }
-        loss.map(lost)
+        self.connection = resumed.connection;
     }
 
     /// Resumes an interrupted stream, or returns why it failed.
@@ -295,8 +308,8 @@
             let Some(check) = checked else {
                 return deadline_exceeded();
             };
-            if let Check::Resumed(response) = check {
-                self.resume(*response);
+            if let Check::Resumed(resumed) = check {
+                self.resume(*resumed);
                 // Resume at most once after an interruption: a server that
                 // interrupts the stream at the same place again makes no progress.
                 self.watchdog.mode = Mode::Wait;
--- a/crates/router/tests/fleet/endless.rs
+++ b/crates/router/tests/fleet/endless.rs
@@ -25,11 +25,16 @@
 const HANG: Duration = Duration::from_secs(30);
 /// The pause between two units of a response that trickles.
 const TRICKLE: Duration = Duration::from_millis(20);
+/// The most that a server may write of what is no answer: what the router reads, and what the buffers
+/// of both sockets take.
+const MAX_UNANSWERED_BYTES: u64 = 16 * 1024 * 1024;
 
 const OK: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const EVENTS: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNK_SIZE: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5";
+const LAST_CHUNK: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHUNK: &str = "8\r\nxxxxxxxx\r\n";
 
@@ -98,6 +103,32 @@
     wait_closed(&cluster).await;
 }
 
+/// Guards against bytes that are no answer, or no part of one, which a router reads as fast as they
+/// come while the request waits for its deadline.
+#[parameterized(
+    interim_heads = { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    no_http = { "", "\u{1} no answer " },
+    headers = { "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n" },
+    chunk_extension = { CHUNK_SIZE, ";xxxxxxx" },
+    chunk_size = { CHUNKED, "00000000" },
+    spaces_after_a_chunk_size = { CHUNK_SIZE, "        " },
+    trailers = { LAST_CHUNK, "X-More: 1\r\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn bytes_that_are_no_answer_end_a_request(begin: &'static str, unit: &'static str) {
+    let cluster = cluster(begin, unit, Duration::ZERO).await;
+    let (requests, bytes) = (server_of(&cluster).requests(), server_of(&cluster).bytes());
+    let call = Call::post("/bookings", "{}").header("x-weir-timeout-ms", "9000");
+    let response = send(&cluster, &call).await;
+    assert!(response.status != 200 || !response.complete, "{response:?}");
+    let is_refused = response.status == 502 && response.error("code") == "backend_failed";
+    assert!(is_refused || response.status == 200, "{response:?}");
+    wait_closed(&cluster).await;
+    assert_eq!(server_of(&cluster).requests(), requests + 1, "it ran once");
+    let bytes = server_of(&cluster).bytes() - bytes;
+    assert!(bytes < MAX_UNANSWERED_BYTES, "{bytes} bytes");
+}
+
 /// A request that is offered to the owner of a service.
 fn open() -> Open {
     Open {
