Free a server whose caller does not read by the deadline

A caller of weir-router that reads nothing of a long body held a slot and a connection of the server as long as it liked: the wait for room in the buffer of the body had no bound, at the owner and at the router that the caller reaches. (Between two routers the link was given up after 30 s.)

That wait ends at the deadline of the request now, as the wait for the server does. The attempt counts as cancelled: neither the server nor the request is at fault. The connection to the server is closed before the caller is told.

a_caller_that_reads_nothing_holds_no_server_beyond_the_deadline, over sockets, deadline 1.5 s, at a server's own router and at another one: before, the connection to the server was open 15 s later in both; both pass now.

--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -220,6 +220,9 @@
                     code = refusal.code
                 );
                 self.permit.finish(outcome, None);
+                // The server need not wait for a caller that does not read.
+                drop(self.body);
+                drop(self.connection);
                 // As above.
                 let _ = self.chunks.send(Chunk::Broken(refusal)).await;
             }
@@ -243,8 +246,11 @@
                     let boundary = self.tracker.record(&chunk);
                     let count = self.tracker.forwardable(chunk.len(), boundary);
                     let data = Chunk::Data(chunk.slice(..count));
-                    if self.chunks.send(data).await.is_err() {
-                        return End::Cancelled;
+                    let sent = self.chunks.send(data);
+                    match time::timeout_at(self.watchdog.at_deadline(), sent).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(_)) => return End::Cancelled,
+                        Err(_) => return not_read(),
                     }
                 }
                 Ok(None) if self.is_complete() => return End::Complete,
@@ -343,6 +349,12 @@
     End::Failed(refusal, owner::Outcome::DeadlineExceeded)
 }
 
+fn not_read() -> End {
+    let message = "The caller did not read the answer by the deadline.";
+    let refusal = Refusal::may_have_run(Code::Deadline, message);
+    End::Failed(refusal, owner::Outcome::Cancelled)
+}
+
 fn lost(loss: Loss) -> End {
     let (message, outcome) = match loss {
         Loss::Stalled => (
--- a/crates/router/src/hop/client.rs
+++ b/crates/router/src/hop/client.rs
@@ -252,8 +252,18 @@
             };
             match frame {
                 Ok(Frame::Data(data)) => {
-                    if chunks.send(Chunk::Data(data)).await.is_err() {
-                        return;
+                    let sent = chunks.send(Chunk::Data(data));
+                    match time::timeout_at(self.replies.deadline(), sent).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(_)) => return,
+                        Err(_) => {
+                            let refusal = self.link_failure(&Error::Timeout);
+                            // The owner need not wait for a caller that does not read.
+                            drop(self.replies);
+                            // As below.
+                            let _ = chunks.send(Chunk::Broken(refusal)).await;
+                            return;
+                        }
                     }
                 }
                 Ok(Frame::Message(Reply::End)) => {
--- a/crates/router/src/hop/replies.rs
+++ b/crates/router/src/hop/replies.rs
@@ -58,6 +58,11 @@
         self.link.reader.receive_by(next.min(self.deadline)).await
     }
 
+    /// When the last reply has to be received.
+    pub(super) fn deadline(&self) -> time::Instant {
+        self.deadline
+    }
+
     /// The sending half of the link.
     pub(super) fn writer(&mut self) -> &mut Writer {
         &mut self.link.writer
--- a/crates/router/tests/fleet/endless.rs
+++ b/crates/router/tests/fleet/endless.rs
@@ -5,7 +5,7 @@
 use gateway::link::{Error, Link};
 use smallvec::SmallVec;
 use standin::endless;
-use tokio::{io::AsyncWriteExt as _, time};
+use tokio::{io::AsyncWriteExt as _, net::TcpStream, time};
 use units::{cost, request};
 use wire::{
     hop::{self, Frame, Open, Reply, Terms},
@@ -23,6 +23,9 @@
 const SHORT_DEADLINE_MS: &str = "1500";
 /// How long a call may take before it counts as held without end.
 const HANG: Duration = Duration::from_secs(30);
+/// How long a router may take to close a connection after the deadline of its request: less than the
+/// 30 s after which a router gives a link up that is not read.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The pause between two units of a response that trickles.
 const TRICKLE: Duration = Duration::from_millis(20);
 /// The most that a server may write of what is no answer: what the router reads, and what the buffers
@@ -40,7 +43,21 @@
 
 /// A deployment of one router and one service, which answers bookings without end.
 async fn cluster(begin: &'static str, unit: &'static str, pause: Duration) -> Cluster {
-    let mut cluster = Cluster::start(Topology::one_zone()).await;
+    cluster_of(1, begin, unit, pause).await
+}
+
+/// A deployment like [`cluster`], of several routers.
+async fn cluster_of(
+    routers: usize,
+    begin: &'static str,
+    unit: &'static str,
+    pause: Duration,
+) -> Cluster {
+    let topology = Topology {
+        routers,
+        ..Topology::one_zone()
+    };
+    let mut cluster = Cluster::start(topology).await;
     let service = &mut cluster.services[0];
     let response = endless::Response { begin, unit, pause };
     let server = endless::Server::start(service.handle.address(), &["POST"], response);
@@ -103,6 +120,33 @@
     wait_closed(&cluster).await;
 }
 
+/// Guards against a caller that reads nothing, and holds a slot and a connection of a server as long as
+/// it likes.
+#[parameterized(own_server = { 1 }, server_of_another_router = { 2 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_caller_that_reads_nothing_holds_no_server_beyond_the_deadline(routers: usize) {
+    let cluster = cluster_of(routers, OK, CHUNK, Duration::ZERO).await;
+    let owner = cluster.owner_of("service-0").await;
+    let router = &cluster.routers[(owner + 1) % routers];
+    let mut caller = TcpStream::connect(router.address)
+        .await
+        .expect("a connection");
+    let requests = server_of(&cluster).requests();
+    let request = format!(
+        "POST /bookings HTTP/1.1\r\nHost: x\r\nX-Weir-Workspace: acme\r\n\
+         X-Weir-Timeout-Ms: {SHORT_DEADLINE_MS}\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    let sent = caller.write_all(request.as_bytes()).await;
+    sent.expect("the request is sent");
+    wait_until("the server has the request", async || {
+        server_of(&cluster).requests() > requests
+    })
+    .await;
+    let closed = time::timeout(CLOSE_TIMEOUT, wait_closed(&cluster)).await;
+    closed.expect("the connection to the server is closed");
+    drop(caller);
+}
+
 /// Guards against bytes that are no answer, or no part of one, which a router reads as fast as they
 /// come while the request waits for its deadline.
 #[parameterized(
