Bound the bytes between the parts of a server's body

Callers saw: a server that writes leading zeros of a chunk's size without end held safe and resumable requests until their deadline, beside an idle server. Cause: the HTTP library skips the zeros and brings no part of the body, so nothing counted them; while they come, the connection is read on after the request was given up. It counts as a response without an end in sight, not as a crash.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, body::Incoming, http::response};
+use hyper::{Request, http::response};
 use tokio::time;
 use units::{
     backend,
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::Clock,
-    connection::{Failure, Received},
+    connection::{Body, Failure, Received},
     connector::Connector,
     dispatch::Permit,
     metrics::Metrics,
@@ -32,7 +32,7 @@
     /// The status and headers.
     pub head: response::Parts,
     /// The body, of which nothing has been read.
-    pub body: Incoming,
+    pub body: Body,
     /// The slot that the request occupies at the server, until it is released.
     pub permit: Option<Permit>,
     /// Whether the server failed to process the request.
@@ -187,6 +187,7 @@
         Ok(Ok(response)) => {
             awaited.has_arrived = true;
             let (head, body) = response.into_parts();
+            let body = awaited.received.body(body);
             let classification = connector.protocol.classify(id, head.status, &head.headers);
             if classification != Classification::Foreign {
                 let advisory = connector
@@ -202,7 +203,7 @@
 fn end_attempt(
     classification: Classification,
     head: response::Parts,
-    body: Incoming,
+    body: Body,
     mut permit: Permit,
 ) -> End {
     match classification {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections to backend servers.
 
 use std::{
-    io, net,
+    fmt, io, net,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -55,6 +55,14 @@
     pub fn interim_responses(&self) -> u64 {
         self.interim_responses.load(Ordering::Relaxed)
     }
+
+    /// The body of the response on the same connection.
+    pub fn body(&self, incoming: Incoming) -> Body {
+        Body {
+            incoming,
+            limit: self.limit.clone(),
+        }
+    }
 }
 
 /// A connection to a backend server that carries one request at a time.
@@ -172,11 +180,33 @@
     /// [`Failure::Broken`] when the body breaks off, [`Failure::Exceeded`] when more than
     /// [`head::MAX_BYTES`] come that are no part of it, as in the size of a chunk.
     pub async fn frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Failure> {
-        let frame = async { body.frame().await.transpose() };
-        match self.received.limit.wait(frame).await {
-            Ok(frame) => frame.map_err(Failure::Broken),
-            Err(exceeded) => Err(Failure::Exceeded(exceeded)),
-        }
+        next_frame(&self.received.limit, body).await
+    }
+}
+
+/// The body of a response.
+#[derive(Debug)]
+pub struct Body {
+    incoming: Incoming,
+    limit: Limit,
+}
+
+impl Body {
+    /// Waits for the next part. If the returned future is dropped before, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::frame`].
+    pub async fn frame(&mut self) -> Result<Option<Frame<Bytes>>, Failure> {
+        next_frame(&self.limit, &mut self.incoming).await
+    }
+}
+
+async fn next_frame(limit: &Limit, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Failure> {
+    let frame = async { body.frame().await.transpose() };
+    match limit.wait(frame).await {
+        Ok(frame) => frame.map_err(Failure::Broken),
+        Err(exceeded) => Err(Failure::Exceeded(exceeded)),
     }
 }
 
@@ -209,6 +239,16 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
-    /// The server sent too many bytes, and no response head.
+    /// The server sent too many bytes, and no response head or part of the body.
     Exceeded(head::Exceeded),
 }
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent(_) => f.write_str("the connection was closed before the request was sent"),
+            Self::Broken(error) => error.fmt(f),
+            Self::Exceeded(exceeded) => exceeded.fmt(f),
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,11 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use framing::{Delimiter, Format, Tracker};
 use futures_util::{Stream, stream};
-use http_body_util::BodyExt;
-use hyper::{
-    Method,
-    body::{Frame, Incoming},
-};
+use hyper::{Method, body::Frame};
 use tokio::{task, time};
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
@@ -29,6 +25,7 @@
     activity::Guard,
     attempt::Response,
     clock::Clock,
+    connection::{self, Body},
     connector::Path,
     dispatch::Permit,
     parts,
@@ -89,7 +86,7 @@
 struct Relay<P> {
     exchange: Exchange<P>,
     /// The rest of the response body; `None` while the stream moves to another server.
-    body: Option<Incoming>,
+    body: Option<Body>,
     permit: Option<Permit>,
     /// Decides whether the body is complete.
     tracker: Tracker,
@@ -468,7 +465,7 @@
     /// Waits for the next bytes of `body`; from `hold_from` on, for some that are progress.
     async fn receive(
         mut self,
-        body: &mut Incoming,
+        body: &mut Body,
         permit: &Permit,
         clock: Clock,
         deadline: Instant,
@@ -497,12 +494,7 @@
 }
 
 /// Waits for the next bytes of `body`, until `deadline` at the latest.
-async fn frame(
-    body: &mut Incoming,
-    permit: Option<&Permit>,
-    clock: Clock,
-    deadline: Instant,
-) -> Next {
+async fn frame(body: &mut Body, permit: Option<&Permit>, clock: Clock, deadline: Instant) -> Next {
     let probe_at = deadline.min(clock.now() + PROBE_AFTER);
     let mut frame = pin::pin!(body.frame());
     let mut received = time::timeout_at(clock.at(probe_at), &mut frame).await;
@@ -514,9 +506,10 @@
     }
     match received {
         Err(_) => Next::TimedOut,
-        Ok(None) => Next::End,
-        Ok(Some(Err(error))) => Next::Broken(error.to_string()),
-        Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+        Ok(Ok(None)) => Next::End,
+        Ok(Ok(Some(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+        Ok(Err(connection::Failure::Exceeded(_))) => Next::Endless(Excess::Framing),
+        Ok(Err(failure)) => Next::Broken(failure.to_string()),
     }
 }
 
--- a/crates/gateway/src/relay/excess.rs
+++ b/crates/gateway/src/relay/excess.rs
@@ -20,6 +20,8 @@
     Comments,
     /// One event.
     Event,
+    /// Bytes between the parts of a body, as in the size of a chunk.
+    Framing,
 }
 
 impl Excess {
@@ -29,6 +31,7 @@
             Self::Failure => "failure",
             Self::Comments => "comments",
             Self::Event => "event",
+            Self::Framing => "framing",
         }
     }
 }
