Do not eject a server whose requests time out while it pauses

A sound server may pause for a second or so. weir-router counted each request that timed out meanwhile as a failure of its server, whatever the deadline was: three lookups with a deadline below the pause ejected it for 5 s, doubled each time.

A timeout counts from then on only that the server has completed nothing for 4 s (recovery::Settings::max_pause), after which requests without a deadline that near leave a silent server too. The time starts anew with each completed request, and with a timeout more than 4 s after the last one. What it costs: a server that hangs for good is ejected after 4 s rather than at its third timeout; requests that may be repeated find another server before, and the load it is given stays bounded by its limit.

Evidence: a_server_that_pauses_is_not_ejected, over sockets, four lookups with a deadline of 100 ms at a frozen server: before, server_ejected server=service-0; none now. timeouts_within_a_pause_eject_no_server and a_completed_request_ends_a_pause test the decision; with each timeout counted, the three pauses of the first and the second failed.

--- a/crates/recovery/src/outlier.rs
+++ b/crates/recovery/src/outlier.rs
@@ -17,6 +17,17 @@
     ejected_until: Instant,
     /// When `ejections` may decrease by one, if the server stays healthy.
     ejections_decay_at: Instant,
+    /// The requests that timed out on it one after the other.
+    silence: Option<Silence>,
+}
+
+/// Requests that timed out on one server, without one that completed between them.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// When the first of them was sent.
+    since: Instant,
+    /// When the last of them timed out.
+    until: Instant,
 }
 
 impl Record {
@@ -27,6 +38,7 @@
             ejections: 0,
             ejected_until: Instant::ZERO,
             ejections_decay_at: Instant::ZERO,
+            silence: None,
         }
     }
 
@@ -83,6 +95,9 @@
     /// It is ignored while the server is ejected, since the request was sent before
     /// the ejection. In panic mode, it ends the server's ejection.
     pub fn record_success(&mut self, server: &backend::Server, now: Instant) {
+        if let Some(record) = self.records.get_mut(server) {
+            record.silence = None;
+        }
         let failing = self.records.get(server);
         let failing = failing.is_some_and(|record| record.is_failing(now));
         if failing && !self.is_in_panic_mode(now) {
@@ -105,6 +120,26 @@
         }
     }
 
+    /// Records a request that was sent to `server` at `sent_at` and got no response by its deadline.
+    ///
+    /// A sound server may pause for a second or so, and the deadline of a request may be shorter.
+    /// So the timeout counts as a failure only if the server has completed no request for
+    /// [`Settings::max_pause`].
+    pub fn record_timeout(&mut self, server: &backend::Server, sent_at: Instant, now: Instant) {
+        let max_pause = self.settings.max_pause;
+        let Some(record) = self.records.get_mut(server) else {
+            return;
+        };
+        let earlier = record.silence;
+        // Nothing is known of the time between timeouts that are far apart.
+        let earlier = earlier.filter(|silence| sent_at.since(silence.until) < max_pause);
+        let since = earlier.map_or(sent_at, |silence| silence.since.min(sent_at));
+        record.silence = Some(Silence { since, until: now });
+        if now.since(since) >= max_pause {
+            self.record_failure(server, now);
+        }
+    }
+
     /// Records a request that failed on `server`, or a failure to connect to it.
     pub fn record_failure(&mut self, server: &backend::Server, now: Instant) {
         let Some(record) = self.records.get(server) else {
--- a/crates/recovery/src/settings.rs
+++ b/crates/recovery/src/settings.rs
@@ -23,6 +23,9 @@
     pub ejection_failures: u32,
     /// The number of successes that cancel one failure.
     pub successes_per_failure: u32,
+    /// The longest pause of a sound server: how long one may complete nothing until requests that
+    /// time out count as failures.
+    pub max_pause: Duration,
     /// The duration of the first ejection; it doubles with each further one.
     pub base_ejection_time: Duration,
     /// The maximum duration of an ejection.
@@ -57,6 +60,7 @@
             max_refusals: 3,
             ejection_failures: 3,
             successes_per_failure: 3,
+            max_pause: Duration::from_secs(4),
             base_ejection_time: Duration::from_secs(5),
             max_ejection_time: Duration::from_secs(300),
             max_ejection_permille: 500,
--- a/crates/recovery/tests/failures/outlier.rs
+++ b/crates/recovery/tests/failures/outlier.rs
@@ -5,6 +5,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use recovery::{OutlierDetector, Settings};
 use units::{availability::Zone, backend::Server, time::Instant};
+use yare::parameterized;
 
 fn server(number: usize) -> Server {
     format!("server-{number}").parse().expect("a valid name")
@@ -153,3 +154,47 @@
         "a server of the zone is still ejected"
     );
 }
+
+/// Guards against a server that pauses and is ejected for requests whose deadlines are shorter than
+/// its pause, and against one that hangs and is not.
+#[parameterized(
+    short_pause = { 1_300, 0, false },
+    long_pause = { 3_500, 0, false },
+    hang = { 6_000, 0, true },
+    two_pauses_far_apart = { 3_500, 60_000, false },
+)]
+fn timeouts_within_a_pause_eject_no_server(pause_ms: u64, apart_ms: u64, is_ejected: bool) {
+    const DEADLINE_MS: u64 = 500;
+    const INTERVAL_MS: u64 = 50;
+    let settings = Settings::default();
+    let mut detector = OutlierDetector::new(settings);
+    detector.set_servers(pool(0..6));
+    let server = server(0);
+    let at = |ms| Instant::ZERO + Duration::from_millis(1_000 + ms);
+    let starts: BTreeSet<u64> = [0, apart_ms].into();
+    for start in starts {
+        let sent =
+            (0..pause_ms - DEADLINE_MS).step_by(usize::try_from(INTERVAL_MS).expect("it fits"));
+        for sent in sent.map(|sent| start + sent) {
+            detector.record_timeout(&server, at(sent), at(sent + DEADLINE_MS));
+        }
+    }
+    let now = at(apart_ms + pause_ms);
+    assert_eq!(detector.is_ejected(&server, now), is_ejected);
+}
+
+/// Guards against pauses of a server that works between them and is ejected.
+#[test]
+fn a_completed_request_ends_a_pause() {
+    let mut detector = OutlierDetector::new(Settings::default());
+    detector.set_servers(pool(0..6));
+    let server = server(0);
+    let at = |ms| Instant::ZERO + Duration::from_millis(1_000 + ms);
+    for pause in 0..20_u64 {
+        let start = pause * 1_500;
+        detector.record_timeout(&server, at(start), at(start + 500));
+        detector.record_timeout(&server, at(start + 700), at(start + 1_200));
+        detector.record_success(&server, at(start + 1_400));
+    }
+    assert!(!detector.is_ejected(&server, at(30_000)));
+}
--- a/crates/router/src/entry/progress.rs
+++ b/crates/router/src/entry/progress.rs
@@ -146,6 +146,7 @@
 pub fn ending_of(code: Code) -> Ending {
     match code {
         Code::BackendDied => Ending::Crashed,
+        Code::Deadline => Ending::TimedOut,
         _ => Ending::Failed,
     }
 }
--- a/crates/router/src/tracker.rs
+++ b/crates/router/src/tracker.rs
@@ -374,7 +374,10 @@
                 }
             }
             (Ending::Failed, Some(detector)) => detector.record_failure(&ended.server, now),
-            (Ending::Failed, None) => {}
+            (Ending::TimedOut, Some(detector)) => {
+                detector.record_timeout(&ended.server, ended.attempt.began_at, now);
+            }
+            (Ending::Failed | Ending::TimedOut, None) => {}
             (Ending::Crashed, detector) => {
                 if let Some(detector) = detector {
                     detector.record_failure(&ended.server, now);
--- a/crates/router/src/tracker/guard.rs
+++ b/crates/router/src/tracker/guard.rs
@@ -12,6 +12,8 @@
     Completed,
     /// The server failed.
     Failed,
+    /// There was no response by the deadline.
+    TimedOut,
     /// The server crashed.
     Crashed,
 }
--- a/crates/router/tests/fleet/silence.rs
+++ b/crates/router/tests/fleet/silence.rs
@@ -275,3 +275,28 @@
     assert_eq!(response.body, whole);
     assert_eq!(losses(&cluster), Vec::<String>::new());
 }
+
+/// Guards against the ejection of a server that pauses, for lookups whose deadlines are shorter than
+/// the pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_pauses_is_not_ejected() {
+    const TIMEOUTS: usize = 4;
+    let cluster = Cluster::start(Topology::default()).await;
+    cluster.services[0].handle.set_fault(service::Fault::Freeze);
+    let lookup = Kind::Lookup.call().header("x-weir-timeout-ms", "100");
+    let mut timeouts = 0;
+    while timeouts < TIMEOUTS {
+        let response = cluster.send(0, &lookup).await;
+        timeouts += usize::from(response.status == 504);
+    }
+    thaw(&cluster);
+    // Ejections are published a few times a second.
+    for _ in 0..40 {
+        let response = cluster.send(0, &Kind::Lookup.call()).await;
+        assert_eq!(response.status, 200, "{}", response.body);
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    let log = cluster.routers[0].log();
+    let ejections = log.iter().filter(|line| line.contains("server_ejected"));
+    assert_eq!(ejections.count(), 0);
+}
