Count the time in the queue as part of a request's deadline

A request that waited for a slot of a server got its whole timeout again once it had one: weir-router worked its deadline out when the attempt began to run, from the time that was left when it was offered. It was answered up to half of its timeout too late, and held the slot for that time, when its caller had gone.

The deadline is now the one of the caller's request at its own router, and that of the offer's arrival at another one.

the_time_in_the_queue_is_part_of_the_deadline, over sockets, at a server's own router and at another one: before, a booking with a timeout of 3 s that waits for 1 s for a server that needs 2.4 s was answered with 200 (after 3,369 ms at the own router); now it gets 504 at its deadline.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -11,7 +11,7 @@
 pub use gateway::connection::{Connection, Failure};
 use http_body_util::Full;
 use hyper::{Request, header};
-use units::request;
+use units::{request, time::Instant};
 use verdict::{Code, Refusal};
 use wire::hop;
 
@@ -25,7 +25,7 @@
 /// response.
 pub const ATTEMPT_HEADER: &str = "x-weir-attempt";
 
-/// Runs an admitted request on its backend server.
+/// Runs an admitted request on its backend server, until `deadline` at the latest.
 ///
 /// Returns once the response head was received; the body is streamed through
 /// the channel of the response. The permit is released when the body ends.
@@ -38,6 +38,7 @@
     open: &hop::Open,
     body: Bytes,
     clock: Clock,
+    deadline: Instant,
 ) -> Result<Upstream, Refusal> {
     let request = build_request(open, body, permit.attempt())?;
     let (mut connection, request) = match permit.take_connection() {
@@ -47,7 +48,6 @@
             Err(error) => return Err(unreachable(permit, &error)),
         },
     };
-    let deadline = clock.now() + Duration::from_millis(open.remaining_ms);
     let watchdog = relay::Watchdog {
         clock,
         deadline,
--- a/crates/router/src/entry/attempt.rs
+++ b/crates/router/src/entry/attempt.rs
@@ -101,7 +101,8 @@
         }
         let ran = match grant {
             Grant::Local(permit) => {
-                http::run(permit, &open, request.body.clone(), self.clock).await
+                let body = request.body.clone();
+                http::run(permit, &open, body, self.clock, request.deadline).await
             }
             Grant::Remote(admitted) => admitted.send(&request.body, self.clock).await,
         };
--- a/crates/router/src/hop/server.rs
+++ b/crates/router/src/hop/server.rs
@@ -156,7 +156,7 @@
         crash: entry::crash(&open.server, permit.boot_hash(), open.attempt),
         began_at: clock.now(),
     };
-    let run = backend::run(permit, &open, body, clock);
+    let run = backend::run(permit, &open, body, clock, deadline);
     let result = with_keepalives(&mut link.reader, &mut link.writer, run).await?;
     let refusal = match result {
         Ok(upstream) => match forward(link, upstream).await? {
--- a/crates/router/tests/fleet/failures.rs
+++ b/crates/router/tests/fleet/failures.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use standin::{engine, fixed, payload, platform, service};
+use yare::parameterized;
 
 use crate::{
     client::Call,
@@ -426,3 +428,37 @@
     assert_eq!(next.body, "moved");
     assert_eq!(cluster.runs("next"), 0);
 }
+
+/// Guards against a request that waits for a slot and then runs for its whole timeout again, while
+/// its caller has gone.
+#[parameterized(own_server = { 1 }, server_of_another_router = { 2 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn the_time_in_the_queue_is_part_of_the_deadline(routers: usize) {
+    const DELAY_MS: u64 = 2_400;
+    let mut cluster = Cluster::start(Topology {
+        routers,
+        ..Topology::one_zone()
+    })
+    .await;
+    let pool = json!({"type": "pool", "name": "api", "kind": "service", "reports_load": true,
+        "max_concurrency": 1});
+    cluster.declare(vec![pool]).await;
+    cluster.wait_settled().await;
+    let late = service::Fault::LateAnswer { delay_ms: DELAY_MS };
+    cluster.services[0].handle.set_fault(late);
+    let router = (cluster.owner_of("service-0").await + 1) % routers;
+    let address = cluster.routers[router].address;
+    let first = tokio::spawn(async move { Call::booking("first").send(address).await });
+    wait_until("the service runs the first request", async || {
+        cluster.services[0].handle.calls() > 0
+    })
+    .await;
+    // It waits for 1 s, less than the half of its timeout for which it may, and the service needs
+    // longer than the rest.
+    tokio::time::sleep(Duration::from_millis(DELAY_MS - 1_000)).await;
+    let call = Call::booking("second").header("x-weir-timeout-ms", "3000");
+    let second = cluster.send(router, &call).await;
+    assert_eq!(second.error("code"), "deadline", "{}", second.body);
+    let first = first.await.expect("no panic").expect("a response");
+    assert_eq!(first.status, 200, "{}", first.body);
+}
