--- a/crates/router/tests/fleet/cluster.rs
+++ b/crates/router/tests/fleet/cluster.rs
@@ -8,7 +8,7 @@
 };
 
 use serde_json::{Value, json};
-use standin::{endless, engine, fixed, platform, platform::Host, service};
+use standin::{engine, fixed, flood, platform, platform::Host, service};
 
 use crate::{
     client::{Call, Response},
@@ -77,14 +77,14 @@
     /// A server in front of it that answers bookings, if there is one.
     pub front: Option<fixed::Server>,
     /// A server in front of it that answers some calls without end, if there is one.
-    pub endless: Option<endless::Server>,
+    pub endless: Option<flood::Server>,
 }
 
 impl Service {
     /// The address of the server that stands in front, or its own.
     fn address(&self) -> SocketAddr {
         let front = self.front.as_ref().map(fixed::Server::address);
-        let endless = self.endless.as_ref().map(endless::Server::address);
+        let endless = self.endless.as_ref().map(flood::Server::address);
         front.or(endless).unwrap_or(self.handle.address())
     }
 }
--- a/crates/router/tests/fleet/endless.rs
+++ b/crates/router/tests/fleet/endless.rs
@@ -4,7 +4,7 @@
 
 use gateway::link::{Error, Link};
 use smallvec::SmallVec;
-use standin::endless;
+use standin::flood;
 use tokio::{io::AsyncWriteExt as _, net::TcpStream, time};
 use units::{cost, request};
 use wire::{
@@ -59,8 +59,8 @@
     };
     let mut cluster = Cluster::start(topology).await;
     let service = &mut cluster.services[0];
-    let response = endless::Response { begin, unit, pause };
-    let server = endless::Server::start(service.handle.address(), &["POST"], response);
+    let response = flood::Response { begin, unit, pause };
+    let server = flood::Server::start(service.handle.address(), &["POST"], response);
     service.endless = Some(server.await.expect("a port"));
     cluster.list_hosts(&[]);
     wait_until("the router has the new address", async || {
@@ -73,7 +73,7 @@
     cluster
 }
 
-fn server_of(cluster: &Cluster) -> &endless::Server {
+fn server_of(cluster: &Cluster) -> &flood::Server {
     let server = cluster.services[0].endless.as_ref();
     server.expect("the service has one")
 }
--- a/crates/storage/tests/endless.rs
+++ b/crates/storage/tests/endless.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use standin::endless;
+use standin::flood;
 use storage::{Error, http};
 use tokio::time;
 use yare::parameterized;
@@ -36,11 +36,11 @@
 const EXTENSION: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
 const TRAILERS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
 
-async fn start(begin: &'static str, unit: &'static str, pause: Duration) -> endless::Server {
-    let response = endless::Response { begin, unit, pause };
+async fn start(begin: &'static str, unit: &'static str, pause: Duration) -> flood::Server {
+    let response = flood::Response { begin, unit, pause };
     // Nothing is forwarded, so the address of the other server is not used.
     let unused = ([127, 0, 0, 1], 1).into();
-    let server = endless::Server::start(unused, &["GET"], response).await;
+    let server = flood::Server::start(unused, &["GET"], response).await;
     server.expect("a port")
 }
 
@@ -49,7 +49,7 @@
 }
 
 /// Waits until the client has closed all connections.
-async fn wait_closed(server: &endless::Server) {
+async fn wait_closed(server: &flood::Server) {
     let closed = async {
         while server.open() > 0 {
             time::sleep(Duration::from_millis(5)).await;
