Test that weir-router sends the head of a response that breaks off at once

The reading of a whole response is shared with the test of HTTP/1.0, which checks as much as before.

--- a/crates/router/tests/fleet/framing.rs
+++ b/crates/router/tests/fleet/framing.rs
@@ -20,19 +20,67 @@
 
 /// A deployment whose service answers bookings with these fields and this body.
 async fn cluster(fields: &str, body: &str) -> Cluster {
+    let cluster = fronted(fields, body).await;
+    wait_until("the router has the new address", async || {
+        let call = Call::post("/bookings", "{}");
+        let response = cluster.send(0, &call).await;
+        response.status == 200 && !response.body.contains("confirmation")
+    })
+    .await;
+    cluster
+}
+
+/// The same before the router knows the new address of the service.
+async fn fronted(fields: &str, body: &str) -> Cluster {
     let mut cluster = Cluster::start(Topology::one_zone()).await;
     let service = &mut cluster.services[0];
     let response = format!("HTTP/1.1 200 OK\r\n{fields}\r\n{body}");
     let front = fixed::Server::start(service.handle.address(), "POST", response.as_bytes());
     service.front = Some(front.await.expect("a port"));
     cluster.list_hosts(&[]);
+    cluster
+}
+
+/// All bytes that the first router sends for a booking.
+async fn received(cluster: &Cluster, version: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(cluster.routers[0].address)
+        .await
+        .expect("a connection");
+    let request = format!(
+        "POST /bookings {version}\r\nHost: x\r\nX-Weir-Workspace: acme\r\nConnection: close\r\n\
+         Content-Length: 2\r\n\r\n{{}}"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the request is sent");
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), end.is_ok())
+}
+
+/// Guards against callers that get neither an answer nor a refusal because the response of the server
+/// breaks off with its head.
+#[parameterized(
+    text_of_known_length = { TEXT_LENGTH },
+    chunks = { CHUNKED },
+    events_of_known_length = { LENGTH },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn the_head_of_a_response_that_breaks_off_at_once_is_received(fields: &str) {
+    const REQUESTS: usize = 20;
+    let cluster = fronted(fields, "").await;
     wait_until("the router has the new address", async || {
-        let call = Call::post("/bookings", "{}");
-        let response = cluster.send(0, &call).await;
-        response.status == 200 && !response.body.contains("confirmation")
+        let (response, _) = received(&cluster, "HTTP/1.1").await;
+        !response.contains("confirmation")
     })
     .await;
-    cluster
+    let mut without_head = 0;
+    for _ in 0..REQUESTS {
+        let (response, _) = received(&cluster, "HTTP/1.1").await;
+        without_head += usize::from(response.is_empty());
+    }
+    assert_eq!(without_head, 0, "of {REQUESTS} responses");
 }
 
 /// Guards against responses that look complete although they broke off, and the other way round.
@@ -80,17 +128,7 @@
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn a_caller_of_http_1_0_sees_a_reset(body: &str, is_complete: bool) {
     let cluster = cluster(EVENTS, body).await;
-    let mut stream = TcpStream::connect(cluster.routers[0].address)
-        .await
-        .expect("a connection");
-    let request =
-        "POST /bookings HTTP/1.0\r\nX-Weir-Workspace: acme\r\nContent-Length: 2\r\n\r\n{}";
-    stream
-        .write_all(request.as_bytes())
-        .await
-        .expect("the request is sent");
-    let mut received = Vec::new();
-    let end = stream.read_to_end(&mut received).await;
-    assert!(received.starts_with(b"HTTP/1.0 200"), "{received:?}");
-    assert_eq!(end.is_ok(), is_complete, "{end:?}");
+    let (response, has_ended) = received(&cluster, "HTTP/1.0").await;
+    assert!(response.starts_with("HTTP/1.0 200"), "{response}");
+    assert_eq!(has_ended, is_complete, "{response}");
 }
