Leave callers that stop reading in the middle of a response at its deadline

What callers saw: a server's slot stays taken past the deadline, by a caller that read a part of its response and stopped; the others get a refusal for want of a slot. Cause: the relay looks at the deadline when the HTTP library asks for more of the body, and it does not while the caller's socket is full. The timeouts of the connection did not run while a request was in flight. Change: a connection knows the deadline of the response in flight. If writes are blocked by then, it is reset, which frees the server. The time in which writes were blocked before the response was handed over no longer counts for the idle timeout (by reading, no test).

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use tokio::{
@@ -31,6 +32,7 @@
     head_since_us: AtomicU64,
     head_started: Notify,
     blocked_since_us: AtomicU64,
+    deadline_us: AtomicU64,
     ends_with_connection: AtomicBool,
     discard: Mutex<Option<Discard>>,
     allowance: Allowance,
@@ -45,6 +47,7 @@
             head_since_us: AtomicU64::new(NONE),
             head_started: Notify::new(),
             blocked_since_us: AtomicU64::new(NONE),
+            deadline_us: AtomicU64::new(NONE),
             ends_with_connection: AtomicBool::new(false),
             discard: Mutex::new(None),
             allowance: Allowance::default(),
@@ -62,10 +65,27 @@
         Some(Instant::from_micros(idle_since))
     }
 
-    /// Since when the caller has read nothing of the rest of a response, with no request in flight.
+    /// Since when the caller has read nothing of a response.
     pub fn blocked_since(&self) -> Option<Instant> {
         let since = self.blocked_since_us.load(Ordering::Relaxed);
-        (since != NONE && !self.is_in_flight()).then_some(Instant::from_micros(since))
+        (since != NONE).then_some(Instant::from_micros(since))
+    }
+
+    /// The deadline of the response in flight, if its caller has to read it until then.
+    pub fn deadline(&self) -> Option<Instant> {
+        let deadline = self.deadline_us.load(Ordering::Relaxed);
+        (self.is_in_flight() && deadline != NONE).then_some(Instant::from_micros(deadline))
+    }
+
+    /// When a caller that reads nothing of a response has had enough time: `patience` after the
+    /// response has been handed to the HTTP library, or its deadline if that is still to come.
+    pub fn unread_at(&self, patience: Duration) -> Option<Instant> {
+        let since = self.blocked_since()?;
+        if self.is_in_flight() {
+            return self.deadline().map(|deadline| deadline.max(since));
+        }
+        let idle_since = self.idle_since_us.load(Ordering::Relaxed);
+        Some(since.max(Instant::from_micros(idle_since)) + patience)
     }
 
     fn is_in_flight(&self) -> bool {
@@ -123,12 +143,19 @@
     pub fn new(activity: &Arc<Activity>) -> Self {
         activity.in_flight.fetch_add(1, Ordering::Relaxed);
         activity.head_since_us.store(NONE, Ordering::Relaxed);
+        activity.deadline_us.store(NONE, Ordering::Relaxed);
         activity.allowance.lift();
         Self(Arc::clone(activity))
     }
 }
 
 impl Guard {
+    /// Records that a response has begun, of which all has to be sent by `deadline`.
+    pub fn send_by(&self, deadline: Instant) {
+        let deadline = deadline.as_micros();
+        self.0.deadline_us.store(deadline, Ordering::Relaxed);
+    }
+
     /// Records that the response ends with the connection.
     pub fn end_with_connection(&self) {
         self.0.ends_with_connection.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -200,7 +200,8 @@
 enum Expired {
     /// The idle timeout: no bytes were received.
     Idle,
-    /// The idle timeout: the caller read nothing of the rest of a response.
+    /// The caller read nothing of the rest of a response until its deadline, or for the idle timeout
+    /// after the last one.
     Unread,
     /// The head timeout: a request head began and was not completed.
     SlowHead,
@@ -220,16 +221,19 @@
         let now = clock.now();
         let patience = limits.idle_timeout.duration() + IDLE_GRACE;
         let idle_since = activity.idle_since().filter(|_| !is_ending);
-        let (deadline, expired) = match (activity.blocked_since(), activity.head_since()) {
-            (Some(since), _) => (since + patience, Expired::Unread),
+        let (deadline, expired) = match (activity.unread_at(patience), activity.head_since()) {
+            (Some(at), _) => (at, Expired::Unread),
             (None, Some(since)) => (since + limits.head_timeout.duration(), Expired::SlowHead),
             (None, None) => (idle_since.unwrap_or(now) + patience, Expired::Idle),
         };
         if deadline <= now {
             return expired;
         }
+        // A response in flight may be blocked by its deadline.
+        let response_deadline = activity.deadline().filter(|deadline| *deadline > now);
+        let wake_at = response_deadline.map_or(deadline, |at| at.min(deadline));
         tokio::select! {
-            () = time::sleep_until(clock.at(deadline)) => {}
+            () = time::sleep_until(clock.at(wake_at)) => {}
             () = activity.head_started() => {}
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -89,6 +89,7 @@
             if version < Version::HTTP_11 && !head.headers.contains_key(header::CONTENT_LENGTH) {
                 guard.end_with_connection();
             }
+            guard.send_by(exchange.plan().deadline);
             let stream = relay::stream(exchange, upstream, guard);
             Response::from_parts(head, Either::Right(StreamBody::new(stream)))
         }
