--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,14 +4,15 @@
 mod excess;
 mod failure;
 mod progress;
+mod receive;
 
-use std::{error, fmt, pin, time::Duration};
+use std::{error, fmt, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use framing::{Delimiter, Format, Tracker};
 use futures_util::{Stream, stream};
 use hyper::{Method, body::Frame};
-use tokio::{task, time};
+use tokio::task;
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
 
@@ -20,12 +21,12 @@
 pub use progress::Progress;
 
 use failure::Failure;
+use receive::{Ahead, Next, frame};
 
 use crate::{
     activity::Guard,
     attempt::Response,
-    clock::Clock,
-    connection::{self, Body},
+    connection::Body,
     connector::Path,
     dispatch::Permit,
     parts,
@@ -33,19 +34,12 @@
     protocol::Protocol,
     route::Kind,
     serve::{Exchange, Held, Running, Waited},
-    silence::{self, Cause, Silence},
+    silence::{self, Silence},
 };
 
 /// The least time without a byte after which a resumable stream may leave its server.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
 
-/// The time without a byte of a response that has begun after which its server is probed.
-const PROBE_AFTER: Duration = Duration::from_millis(500);
-
-/// The longest for which bytes that are no progress are held back while the server counts as silent:
-/// enough for a check and a move, and less than the gap after which callers leave.
-const MAX_HOLD: Duration = Duration::from_secs(1);
-
 /// The response body is truncated.
 ///
 /// The caller's connection is closed in the middle of the response, so that a partial
@@ -69,20 +63,6 @@
 
 impl error::Error for Error {}
 
-/// The next event on the connection to the server.
-enum Next {
-    Data(Bytes),
-    End,
-    Broken(String),
-    TimedOut,
-    /// The response has no end in sight.
-    Endless(Excess),
-    /// Another server continues the stream.
-    Replaced(Box<Response>, Cause),
-    /// The server was given up, and another one may continue the stream.
-    Left(Box<Running>, Failure),
-}
-
 #[derive(Debug)]
 struct Relay<P> {
     exchange: Exchange<P>,
@@ -452,68 +432,6 @@
     error
 }
 
-/// Receives a stream ahead of what is recorded, while its server may be replaced.
-struct Ahead {
-    tracker: Tracker,
-    progress: Progress,
-    /// From when on bytes that are no progress are held back, so that they do not end the wait.
-    hold_from: Instant,
-    /// The most bytes that are held back.
-    max_held: usize,
-}
-
-impl Ahead {
-    /// Waits for the next bytes of `body`; from `hold_from` on, for some that are progress.
-    async fn receive(
-        mut self,
-        body: &mut Body,
-        permit: &Permit,
-        clock: Clock,
-        deadline: Instant,
-    ) -> Next {
-        let release_at = clock.now() + MAX_HOLD;
-        let mut held = BytesMut::new();
-        loop {
-            let bytes = match frame(body, Some(permit), clock, deadline).await {
-                Next::Data(bytes) => bytes,
-                // The body ends again when the next frame is waited for.
-                Next::End if !held.is_empty() => return Next::Data(held.freeze()),
-                next => return next,
-            };
-            let now = clock.now();
-            if now < self.hold_from {
-                return Next::Data(bytes);
-            }
-            self.tracker.record(&bytes);
-            held.extend_from_slice(&bytes);
-            let is_progress = self.progress.receive(&self.tracker, now);
-            if is_progress || now >= release_at || held.len() > self.max_held {
-                return Next::Data(held.freeze());
-            }
-        }
-    }
-}
-
-/// Waits for the next bytes of `body`, until `deadline` at the latest.
-async fn frame(body: &mut Body, permit: Option<&Permit>, clock: Clock, deadline: Instant) -> Next {
-    let probe_at = deadline.min(clock.now() + PROBE_AFTER);
-    let mut frame = pin::pin!(body.frame());
-    let mut received = time::timeout_at(clock.at(probe_at), &mut frame).await;
-    if received.is_err() && probe_at < deadline {
-        if let Some(permit) = permit {
-            permit.stalled();
-        }
-        received = time::timeout_at(clock.at(deadline), frame).await;
-    }
-    match received {
-        Err(_) => Next::TimedOut,
-        Ok(Ok(None)) => Next::End,
-        Ok(Ok(Some(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
-        Ok(Err(connection::Failure::Exceeded(_))) => Next::Endless(Excess::Framing),
-        Ok(Err(failure)) => Next::Broken(failure.to_string()),
-    }
-}
-
 impl<P> Relay<P> {
     /// Logs that a response has no end in sight.
     fn log_excess(&self, excess: Excess) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,10 +1,11 @@
 //! Startup and graceful shutdown of a router.
 
+mod sockets;
+
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use error_stack::{Report, ResultExt as _};
 use tokio::{
-    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::{Semaphore, mpsc, watch},
     task::JoinHandle,
@@ -12,6 +13,8 @@
 };
 use wire::seal::Key;
 
+use sockets::Sockets;
+
 use crate::{
     check,
     clock::Clock,
@@ -59,8 +62,6 @@
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 /// The interval at which the settings are reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-/// How many ports of the operating system's choice are tried for other routers.
-const MAX_PORTS: u32 = 8;
 
 /// Why a router could not start or run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -363,66 +364,6 @@
     }
 }
 
-/// The sockets on which a router listens.
-struct Sockets {
-    callers: TcpListener,
-    readiness: TcpListener,
-    metrics: TcpListener,
-    tunnels: TcpListener,
-    peers: peers::Sockets,
-}
-
-impl Sockets {
-    /// Binds the addresses of the settings and stores the ports that the operating system
-    /// assigned.
-    async fn bind(settings: &mut Settings) -> Result<Self, Report<Error>> {
-        let callers = listen(&mut settings.callers, Error::Callers).await?;
-        let readiness = listen(&mut settings.readiness, Error::Readiness).await?;
-        let metrics = listen(&mut settings.metrics, Error::Metrics).await?;
-        let tunnels = listen(&mut settings.tunnels, Error::Peers).await?;
-        let (rows, digests) = listen_for_peers(&mut settings.peers).await?;
-        let introductions = listen(&mut settings.introductions, Error::Peers).await?;
-        Ok(Self {
-            callers,
-            readiness,
-            metrics,
-            tunnels,
-            peers: peers::Sockets {
-                digests,
-                rows,
-                introductions,
-            },
-        })
-    }
-}
-
-/// Binds the port for other routers by TCP and UDP. A port that the operating system assigned for
-/// one may be in use for the other, so another one is tried then.
-async fn listen_for_peers(
-    address: &mut SocketAddr,
-) -> Result<(TcpListener, UdpSocket), Report<Error>> {
-    let wanted = *address;
-    let mut attempts = if wanted.port() == 0 { MAX_PORTS } else { 1 };
-    loop {
-        attempts -= 1;
-        let rows = listen(address, Error::Peers).await?;
-        match UdpSocket::bind(*address).await {
-            Ok(digests) => return Ok((rows, digests)),
-            Err(error) if attempts > 0 => {
-                logging::event!(info, "port_in_use", address = address, reason = error);
-                *address = wanted;
-            }
-            Err(error) => return Err(error).change_context(Error::Peers),
-        }
-    }
-}
-
-async fn listen(address: &mut SocketAddr, error: Error) -> Result<TcpListener, Report<Error>> {
-    let listener = TcpListener::bind(*address).await.change_context(error)?;
-    *address = listener.local_addr().change_context(error)?;
-    Ok(listener)
-}
-
 /// Obtains the fleet key, then runs the gossip task.
 async fn run_gossip<S: Source>(
     clock: Clock,
--- /dev/null
+++ b/crates/gateway/src/start/sockets.rs
@@ -0,0 +1,76 @@
+//! The sockets of a router.
+
+use std::net::SocketAddr;
+
+use error_stack::{Report, ResultExt as _};
+use tokio::net::{TcpListener, UdpSocket};
+
+use super::Error;
+use crate::{peers, settings::Settings};
+
+/// How many ports of the operating system's choice are tried for other routers.
+const MAX_PORTS: u32 = 8;
+
+/// The sockets on which a router listens.
+pub(super) struct Sockets {
+    pub callers: TcpListener,
+    pub readiness: TcpListener,
+    pub metrics: TcpListener,
+    pub tunnels: TcpListener,
+    pub peers: peers::Sockets,
+}
+
+impl Sockets {
+    /// Binds the addresses of the settings and stores the ports that the operating system
+    /// assigned.
+    ///
+    /// # Errors
+    ///
+    /// When an address is in use or not one of this host.
+    pub async fn bind(settings: &mut Settings) -> Result<Self, Report<Error>> {
+        let callers = listen(&mut settings.callers, Error::Callers).await?;
+        let readiness = listen(&mut settings.readiness, Error::Readiness).await?;
+        let metrics = listen(&mut settings.metrics, Error::Metrics).await?;
+        let tunnels = listen(&mut settings.tunnels, Error::Peers).await?;
+        let (rows, digests) = listen_for_peers(&mut settings.peers).await?;
+        let introductions = listen(&mut settings.introductions, Error::Peers).await?;
+        Ok(Self {
+            callers,
+            readiness,
+            metrics,
+            tunnels,
+            peers: peers::Sockets {
+                digests,
+                rows,
+                introductions,
+            },
+        })
+    }
+}
+
+/// Binds the port for other routers by TCP and UDP. A port that the operating system assigned for
+/// one may be in use for the other, so another one is tried then.
+async fn listen_for_peers(
+    address: &mut SocketAddr,
+) -> Result<(TcpListener, UdpSocket), Report<Error>> {
+    let wanted = *address;
+    let mut attempts = if wanted.port() == 0 { MAX_PORTS } else { 1 };
+    loop {
+        attempts -= 1;
+        let rows = listen(address, Error::Peers).await?;
+        match UdpSocket::bind(*address).await {
+            Ok(digests) => return Ok((rows, digests)),
+            Err(error) if attempts > 0 => {
+                logging::event!(info, "port_in_use", address = address, reason = error);
+                *address = wanted;
+            }
+            Err(error) => return Err(error).change_context(Error::Peers),
+        }
+    }
+}
+
+async fn listen(address: &mut SocketAddr, error: Error) -> Result<TcpListener, Report<Error>> {
+    let listener = TcpListener::bind(*address).await.change_context(error)?;
+    *address = listener.local_addr().change_context(error)?;
+    Ok(listener)
+}
