Prepare crates and interfaces for serving under contention

Cause: reported load, urgency over the fleet, memory of engines and slow readers are decisions that do not exist yet. Each needs a crate of its own below the gateway, and places where the gateway asks it.

--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -37,6 +37,7 @@
         window_s: 10,
     },
     rollouts: None,
+    is_contended: false,
 };
 
 /// Events of the entry routers.
--- /dev/null
+++ b/crates/footprint/src/lib.rs
@@ -0,0 +1,1 @@
+//! The memory that requests take at an engine.
--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -239,6 +239,8 @@
             parts: Vec::new(),
             reports: Vec::new(),
             prefixes: self.prefixes.updates(now),
+            load_reports: Vec::new(),
+            usages: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -194,6 +194,9 @@
                     .protocol
                     .advisory(head.status, &head.headers, clock.now());
                 permit.record_advisory(id, advisory);
+                if let Some(report) = connector.protocol.load_report(&head.headers) {
+                    permit.record_load_report(report);
+                }
             }
             end_attempt(classification, head, body, permit)
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod advisories;
 mod crashes;
 mod failures;
+mod load_reports;
 mod message;
 mod paths;
 mod peers;
@@ -11,6 +12,7 @@
 mod quarantine;
 mod requests;
 mod rollouts;
+mod usages;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -26,8 +28,8 @@
 use units::{backend, host, pool, request, time::Instant};
 
 pub use message::{
-    AcquireRequest, Announcement, Dial, Load, Location, Message, PeerUpdate, Progress, Refusal,
-    RefusedParts, Reply, Ticket, TrialTicket,
+    AcquireRequest, Announcement, Dial, Load, LoadReport, Location, Message, PeerUpdate, Progress,
+    Refusal, RefusedParts, Reply, Ticket, TrialTicket,
 };
 pub use permit::{Permit, Refused, Withdrawals};
 
@@ -257,6 +259,9 @@
                 self.peer_loads.remove(&host);
                 self.sum_peers();
             }
+            Message::LoadReport(report) => self.record_load_report(&report, now),
+            Message::PeerLoadReports(reports) => self.record_peer_load_reports(&reports, now),
+            Message::PeerUsages(usages) => self.set_peer_usages(&usages, now),
             Message::Bounds(bounds) => self.set_bounds(bounds),
             Message::Orders(orders) => self.set_orders(orders),
             Message::Stage(pool, revision, stage) => self.set_stage(&pool, revision, stage, now),
@@ -280,6 +285,8 @@
                     reports: self.crashes.reports(now),
                     parts: self.crashes.part_reports(now),
                     prefixes: self.prefixes.updates(now),
+                    load_reports: self.shared_load_reports(now),
+                    usages: self.usages(now),
                 };
                 drop(reply.send(update));
             }
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -100,6 +100,10 @@
     pub parts: Vec<recovery::quarantine::Report>,
     /// Prefixes that servers have cached recently.
     pub prefixes: Vec<prefixes::CachedPrefix>,
+    /// What servers have reported of their speed recently.
+    pub load_reports: Vec<load_report::Shared>,
+    /// The requests in flight of each workspace.
+    pub usages: Vec<scheduling::Usage>,
 }
 
 /// How the service of a roll-out is doing, as far as this router knows.
@@ -160,6 +164,19 @@
     pub controls: dial::Controls,
 }
 
+/// What a server has reported of its load in a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// The service.
+    pub pool: pool::Id,
+    /// The server.
+    pub server: backend::Server,
+    /// The incarnation of the server for which the request was meant.
+    pub incarnation: u64,
+    /// The report.
+    pub report: load_report::Report,
+}
+
 /// A connection to a server that was attempted for another router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dial {
@@ -182,6 +199,12 @@
     FirstByte(Ticket),
     /// A server has announced something in a response.
     Announcement(Announcement),
+    /// A server has reported its load in a response.
+    LoadReport(LoadReport),
+    /// What servers have reported of their speed to other routers.
+    PeerLoadReports(Vec<load_report::Shared>),
+    /// The requests in flight of each workspace at all other routers.
+    PeerUsages(Vec<scheduling::Usage>),
     /// A request at a server has ended.
     Ended(Ticket, Outcome),
     /// The server of a request has sent nothing for some time.
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use units::{host, request::Fingerprint, time::Instant};
 
-use super::{Announcement, Message, Ticket};
+use super::{Announcement, LoadReport, Message, Ticket};
 use crate::{
     advisory::Advisory,
     pool::{Outcome, Placement},
@@ -156,6 +156,20 @@
         }
     }
 
+    /// Records what the server has reported of its load.
+    pub fn record_load_report(&self, report: load_report::Report) {
+        if let Some(ticket) = &self.ticket {
+            let report = LoadReport {
+                pool: ticket.pool.clone(),
+                server: ticket.server.clone(),
+                incarnation: ticket.incarnation,
+                report,
+            };
+            // The dispatch task runs as long as the process.
+            drop(self.sender.send(Message::LoadReport(report)));
+        }
+    }
+
     /// Records that the server has responded with success.
     pub fn succeeded(&mut self) {
         if let Some(ticket) = &mut self.ticket {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,10 +7,13 @@
 pub mod connect;
 mod copies;
 mod cost;
+mod memory;
 mod outcome;
 mod paths;
 mod peers;
+mod room;
 mod server;
+mod speed;
 mod versions;
 mod zone;
 
@@ -55,6 +58,8 @@
     pub tried: SmallVec<[backend::Server; 2]>,
     /// Whether the request must leave some slots of each server to other workspaces.
     pub leaves_reserve: bool,
+    /// The urgency of the request; zero is the most urgent.
+    pub rank: u8,
     /// The version that the request goes to during a roll-out.
     pub preference: Preference,
     /// The version that has to process the request, because the caller has received events
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -63,12 +63,9 @@
             return Err(self.no_candidate(untried(), now));
         }
         let bound = self.bound(now);
-        // Requests to a plain service complete before peers report them. Counting the
-        // reported ones would queue requests although slots are free. A server that is
-        // full rejects the request itself.
-        let counts_peers = self.service.cache_tokens > 0;
         candidates.retain(|server| {
-            server.has_room(demand.leaves_reserve, counts_peers)
+            self.has_slot(server, demand)
+                && self.has_memory(server, demand, now)
                 && !self.is_spared(server, now)
                 && f64::from(server.load() + 1) <= bound
         });
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -97,6 +97,9 @@
     /// What the server announces in the head of a response that arrived at `now`.
     fn advisory(&self, status: StatusCode, headers: &HeaderMap, now: Instant) -> Advisory;
 
+    /// What the server reports of its load in the head of a response, if it does.
+    fn load_report(&self, headers: &HeaderMap) -> Option<load_report::Report>;
+
     /// The status code of a refusal. A code that promises that the request has not run is
     /// used only if it has not.
     fn status(&self, refusal: &Refusal) -> StatusCode;
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -188,6 +188,7 @@
     ) -> Result<Placement, Denial> {
         let slot_share = self.pool.slots() / u32::try_from(fleet.members.len().max(1)).unwrap_or(1);
         let mut demand = request.demand.clone();
+        demand.rank = request.rank;
         // The workspace had a slot for the stream before it broke off.
         demand.leaves_reserve = demand.version.is_none()
             && self
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,6 +62,9 @@
     pub retries: retry_budget::Allowance,
     /// The bounds of roll-outs; `None` if the versions of servers are of no significance.
     pub rollouts: Option<rollout::Settings>,
+    /// Whether callers compete for scarce capacity, so that requests are scheduled by urgency
+    /// over the whole fleet and memory is accounted for.
+    pub is_contended: bool,
 }
 
 impl Default for Bounds {
@@ -76,6 +79,7 @@
                 window_s: 10,
             },
             rollouts: None,
+            is_contended: false,
         }
     }
 }
--- a/crates/gateway/tests/network/protocol.rs
+++ b/crates/gateway/tests/network/protocol.rs
@@ -27,6 +27,10 @@
         Advisory::default()
     }
 
+    fn load_report(&self, _headers: &HeaderMap) -> Option<load_report::Report> {
+        None
+    }
+
     fn status(&self, _: &Refusal) -> StatusCode {
         StatusCode::SERVICE_UNAVAILABLE
     }
