Account for the memory of engines where callers compete

Cause: an engine preempts a request when its memory runs out and reads the prompt again later. No router considers the memory, nor how many prompt tokens wait at an engine while its urgent requests get no events.

Change: Length-Hint and the prompt tokens of Token-Usage are read. Where the settings call for it, a pool keeps what this router's requests hold at each engine, from their placement to their end, by the process of the engine. An engine takes a request only if it fits beside these and an estimate for those of other routers. A request that no engine can hold is refused at once with code too_large, without a time for a retry. Less urgent long prompts pass over engines where too many tokens wait, and wait themselves if all are beyond the bound, until three quarters of their time in the queue.

--- a/crates/footprint/src/demand.rs
+++ b/crates/footprint/src/demand.rs
@@ -78,6 +78,8 @@
     pub private: Tokens,
     /// The output in [`Self::private`].
     pub output: Tokens,
+    /// The output that the caller estimates, if it does.
+    pub expected: Option<Tokens>,
     /// The least that the request takes if its output was estimated too high.
     pub least: Tokens,
 }
@@ -87,14 +89,23 @@
     pub fn new(parts: impl Iterator<Item = Part>, usage: Usage, engine: Engine) -> Self {
         let parts: SmallVec<[Part; 4]> = parts.collect();
         let named: Tokens = parts.iter().map(|part| part.tokens).sum();
-        let prompt = named.max(usage.prompt.unwrap_or_default());
+        // The parts are what the engine reads. A total that exceeds them by more than an engine's
+        // memory is a mistake of the caller.
+        let stated = usage.prompt.unwrap_or_default();
+        let is_plausible = parts.is_empty() || stated <= engine.memory;
+        let prompt = if is_plausible {
+            named.max(stated)
+        } else {
+            named
+        };
         let output = usage.reserved(prompt, engine);
-        let expected = usage.expected(engine).unwrap_or_default();
+        let expected = usage.expected(engine);
         Self {
             parts,
             private: prompt - named + output,
             output,
-            least: prompt + expected / HINT_ERROR,
+            expected,
+            least: prompt + expected.unwrap_or_default() / HINT_ERROR,
         }
     }
 
--- a/crates/footprint/src/lib.rs
+++ b/crates/footprint/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod demand;
 pub mod memory;
+pub mod output;
 pub mod reading;
 mod sample;
 pub mod tokens;
 
 pub use demand::{Engine, Footprint, Part, Usage};
 pub use memory::{Memory, Request};
+pub use output::PieceSize;
 pub use reading::{Rate, Tolerance};
 pub use sample::Typical;
 pub use tokens::Tokens;
--- a/crates/footprint/src/memory.rs
+++ b/crates/footprint/src/memory.rs
@@ -42,6 +42,8 @@
     /// The prompt tokens that belong to this request only.
     private_prompt: Tokens,
     output: Tokens,
+    /// The output that the caller estimated.
+    expected: Option<Tokens>,
     /// Prompt tokens that wait to be read.
     waiting: Tokens,
 }
@@ -62,6 +64,11 @@
         self.requests.is_empty()
     }
 
+    /// The number of running requests.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
     /// The tokens of all running requests, with shared prompt parts counted once.
     pub fn held(&self) -> Tokens {
         self.held
@@ -102,16 +109,21 @@
             parts,
             private_prompt: footprint.private - footprint.output,
             output: footprint.output,
+            expected: footprint.expected,
             waiting: uncached,
         };
         self.requests.insert(request, held);
     }
 
     /// Records that the first event of a request has arrived, so that its prompt has been read.
-    pub fn first_event(&mut self, request: Request) {
-        if let Some(held) = self.requests.get_mut(&request) {
-            self.waiting -= std::mem::take(&mut held.waiting);
-        }
+    /// Returns the tokens that waited for that.
+    pub fn first_event(&mut self, request: Request) -> Tokens {
+        let Some(held) = self.requests.get_mut(&request) else {
+            return Tokens(0);
+        };
+        let read = std::mem::take(&mut held.waiting);
+        self.waiting -= read;
+        read
     }
 
     /// Records that a request has generated at least `generated` tokens so far.
@@ -122,11 +134,10 @@
         }
     }
 
-    /// Records that a request has ended. Without effect if it is not known.
-    pub fn end(&mut self, request: Request) {
-        let Some(held) = self.requests.remove(&request) else {
-            return;
-        };
+    /// Records that a request has ended. Without effect if it is not known. Returns the output
+    /// that its caller estimated.
+    pub fn end(&mut self, request: Request) -> Option<Tokens> {
+        let held = self.requests.remove(&request)?;
         self.held -= held.private_prompt + held.output;
         self.waiting -= held.waiting;
         for key in held.parts {
@@ -139,6 +150,7 @@
                 self.parts.remove(&key);
             }
         }
+        held.expected
     }
 
     /// The memory in use if a request of this footprint was added, where `peers` requests of other
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -29,7 +29,7 @@
 
 pub use message::{
     AcquireRequest, Announcement, Dial, Load, LoadReport, Location, Message, PeerUpdate, Progress,
-    Refusal, RefusedParts, Reply, Ticket, TrialTicket,
+    Refusal, RefusedParts, Reply, ResponseProgress, Ticket, TrialTicket,
 };
 pub use permit::{Permit, Refused, Withdrawals};
 
@@ -233,6 +233,7 @@
         match message {
             Message::Acquire(request, reply) => self.acquire(request, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
+            Message::ResponseProgress(progress) => self.record_progress(&progress),
             Message::Announcement(announcement) => self.announced(&announcement, now),
             Message::Ended(ticket, outcome) => self.ended(&ticket, outcome, now),
             Message::Stalled(ticket) => self.record_sign(Sign::Silent, &ticket, now),
@@ -308,6 +309,7 @@
                 if let Some(service) = self.table.services.get(&name) {
                     pool.set_service(service.clone());
                 }
+                pool.set_routes(self.table.routes_to(&name));
                 self.rollouts.apply(&name, &mut pool);
                 Queue::new(pool)
             });
@@ -322,6 +324,7 @@
         for (name, service) in &table.services {
             if let Some(queue) = self.queues.get_mut(name) {
                 queue.pool_mut().set_service(service.clone());
+                queue.pool_mut().set_routes(table.routes_to(name));
             }
         }
         self.table = table;
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -134,6 +134,19 @@
     pub is_recorded: bool,
 }
 
+/// How far the response to a request has got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseProgress {
+    /// The service.
+    pub pool: pool::Id,
+    /// The server.
+    pub server: backend::Server,
+    /// Identifies the request in the account of the engine's memory.
+    pub request: footprint::Request,
+    /// The pieces that have arrived.
+    pub pieces: u32,
+}
+
 /// What a server has announced in a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
@@ -197,6 +210,8 @@
     Acquire(AcquireRequest, Reply),
     /// The first byte of a response has arrived.
     FirstByte(Ticket),
+    /// The response to a request has got this far.
+    ResponseProgress(ResponseProgress),
     /// A server has announced something in a response.
     Announcement(Announcement),
     /// A server has reported its load in a response.
@@ -273,6 +288,8 @@
     pub incarnation: u64,
     /// Prompt tokens that were not known to be cached at the server.
     pub uncached: Cost,
+    /// Identifies the request in the account of the engine's memory.
+    pub request: footprint::Request,
     /// The prompt.
     pub parts: Parts,
     /// The parts of the prompt that other requests may share.
@@ -293,6 +310,8 @@
     pub provider: Option<host::Id>,
     /// Whether the first byte of the response has arrived.
     pub has_first_byte: bool,
+    /// The pieces of the response that have arrived.
+    pub pieces: u32,
     /// When the last byte of the response arrived.
     pub last_byte_at: Option<Instant>,
     /// Whether an earlier attempt of the request was sent to a server.
--- a/crates/gateway/src/dispatch/permit.rs
+++ b/crates/gateway/src/dispatch/permit.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use units::{host, request::Fingerprint, time::Instant};
 
-use super::{Announcement, LoadReport, Message, Ticket};
+use super::{Announcement, LoadReport, Message, ResponseProgress, Ticket};
 use crate::{
     advisory::Advisory,
     pool::{Outcome, Placement},
@@ -45,6 +45,10 @@
     pub refused: watch::Receiver<Arc<Refused>>,
 }
 
+/// The number of pieces of a response from which on its progress is reported, each time that the
+/// number has doubled. Shorter responses stay within what is set aside for them.
+const MIN_PROGRESS: u32 = 64;
+
 /// A slot at a backend server. If it is dropped without an outcome, the request counts
 /// as cancelled.
 #[derive(Debug)]
@@ -123,6 +127,20 @@
             return;
         };
         ticket.last_byte_at = Some(now);
+        ticket.pieces = ticket.pieces.saturating_add(1);
+        if !ticket.parts.is_empty()
+            && ticket.pieces >= MIN_PROGRESS
+            && ticket.pieces.is_power_of_two()
+        {
+            let progress = ResponseProgress {
+                pool: ticket.pool.clone(),
+                server: ticket.server.clone(),
+                request: ticket.request,
+                pieces: ticket.pieces,
+            };
+            // The dispatch task runs as long as the process.
+            drop(self.sender.send(Message::ResponseProgress(progress)));
+        }
         if !ticket.has_first_byte {
             ticket.has_first_byte = true;
             // The dispatch task runs as long as the process.
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -4,7 +4,7 @@
 
 use units::{pool, request, time::Instant};
 
-use super::{AcquireRequest, Dispatch, Permit, Refusal, Reply, Ticket};
+use super::{AcquireRequest, Dispatch, Permit, Refusal, Reply, ResponseProgress, Ticket};
 use crate::{
     parts,
     pool::{Outcome, Part, Placement, Standing},
@@ -39,6 +39,10 @@
             return;
         };
         self.attempts += 1;
+        request.demand.request = footprint::Request(self.attempts);
+        // The rest of the time is left for finding a server beside others that wait.
+        let wait = request.latest_start.since(now) * 3 / 4;
+        request.demand.deferrable_until = now + wait;
         let queue_request = queue::Request {
             attempt: request::Attempt(self.attempts),
             workspace: request.workspace.clone(),
@@ -125,6 +129,7 @@
             server: placement.server.clone(),
             incarnation: placement.incarnation,
             uncached: placement.uncached,
+            request: request.demand.request,
             shared_parts: parts::shared(&request.pool, &request.demand.parts),
             parts: request.demand.parts,
             pool: request.pool,
@@ -136,6 +141,7 @@
             egress: placement.path.egress().map(|egress| egress.host.clone()),
             provider: None,
             has_first_byte: false,
+            pieces: 0,
             last_byte_at: None,
         };
         let withdrawals = self.withdrawals(&ticket, now);
@@ -192,6 +198,9 @@
             return;
         };
         queue.pool_mut().record_response(&ticket.server);
+        let has_room = queue
+            .pool_mut()
+            .record_first_event(&ticket.server, ticket.request);
         let is_direct = ticket.egress.is_none();
         if let Some(at) = ticket.connected_at.filter(|_| is_direct) {
             let time = at.since(ticket.sent_at);
@@ -210,6 +219,17 @@
             server.record_cached(&ticket.parts, now);
             server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
         }
+        if has_room {
+            self.dequeue(&ticket.pool);
+        }
+    }
+
+    /// Records how far the response to a request has got.
+    pub(super) fn record_progress(&mut self, progress: &ResponseProgress) {
+        if let Some(queue) = self.queues.get_mut(&progress.pool) {
+            let pool = queue.pool_mut();
+            pool.record_progress(&progress.server, progress.request, progress.pieces);
+        }
     }
 
     pub(super) fn ended(&mut self, ticket: &Ticket, outcome: Outcome, now: Instant) {
@@ -224,6 +244,10 @@
         let Some(queue) = self.queues.get_mut(&ticket.pool) else {
             return;
         };
+        let pieces = (outcome == Outcome::Completed).then_some(ticket.pieces);
+        queue
+            .pool_mut()
+            .release_memory(&ticket.server, ticket.request, pieces);
         if let Some(server) = queue.pool_mut().server_mut(&ticket.server)
             && !ticket.has_first_byte
         {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,7 @@
     gap_seconds: Histogram,
     attempts: Family<labels::Attempt, Counter>,
     throttled_attempts: Counter,
+    oversized: Counter,
     crashes: Family<labels::Crash, Counter>,
     path_changes: Family<labels::Path, Counter>,
     tunnelled_attempts: Counter,
@@ -111,6 +112,7 @@
         let gap_seconds = Histogram::new(BUCKETS);
         let attempts = Family::default();
         let throttled_attempts = Counter::default();
+        let oversized = Counter::default();
         let crashes = Family::default();
         let path_changes = Family::default();
         let tunnelled_attempts = Counter::default();
@@ -185,6 +187,11 @@
             "Attempts at servers that had asked this router to send nothing",
             throttled_attempts.clone(),
         );
+        registry.register(
+            "weir_oversized_requests",
+            "Requests that need more memory than an engine of their service has",
+            oversized.clone(),
+        );
         registry.register(
             "weir_suspected_requests",
             "Requests of this router in flight at a server that crashed",
@@ -281,6 +288,7 @@
             gap_seconds,
             attempts,
             throttled_attempts,
+            oversized,
             crashes,
             path_changes,
             tunnelled_attempts,
@@ -388,6 +396,11 @@
         self.throttled_attempts.inc();
     }
 
+    /// Counts a request that needs more memory than an engine of its service has.
+    pub fn oversized(&self) {
+        self.oversized.inc();
+    }
+
     /// Counts a request that was in flight at a server that crashed, and whether the crash
     /// adds a strike against it.
     pub fn crash_confirmed(&self, is_counted: bool) {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,6 +7,8 @@
 pub mod connect;
 mod copies;
 mod cost;
+mod denial;
+mod holdings;
 mod memory;
 mod outcome;
 mod paths;
@@ -24,6 +26,7 @@
 use smallvec::SmallVec;
 use units::{availability, backend, chat, cost::Cost, host, time::Instant};
 
+pub use denial::{Denial, Oversize};
 pub use outcome::Outcome;
 pub use server::Server;
 pub use versions::{Preference, VersionLoads};
@@ -65,6 +68,12 @@
     /// The version that has to process the request, because the caller has received events
     /// from it. Versions do not continue each other's streams.
     pub version: Option<backend::Version>,
+    /// Identifies the request in the account of the engines' memory.
+    pub request: footprint::Request,
+    /// What the caller states about the tokens of the request.
+    pub usage: footprint::Usage,
+    /// Until when the request waits rather than delaying more urgent ones by its prompt.
+    pub deferrable_until: Instant,
 }
 
 /// The routers that share the limits of a service.
@@ -144,26 +153,6 @@
     }
 }
 
-/// The reason why no server can take a request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Denial {
-    /// The service has no known server, or all of them have been tried.
-    NoServer,
-    /// The service has no server of the version that has to process the request.
-    VersionGone,
-    /// All servers are in unreachable zones; the first of these zones is probed at this
-    /// instant.
-    ZonesUnreachable(Instant),
-    /// All servers that could be tried have asked for a pause; the first pause ends at this
-    /// instant.
-    Throttled(Instant),
-    /// All servers are at their load bound or have no free slot.
-    Full,
-    /// The servers with free slots are cold and this router's slow-start share is used
-    /// up; the next request may be sent at this instant.
-    SlowStart(Instant),
-}
-
 /// The fraction of the headroom above the mean load that this router uses. The rest
 /// covers the delay with which peers report their loads.
 const BOUND_HEADROOM_USED: f64 = 0.75;
@@ -189,6 +178,7 @@
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
     brittleness: brittle::Brittleness,
+    holdings: holdings::Holdings,
     /// Whether this router is up to date. If it is not, it cannot know that the version in
     /// service was replaced.
     is_up_to_date: bool,
@@ -217,6 +207,7 @@
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
             brittleness: brittle::Brittleness::default(),
+            holdings: holdings::Holdings::default(),
             is_up_to_date: true,
         }
     }
@@ -251,6 +242,7 @@
             }
             self.servers.insert(entry.server.clone(), server);
         }
+        self.holdings.retain_listed(&self.servers);
         for (name, server) in old {
             let announced_at = server.shutdown_announced_at();
             self.keep_unlisted(name, server.incarnation(), server.advisory(), announced_at);
@@ -281,6 +273,7 @@
         let share = self.slow_start_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
         let bound = self.bound(now);
+        self.hold_memory(&choice, demand, now);
         let server = self.servers.get_mut(&choice).ok_or(Denial::NoServer)?;
         let uncached = Cost(server.uncached(&demand.parts, now));
         server.admit(uncached, share, now);
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -14,6 +14,9 @@
         if !self.has_version(demand) {
             return Err(Denial::VersionGone);
         }
+        if let Some(oversize) = self.oversize(demand) {
+            return Err(Denial::Oversized(oversize));
+        }
         let tiers = self.tiers(demand);
         let mut denial = Denial::NoServer;
         for (position, tier) in tiers.iter().enumerate() {
@@ -72,6 +75,7 @@
         if candidates.is_empty() {
             return Err(Denial::Full);
         }
+        self.pass_over_readers(&mut candidates, demand, now)?;
         // A server that rejects requests at once is idle, and so looks like the best choice.
         if candidates.iter().any(|server| !server.is_rejecting(now)) {
             candidates.retain(|server| !server.is_rejecting(now));
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -30,6 +30,8 @@
     pub parts: Parts,
     /// The estimated work of the request, in prompt tokens.
     pub cost: Cost,
+    /// What the caller states about the tokens of the request.
+    pub usage: footprint::Usage,
     /// The id of the event after which a stream is resumed.
     pub last_event_id: Option<String>,
     /// The id of the caller's request that began the stream which this one takes up.
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -372,7 +372,7 @@
     /// ends.
     fn note_wake(&mut self, denial: Denial, now: Instant) {
         let slow_start_at = match denial {
-            Denial::SlowStart(at) => Some(at),
+            Denial::SlowStart(at) | Denial::Reading(at) => Some(at),
             _ => None,
         };
         let throttle_end = self.pool.next_throttle_end(now);
@@ -395,7 +395,9 @@
                 Some(at) => at.since(now),
                 None => queueing.min(MAX_RETRY_DELAY),
             },
-            Denial::Full | Denial::SlowStart(_) => queueing.min(MAX_RETRY_DELAY),
+            Denial::Full | Denial::SlowStart(_) | Denial::Reading(_) | Denial::Oversized(_) => {
+                queueing.min(MAX_RETRY_DELAY)
+            }
         };
         let wait = wait.max(MIN_RETRY_DELAY);
         let spread = f64::from(request.attempt.0 as u8) / f64::from(u8::MAX);
@@ -409,9 +411,12 @@
 /// Whether waiting in the queue cannot get the request a server in time.
 fn is_hopeless(denial: Denial, request: &Request) -> bool {
     match denial {
-        Denial::NoServer | Denial::VersionGone | Denial::ZonesUnreachable(_) => true,
+        Denial::NoServer
+        | Denial::VersionGone
+        | Denial::ZonesUnreachable(_)
+        | Denial::Oversized(_) => true,
         Denial::Throttled(until) => until > request.latest_start,
-        Denial::Full | Denial::SlowStart(_) => false,
+        Denial::Full | Denial::SlowStart(_) | Denial::Reading(_) => false,
     }
 }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -193,6 +193,14 @@
         routes.map(|route| route.name.as_str())
     }
 
+    /// The routes of which a service receives requests.
+    pub fn routes_to(&self, pool: &pool::Id) -> impl Iterator<Item = &Route> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes
+            .map(Arc::as_ref)
+            .filter(move |route| route.splits.iter().any(|split| split.pool == *pool))
+    }
+
     /// The owner of an API key.
     pub fn key_owner(&self, key: &str) -> Option<&Arc<KeyOwner>> {
         self.keys.get(key)
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -425,6 +425,8 @@
                     Denial::Full => (Code::Busy, "All servers are at their limit."),
                     Denial::Throttled(_) => (Code::Busy, "All servers have asked for a pause."),
                     Denial::SlowStart(_) => (Code::Cold, "All servers with room are starting."),
+                    Denial::Reading(_) => (Code::Busy, "All servers are reading long prompts."),
+                    Denial::Oversized(oversize) => return self.refuse_oversized(oversize),
                 };
                 self.refusal(code, message).retry_at(refusal.retry_at)
             }
--- a/crates/gateway/src/serve/exchange/log.rs
+++ b/crates/gateway/src/serve/exchange/log.rs
@@ -1,9 +1,14 @@
 //! The log lines of a request.
 
-use verdict::Refusal;
+use verdict::{Code, Refusal};
 
 use super::Exchange;
-use crate::{attempt::End, parts, pool::Placement, protocol::Protocol};
+use crate::{
+    attempt::End,
+    parts,
+    pool::{Oversize, Part, Placement},
+    protocol::Protocol,
+};
 
 /// Logs a decision on a request, with what it was based on.
 macro_rules! decision {
@@ -54,7 +59,35 @@
     }
 }
 
+/// The text of a figure that may be missing.
+fn figure(tokens: Option<footprint::Tokens>) -> String {
+    tokens.map_or_else(|| String::from("none"), |tokens| tokens.to_string())
+}
+
 impl<P: Protocol> Exchange<P> {
+    /// Refuses a request that fits no engine of its service. It gets no time for a retry.
+    pub(super) fn refuse_oversized(&self, oversize: Oversize) -> Refusal {
+        let usage = self.plan.demand.usage;
+        let parts = &self.plan.demand.parts;
+        self.context.metrics.oversized();
+        logging::event!(
+            info,
+            "request_oversized",
+            request = self.plan.head.id,
+            route = self.plan.route.name,
+            pool = self.plan.pool,
+            needed = oversize.needed,
+            memory = oversize.memory,
+            parts_tokens = parts.iter().map(Part::length).sum::<u64>(),
+            prompt = figure(usage.prompt),
+            hint = figure(usage.hint),
+            most = figure(usage.most),
+            config = self.plan.version
+        );
+        let message = "The request needs more memory than a server of the service has.";
+        self.refusal(Code::TooLarge, message)
+    }
+
     /// Counts an attempt and logs it if it failed.
     pub(super) fn log_attempt(&self, placement: &Placement, end: &End) {
         let (outcome, reason) = match end {
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -112,6 +112,7 @@
             demand: Demand {
                 parts: head.parts.clone(),
                 version,
+                usage: head.usage,
                 ..Demand::default()
             },
             head,
