--- a/crates/footprint/src/memory.rs
+++ b/crates/footprint/src/memory.rs
@@ -173,7 +173,9 @@
         let is_counted = |key: chat::Key| {
             self.parts.contains_key(&key) || footprint.parts.iter().any(|part| part.key == key)
         };
-        let of_peers = self.sample.expected(peers, typical, is_counted, now);
+        let of_peers = self
+            .sample
+            .expected(peers, typical, footprint, is_counted, now);
         self.held + added + footprint.private + of_peers
     }
 
--- a/crates/footprint/src/sample.rs
+++ b/crates/footprint/src/sample.rs
@@ -42,7 +42,17 @@
         self.squares = self.squares * keep + weight * novel * novel;
     }
 
-    /// The mean; zero if no request is known.
+    /// The same with `footprint` as one more request. Without it, a router that has sent nothing
+    /// yet would take requests of others to be empty.
+    fn with(&self, footprint: &Footprint) -> Self {
+        let (weight, tokens) = (weight(footprint), footprint.total().0 as f64);
+        Self {
+            weight: self.weight + weight,
+            tokens: self.tokens + weight * tokens,
+            squares: self.squares + weight * tokens * tokens,
+        }
+    }
+
     fn mean(&self) -> f64 {
         if self.weight > 0.0 {
             self.tokens / self.weight
@@ -155,18 +165,20 @@
         self.single = single;
     }
 
-    /// The tokens that `peers` requests of other routers take beside the parts that are counted
-    /// already.
+    /// The tokens that `peers` requests of other routers take beside `footprint` and the parts
+    /// that are counted already.
     pub fn expected(
         &self,
         peers: u32,
         typical: &Typical,
+        footprint: &Footprint,
         is_counted: impl Fn(chat::Key) -> bool,
         now: Instant,
     ) -> Tokens {
         if peers == 0 {
             return Tokens(0);
         }
+        let typical = typical.with(footprint);
         let peers = f64::from(peers);
         let last = self.requests.back();
         let is_current = last.is_some_and(|sampled| now < sampled.expires_at);
--- a/crates/gateway/src/pool/holdings.rs
+++ b/crates/gateway/src/pool/holdings.rs
@@ -116,11 +116,12 @@
         urgent.map(|other| other.tolerance).reduce(Tolerance::and)
     }
 
-    /// The requests of this router at all engines, and their prompt tokens that wait to be read.
-    pub fn sums(&self) -> (usize, Tokens) {
+    /// The prompt tokens that wait to be read for an average request of this router.
+    pub fn mean_waiting(&self) -> f64 {
         let memories = self.engines.values().map(|holding| &holding.memory);
-        memories.fold((0, Tokens(0)), |(requests, waiting), memory| {
+        let (requests, waiting) = memories.fold((0, Tokens(0)), |(requests, waiting), memory| {
             (requests + memory.len(), waiting + memory.waiting())
-        })
+        });
+        waiting.0 as f64 / requests.max(1) as f64
     }
 }
--- a/crates/gateway/src/pool/memory.rs
+++ b/crates/gateway/src/pool/memory.rs
@@ -14,14 +14,6 @@
 /// states no such limit; this is the shortest that a deployment has.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// The long prompts that wait to be read, and how many more may wait.
-#[derive(Clone, Copy, Debug)]
-struct Reading {
-    bound: Tokens,
-    /// The tokens that wait for an average request of this router.
-    mean_waiting: f64,
-}
-
 impl Pool {
     /// Whether the memory of the servers is accounted for.
     fn has_accounts(&self) -> bool {
@@ -79,13 +71,24 @@
         demand: &Demand,
         now: Instant,
     ) -> Result<(), Denial> {
-        let Some(reading) = self.reading(demand.rank) else {
+        let Some(bound) = self.reading_bound(demand.rank) else {
             return Ok(());
         };
-        let may_read = |server: &&Server| {
-            let uncached = Tokens(server.uncached(&demand.parts, now));
-            reading::may_wait(uncached, self.waiting(server, reading), reading.bound)
+        let uncached = |server: &Server| Tokens(server.uncached(&demand.parts, now));
+        let own = |server: &Server| self.holdings.memory(server).waiting();
+        let mean = self.holdings.mean_waiting();
+        let all = |server: &Server| {
+            // A request of another router is taken to wait for as many tokens as an average one of
+            // this router. That says where fewer tokens wait, but not how many.
+            let of_peers = f64::from(server.peer_load()) * mean;
+            own(server) + Tokens(of_peers as u64)
         };
+        let may_read = |server: &&Server| reading::may_wait(uncached(server), all(server), bound);
+        if candidates.iter().any(may_read) {
+            candidates.retain(may_read);
+            return Ok(());
+        }
+        let may_read = |server: &&Server| reading::may_wait(uncached(server), own(server), bound);
         if candidates.iter().any(may_read) {
             candidates.retain(may_read);
             return Ok(());
@@ -96,24 +99,14 @@
         Ok(())
     }
 
-    /// The bound of what a request of this rank may wait for; `None` if there is none.
-    fn reading(&self, rank: u8) -> Option<Reading> {
+    /// The most prompt tokens that may wait at an engine for a request of this rank to be sent
+    /// there; `None` if there is no bound.
+    fn reading_bound(&self, rank: u8) -> Option<Tokens> {
         if !self.has_accounts() {
             return None;
         }
         let tolerance = self.holdings.tolerance_above(rank)?;
-        let (requests, waiting) = self.holdings.sums();
-        Some(Reading {
-            bound: tolerance.bound(READ_RATE),
-            mean_waiting: waiting.0 as f64 / requests.max(1) as f64,
-        })
-    }
-
-    /// The prompt tokens that wait to be read at an engine. A request of another router is taken
-    /// to wait for as many as an average one of this router.
-    fn waiting(&self, server: &Server, reading: Reading) -> Tokens {
-        let of_peers = f64::from(server.peer_load()) * reading.mean_waiting;
-        self.holdings.memory(server).waiting() + Tokens(of_peers as u64)
+        Some(tolerance.bound(READ_RATE))
     }
 
     /// Records that a request is sent to `name`.
