--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -61,7 +61,14 @@
                 self.refuse(&request, reply, Refusal::Denied(refusal), now);
             }
             Admission::Queued => {
+                // A request that waits for its turn to be read must not hold back an urgent one of
+                // its workspace.
+                let is_urgent = request.rank == 0 && self.settings.bounds.is_contended;
+                let pool = request.pool.clone();
                 self.pending.insert(attempt, (request, reply));
+                if is_urgent {
+                    self.dequeue(&pool);
+                }
             }
         }
     }
--- a/crates/gateway/tests/decisions/engine_memory/fleet.rs
+++ b/crates/gateway/tests/decisions/engine_memory/fleet.rs
@@ -208,7 +208,7 @@
     }
 
     fn step(&mut self, accepts: bool) {
-        if self.now_ms % EXCHANGE_MS == 0 {
+        if self.now_ms.is_multiple_of(EXCHANGE_MS) {
             self.exchange_loads();
         }
         if self.plan.restart_ms == Some(self.now_ms) {
