Let long prompts pass over only the prompts of their own router

Cause: the choice of engines by an estimate of the prompts of other routers left few engines, the same at all routers.

Change: only what waits for this router's own requests counts.

--- a/crates/footprint/src/memory.rs
+++ b/crates/footprint/src/memory.rs
@@ -64,11 +64,6 @@
         self.requests.is_empty()
     }
 
-    /// The number of running requests.
-    pub fn len(&self) -> usize {
-        self.requests.len()
-    }
-
     /// The tokens of all running requests, with shared prompt parts counted once.
     pub fn held(&self) -> Tokens {
         self.held
--- a/crates/gateway/src/pool/holdings.rs
+++ b/crates/gateway/src/pool/holdings.rs
@@ -115,13 +115,4 @@
         let urgent = self.ranks.iter().filter(|other| other.rank < rank);
         urgent.map(|other| other.tolerance).reduce(Tolerance::and)
     }
-
-    /// The prompt tokens that wait to be read for an average request of this router.
-    pub fn mean_waiting(&self) -> f64 {
-        let memories = self.engines.values().map(|holding| &holding.memory);
-        let (requests, waiting) = memories.fold((0, Tokens(0)), |(requests, waiting), memory| {
-            (requests + memory.len(), waiting + memory.waiting())
-        });
-        waiting.0 as f64 / requests.max(1) as f64
-    }
 }
--- a/crates/gateway/src/pool/memory.rs
+++ b/crates/gateway/src/pool/memory.rs
@@ -74,21 +74,10 @@
         let Some(bound) = self.reading_bound(demand.rank) else {
             return Ok(());
         };
-        let uncached = |server: &Server| Tokens(server.uncached(&demand.parts, now));
-        let own = |server: &Server| self.holdings.memory(server).waiting();
-        let mean = self.holdings.mean_waiting();
-        let all = |server: &Server| {
-            // A request of another router is taken to wait for as many tokens as an average one of
-            // this router. That says where fewer tokens wait, but not how many.
-            let of_peers = f64::from(server.peer_load()) * mean;
-            own(server) + Tokens(of_peers as u64)
+        let may_read = |server: &&Server| {
+            let uncached = Tokens(server.uncached(&demand.parts, now));
+            reading::may_wait(uncached, self.holdings.memory(server).waiting(), bound)
         };
-        let may_read = |server: &&Server| reading::may_wait(uncached(server), all(server), bound);
-        if candidates.iter().any(may_read) {
-            candidates.retain(may_read);
-            return Ok(());
-        }
-        let may_read = |server: &&Server| reading::may_wait(uncached(server), own(server), bound);
         if candidates.iter().any(may_read) {
             candidates.retain(may_read);
             return Ok(());
