Cover all servers by the sums of loads

Cause: a sum of loads names at most the 105 busiest servers and a digest 80. With 144 servers the others looked idle to every router.

Change: the loads that a report does not name follow in slices, a new frame. Each covers a range of the servers' hashes; a sender covers all ranges in four rounds, each aggregator by itself. A receiver keeps the last figure of a server until a slice that covers it, or for 1.8 s. Where a slice would name more than 220 servers, it holds the requests by range of hashes, and the dispatch task divides them among the servers of a range that it does not know one by one.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -81,6 +81,8 @@
     /// `aggregate_until`.
     aggregate: Vec<load::Load>,
     aggregate_until: Instant,
+    /// The requests at servers that `aggregate` does not name.
+    aggregate_buckets: load::buckets::Buckets,
     crashes: Tracker,
     /// Signals that there is news of requests that crash servers.
     crash_news: watch::Sender<()>,
@@ -143,6 +145,7 @@
             peer_loads: BTreeMap::new(),
             aggregate: Vec::new(),
             aggregate_until: Instant::ZERO,
+            aggregate_buckets: load::buckets::Buckets::default(),
             crashes: Tracker::default(),
             crash_news: watch::channel(()).0,
             refused: watch::Sender::default(),
@@ -254,6 +257,7 @@
                 self.aggregate_until = now + AGGREGATE_TTL;
                 self.sum_peers();
             }
+            Message::AggregateBuckets(buckets) => self.aggregate_buckets = buckets,
             Message::PeerLost(host) => {
                 self.egresses.set_silent(&host, true);
                 self.peer_loads.remove(&host);
--- a/crates/gateway/src/dispatch/message.rs
+++ b/crates/gateway/src/dispatch/message.rs
@@ -229,6 +229,9 @@
     Peer(host::Id, Vec<load::Load>),
     /// The loads of all other routers, as summed up by aggregators.
     Aggregate(Vec<load::Load>),
+    /// The requests of all other routers at servers that the next [`Self::Aggregate`] does not
+    /// name.
+    AggregateBuckets(load::buckets::Buckets),
     /// Another router has stopped sending heartbeats.
     PeerLost(host::Id),
     /// The bounds of the deployment have changed.
--- a/crates/gateway/src/dispatch/peers.rs
+++ b/crates/gateway/src/dispatch/peers.rs
@@ -1,11 +1,16 @@
 //! The loads of other routers, and the state sent to them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use units::{host, time::Instant};
 
 use super::{Dispatch, Load};
-use crate::{load, outlier::OutcomeCounts, pool::Standing, prefixes::CachedPrefix};
+use crate::{
+    load::{self, buckets},
+    outlier::OutcomeCounts,
+    pool::Standing,
+    prefixes::CachedPrefix,
+};
 
 impl Dispatch {
     /// Stores the loads reported by another router.
@@ -44,9 +49,14 @@
             *running += u32::from(load.running);
             *outcomes = *outcomes + load.outcomes;
         }
+        let unnamed = self.unnamed_shares(&sums, is_current);
         for (name, queue) in &mut self.queues {
             let pool = queue.pool_mut();
-            pool.set_peer_state(|hash| sums.get(&hash).copied().unwrap_or_default());
+            pool.set_peer_state(|hash| {
+                let (running, outcomes) = sums.get(&hash).copied().unwrap_or_default();
+                let share = unnamed.get(&buckets::of(hash)).copied().unwrap_or(0);
+                (if running > 0 { running } else { share }, outcomes)
+            });
             for (server, outcomes) in pool.detect_outliers(now) {
                 self.metrics.standing_changed(Standing::Ejected);
                 logging::event!(
@@ -63,6 +73,24 @@
         self.dequeue_all();
     }
 
+    /// The requests at each server that `sums` does not name, by range of its hash.
+    fn unnamed_shares(
+        &self,
+        sums: &HashMap<u32, (u32, OutcomeCounts)>,
+        is_current: bool,
+    ) -> BTreeMap<u16, u32> {
+        if !is_current || self.aggregate_buckets.is_empty() {
+            return BTreeMap::new();
+        }
+        let servers = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.pool().servers());
+        let hashes = servers.map(|server| server.hash());
+        let unnamed = hashes.filter(|hash| sums.get(hash).is_none_or(|(running, _)| *running == 0));
+        self.aggregate_buckets.shares(unnamed)
+    }
+
     /// Adds prefixes that servers have cached for requests of other routers.
     pub(super) fn add_peer_prefixes(&mut self, prefixes: &[CachedPrefix], now: Instant) {
         logging::event!(debug, "reads_heard", count = prefixes.len());
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,6 +1,8 @@
 //! Load reports: requests in flight and recent outcomes by server, as exchanged between
 //! routers.
 
+pub mod buckets;
+
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
@@ -50,13 +52,18 @@
     }
 }
 
-/// The `max_servers` servers with the most requests in flight.
-pub fn busiest(mut loads: Vec<Load>, max_servers: usize) -> Vec<Load> {
-    if loads.len() > max_servers {
-        loads.sort_by_key(|load| Reverse(load.running));
-        loads.truncate(max_servers);
+/// Divides loads into those of the `max_servers` servers with the most requests in flight and the requests in flight at the
+/// others, ordered by server.
+pub fn split(loads: Vec<Load>, max_servers: usize) -> (Vec<Load>, Vec<Load>) {
+    if loads.len() <= max_servers {
+        return (loads, Vec::new());
     }
-    loads
+    let mut loads = loads;
+    loads.sort_by_key(|load| Reverse(load.running));
+    let mut rest = loads.split_off(max_servers);
+    rest.retain(|load| load.running > 0);
+    rest.sort_unstable_by_key(|load| load.server);
+    (loads, rest)
 }
 
 /// The loads in one datagram.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 mod origins;
 mod receive;
 mod relays;
+pub mod slices;
 mod store_fallback;
 pub mod sums;
 mod table;
@@ -29,7 +30,7 @@
 use wire::seal::{Opener, Sealer};
 
 pub use aggregators::{AGGREGATORS, Aggregators};
-pub use digest::{Digest, FleetTotal, Frame, Versions, loads};
+pub use digest::{Digest, FleetTotal, Frame, LoadSlice, Scope, Versions, loads};
 pub use directory::Directory;
 pub use relays::{Relay, relays};
 pub use store_fallback::StoreFallback;
--- a/crates/gateway/src/peers/aggregation.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -6,10 +6,13 @@
 use units::{availability, time::Instant};
 use wire::seal::Tag;
 
-use super::{AGGREGATORS, FAN_OUT, FleetTotal, Frame, ZoneSum, relays, sums, task::Task};
+use super::{
+    AGGREGATORS, FAN_OUT, FleetTotal, Frame, LoadSlice, Scope, ZoneSum, relays, slices, sums,
+    task::Task,
+};
 use crate::{
     dispatch,
-    load::{Load, Report},
+    load::{Load, Report, buckets::Buckets},
     source::{Member, Source},
 };
 
@@ -45,11 +48,14 @@
             .sums
             .zone_sum(sums::hash(own_zone.as_str()), &self.own_loads, now);
         let total = self.sums.fleet_total(&sum, now);
-        self.publish_loads(&total);
+        let rest = self.sums.fleet_rest();
+        let (known, buckets) = (rest.loads.clone(), rest.buckets.clone());
+        self.publish_loads([total.as_slice(), &known].concat(), buckets);
         self.send_sum(&sum, now).await;
         // The aggregators alternate, so that each router receives one total per round.
         if self.rounds % aggregators.len() == position {
-            self.send_total(sum.routers, &total, now).await;
+            let turns = slices::TURNS / aggregators.len();
+            self.send_total(sum.routers, &total, turns, now).await;
         }
     }
 
@@ -62,17 +68,33 @@
             loads: self.zone_encoder.next(&sum.loads, now),
             cached_prefixes: self.zone_prefixes.updates(now),
         };
+        let slice = self
+            .zone_rotation
+            .next(self.sums.zone_rest(), slices::TURNS, now);
+        let slice = slice.map(|slice| {
+            let (zone, routers) = (sum.zone, sum.routers);
+            Frame::LoadSlice(LoadSlice {
+                scope: Scope::Zone { zone, routers },
+                slice,
+                relay_to: Vec::new(),
+            })
+        });
         let own_zone = self.inputs.own.zone.clone();
         for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
             for aggregator in self.aggregators(zone) {
+                // The sum makes the loads of the slice effective, so it follows the slice.
+                if let Some(slice) = &slice {
+                    self.send_to(slice, &aggregator).await;
+                }
                 self.send_to(&frame, &aggregator).await;
             }
         }
     }
 
-    async fn send_total(&mut self, routers: u16, total: &[Load], now: Instant) {
+    async fn send_total(&mut self, routers: u16, total: &[Load], turns: usize, now: Instant) {
         let loads = self.fleet_encoder.next(total, now);
         let cached_prefixes = self.fleet_prefixes.updates(now);
+        let slice = self.fleet_rotation.next(self.sums.fleet_rest(), turns, now);
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = self.inputs.own.clone();
         let same_zone: Vec<&Member> = members
@@ -84,6 +106,14 @@
             &self.sums.active_routers(),
             self.rounds / AGGREGATORS,
         ) {
+            if let Some(slice) = &slice {
+                let slice = LoadSlice {
+                    scope: Scope::Fleet { routers },
+                    slice: slice.clone(),
+                    relay_to: relay.targets.clone(),
+                };
+                self.send_to(&Frame::LoadSlice(slice), relay.member).await;
+            }
             let total = FleetTotal {
                 aggregator: sums::hash(own.host.as_str()),
                 routers,
@@ -100,10 +130,45 @@
         let Some(member) = self.member(from) else {
             return;
         };
+        let now = self.clock.now();
         let hash = sums::hash(member.host.as_str());
         let loads = self.peer_decoders.entry(hash).or_default().apply(report);
-        self.sums
-            .record_router(member.host, loads, self.clock.now());
+        let loads = self
+            .peer_figures
+            .entry(hash)
+            .or_default()
+            .complete(loads, now);
+        self.sums.record_router(member.host, loads, now);
+    }
+
+    /// Applies loads that the reports of a router, a zone or the fleet do not name.
+    pub(super) async fn receive_slice(&mut self, from: Tag, slice: LoadSlice) {
+        let now = self.clock.now();
+        match slice.scope {
+            Scope::Router => {
+                if let Some(member) = self.member(from) {
+                    let hash = sums::hash(member.host.as_str());
+                    let figures = self.peer_figures.entry(hash).or_default();
+                    figures.apply(&slice.slice, now);
+                }
+            }
+            Scope::Zone { zone, routers } => {
+                if self.member(from).is_some() {
+                    self.sums
+                        .record_zone_slice(zone, routers, &slice.slice, now);
+                }
+            }
+            Scope::Fleet { routers } => {
+                let frame = Frame::LoadSlice(LoadSlice {
+                    relay_to: Vec::new(),
+                    ..slice.clone()
+                });
+                self.relay(&frame, &slice.relay_to).await;
+                if !self.is_partial_total(routers, now) {
+                    self.fleet_figures.apply(&slice.slice, now);
+                }
+            }
+        }
     }
 
     /// Applies the load sum of another zone.
@@ -139,38 +204,55 @@
             .entry(zone)
             .or_default()
             .sum_received(total.aggregator, now);
-        self.relay_total(&total).await;
+        if !total.relay_to.is_empty() {
+            let frame = Frame::FleetTotal(FleetTotal {
+                relay_to: Vec::new(),
+                ..total.clone()
+            });
+            self.relay(&frame, &total.relay_to).await;
+        }
         self.apply_cached_prefixes(total.cached_prefixes);
         let loads = self.fleet_decoder.apply(total.loads);
-        let (known_routers, expires_at) = self.fleet_routers;
-        if now < expires_at && sums::is_partial(total.routers, known_routers) {
+        if self.is_partial_total(total.routers, now) {
             return;
         }
         self.fleet_routers = (total.routers, now + sums::MAX_AGE);
-        self.publish_loads(&loads);
+        let loads = self.fleet_figures.complete(loads, now);
+        let mut buckets = Buckets::default();
+        self.fleet_figures.add_buckets(&mut buckets, now);
+        self.publish_loads(loads, buckets);
     }
 
-    async fn relay_total(&mut self, total: &FleetTotal) {
-        if total.relay_to.is_empty() {
+    /// Whether a total over `routers` is partial while a fuller one is current.
+    fn is_partial_total(&self, routers: u16, now: Instant) -> bool {
+        let (known_routers, expires_at) = self.fleet_routers;
+        now < expires_at && sums::is_partial(routers, known_routers)
+    }
+
+    /// Sends a frame on to routers of this zone, given by the hashes of their names.
+    async fn relay(&mut self, frame: &Frame, targets: &[u32]) {
+        if targets.is_empty() {
             return;
         }
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = self.inputs.own.clone();
         let is_target = |member: &&Member| {
             let hash = sums::hash(member.host.as_str());
-            member.zone == own.zone && member.host != own.host && total.relay_to.contains(&hash)
+            member.zone == own.zone && member.host != own.host && targets.contains(&hash)
         };
-        let frame = Frame::FleetTotal(FleetTotal {
-            relay_to: Vec::new(),
-            ..total.clone()
-        });
         for member in members.iter().filter(is_target) {
-            self.send_to(&frame, member).await;
+            self.send_to(frame, member).await;
         }
     }
 
-    fn publish_loads(&self, total: &[Load]) {
-        let others = sums::subtract(total, &self.own_loads);
+    /// Passes the loads of all other routers to the dispatch task.
+    fn publish_loads(&mut self, total: Vec<Load>, mut buckets: Buckets) {
+        let others = sums::subtract(&total, &self.own_loads);
+        sums::subtract_unnamed(&mut buckets, &total, &self.own_loads);
+        if !buckets.is_empty() || self.has_buckets {
+            self.has_buckets = !buckets.is_empty();
+            self.notify_dispatch(dispatch::Message::AggregateBuckets(buckets));
+        }
         self.notify_dispatch(dispatch::Message::Aggregate(others));
     }
 }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use units::host;
 
-use super::Watcher;
+use super::{Watcher, slices::Slice};
 use crate::{
     dispatch,
     load::{self, Load, Report},
@@ -115,6 +115,38 @@
     OriginAnswer(origins::Key, origins::Answer),
     /// What is known of prompt parts that may crash servers.
     PartReports(Vec<recovery::quarantine::Report>),
+    /// Loads that a report of the sender does not name.
+    LoadSlice(LoadSlice),
+}
+
+/// Loads that the reports of a router, a zone or the fleet do not name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSlice {
+    /// Whose loads these are.
+    pub scope: Scope,
+    /// The loads.
+    pub slice: Slice,
+    /// The hashes of the routers to which the receiver relays the slice.
+    pub relay_to: Vec<u32>,
+}
+
+/// Whose loads a slice holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender's.
+    Router,
+    /// The sum of the sender's zone, as in [`Frame::ZoneSum`].
+    Zone {
+        /// The hash of the zone's name.
+        zone: u32,
+        /// The number of routers that the sum covers.
+        routers: u16,
+    },
+    /// The total of the whole fleet, as in [`Frame::FleetTotal`].
+    Fleet {
+        /// The number of routers of the zone that reported their loads to the aggregator.
+        routers: u16,
+    },
 }
 
 /// The loads of the whole fleet.
@@ -174,14 +206,15 @@
     }
 }
 
-/// The loads that a router reports: those of its busiest servers if there are many.
-pub fn loads(all: &[dispatch::Load]) -> Vec<Load> {
+/// The loads that a router reports: those of its busiest servers if there are many, and the
+/// others, which it reports in slices.
+pub fn loads(all: &[dispatch::Load]) -> (Vec<Load>, Vec<Load>) {
     let loads = all.iter().map(|load| Load {
         server: Load::hash(&load.server),
         running: u16::try_from(load.running).unwrap_or(u16::MAX),
         outcomes: load.outcomes,
     });
-    load::busiest(loads.collect(), MAX_SERVERS)
+    load::split(loads.collect(), MAX_SERVERS)
 }
 
 impl Frame {
@@ -197,6 +230,7 @@
             Self::OriginQuery(_) => "origin_query",
             Self::OriginAnswer(..) => "origin_answer",
             Self::PartReports(_) => "part_reports",
+            Self::LoadSlice(_) => "load_slice",
         }
     }
 
@@ -238,7 +272,8 @@
             | Self::Origins(_)
             | Self::OriginQuery(_)
             | Self::OriginAnswer(..)
-            | Self::PartReports(_) => None,
+            | Self::PartReports(_)
+            | Self::LoadSlice(_) => None,
         }
     }
 
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -77,6 +77,7 @@
             Ok(Frame::PartReports(reports)) => {
                 self.notify_dispatch(dispatch::Message::PartReports(reports));
             }
+            Ok(Frame::LoadSlice(slice)) => self.receive_slice(opened.tag, slice).await,
             Err(_) => logging::event!(debug, "digest_malformed"),
         }
     }
@@ -156,6 +157,8 @@
         };
         let hash = sums::hash(digest.host.as_str());
         let loads = self.peer_decoders.entry(hash).or_default().apply(report);
+        let figures = self.peer_figures.entry(hash).or_default();
+        let loads = figures.complete(loads, now);
         self.sums
             .record_router(digest.host.clone(), loads.clone(), now);
         self.notify_dispatch(dispatch::Message::Peer(digest.host, loads));
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -11,11 +11,13 @@
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
 use super::{
-    Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSums,
-    MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, StoreFallback, Table, Versions, Watchers,
+    Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSlice,
+    LoadSums, MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, Scope, StoreFallback, Table, Versions,
+    Watchers,
     catch_up::{Completion, InFlight},
     digest, gossip_targets,
     origins::Origins,
+    slices::{self, Figures, Rest, Rotation},
     sums,
 };
 use crate::{
@@ -59,6 +61,16 @@
     /// The number of routers that the last accepted total covers, and when that count
     /// expires.
     pub(super) fleet_routers: (u16, Instant),
+    /// The loads of each peer, including those that its reports do not name, by the hash of
+    /// its host name.
+    pub(super) peer_figures: BTreeMap<u32, Figures>,
+    /// The loads in the totals and slices of this zone's aggregators.
+    pub(super) fleet_figures: Figures,
+    /// Whether the last loads that were published had requests at servers that are not named.
+    pub(super) has_buckets: bool,
+    own_rotation: Rotation,
+    pub(super) zone_rotation: Rotation,
+    pub(super) fleet_rotation: Rotation,
     load_encoder: ReportEncoder,
     pub(super) zone_encoder: ReportEncoder,
     pub(super) fleet_encoder: ReportEncoder,
@@ -122,6 +134,12 @@
             peer_decoders: BTreeMap::new(),
             fleet_decoder: ReportDecoder::default(),
             fleet_routers: (0, Instant::ZERO),
+            peer_figures: BTreeMap::new(),
+            fleet_figures: Figures::default(),
+            has_buckets: false,
+            own_rotation: Rotation::default(),
+            zone_rotation: Rotation::default(),
+            fleet_rotation: Rotation::default(),
             load_encoder: ReportEncoder::default(),
             zone_encoder: ReportEncoder::default(),
             fleet_encoder: ReportEncoder::default(),
@@ -184,6 +202,7 @@
         for host in self.table.remove_expired(now) {
             logging::event!(info, "peer_lost", peer = host);
             self.peer_decoders.remove(&sums::hash(host.as_str()));
+            self.peer_figures.remove(&sums::hash(host.as_str()));
             self.notify_dispatch(dispatch::Message::PeerLost(host));
         }
         self.rounds = self.rounds.wrapping_add(1);
@@ -292,8 +311,10 @@
         );
         let digest = digest.with_checksum(self.checksum());
         self.last_digest = Some(digest.clone());
-        self.own_loads = digest::loads(&state.loads);
-        let report = self.load_encoder.next(&self.own_loads, now);
+        let (named, rest) = digest::loads(&state.loads);
+        let report = self.load_encoder.next(&named, now);
+        self.own_loads = [named, rest.clone()].concat();
+        let slice = self.own_slice(rest, now);
         // In a large fleet each pair of routers exchanges a digest only every few seconds.
         // Loads in it would be too old to use and would take most of its bytes.
         let digest = if self.is_large() {
@@ -302,6 +323,9 @@
             digest.with_loads(report.clone(), state.prefixes.clone())
         };
         for member in self.targets(count) {
+            if let Some(slice) = slice.as_ref().filter(|_| !self.is_large()) {
+                self.send_to(slice, &member).await;
+            }
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
             if !state.parts.is_empty() {
                 self.send_to(&Frame::PartReports(state.parts.clone()), &member)
@@ -317,10 +341,24 @@
             cached_prefixes: state.prefixes,
         };
         for member in self.own_aggregators() {
+            if let Some(slice) = &slice {
+                self.send_to(slice, &member).await;
+            }
             self.send_to(&frame, &member).await;
         }
     }
 
+    /// The next slice of this router's loads that its reports do not name.
+    fn own_slice(&mut self, rest: Vec<Load>, now: Instant) -> Option<Frame> {
+        let rest = Rest::new(rest);
+        let slice = self.own_rotation.next(&rest, slices::TURNS, now)?;
+        Some(Frame::LoadSlice(LoadSlice {
+            scope: Scope::Router,
+            slice,
+            relay_to: Vec::new(),
+        }))
+    }
+
     /// The next `count` members in gossip order.
     fn targets(&mut self, count: usize) -> Vec<Member> {
         let members = Arc::clone(&self.inputs.members.borrow());
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -478,7 +478,9 @@
         watchers,
         Vec::new(),
     );
-    let report = ReportEncoder::default().next(&digest_loads(&loads), START);
+    let (named, rest) = digest_loads(&loads);
+    assert_eq!(named.len() + rest.len(), loads.len());
+    let report = ReportEncoder::default().next(&named, START);
     let frame = Frame::Digest(digest.with_loads(report, Vec::new()));
     let bytes = frame.encode().expect("the frame fits one datagram");
     assert_eq!(Frame::decode(&bytes), Ok(frame));
