Exchange speeds of servers and use by workspaces between routers

Cause: a router knows the speeds that servers report and the requests of workspaces from its own responses and requests only.

Change: a new frame holds at most 60 reports and 32 usages. In a small fleet it goes beside digests, in a large one through the aggregators, as loads do. Each hop keeps the newest report of a server, adds the time for which it kept it, and passes on changes by more than a tenth, and unusual speeds every 400 ms. Usages are summed and expire after 700 ms. Nothing is sent where a router has neither. Datagrams that cannot be decoded are logged at most once in 10 s, with their number, since a newer version may send many.

Measured: over sockets, usages and reports reach all of 4 and 14 routers, two of which die.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -1,12 +1,16 @@
 //! Measures the gossip traffic of fleets of several sizes over the loopback interface.
 //!
 //! The gossip tasks are real. Requests are simulated at random, and the store is a stub
-//! without changes. Prints three lines for each size: requests only, also streams whose versions
-//! are kept, and requests during a roll-out whose new version is sound.
+//! without changes. Prints four lines for each size: requests only, also streams whose versions
+//! are kept, requests during a roll-out whose new version is sound, and requests of callers that
+//! compete, where routers also exchange the speeds of servers and the use by workspaces.
+//!
+//! The first argument selects the sizes with that number of routers, the second one a line by the
+//! name of its traffic.
 
 use std::{
-    collections::VecDeque,
-    io,
+    collections::{BTreeMap, VecDeque},
+    env, io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -20,6 +24,7 @@
     source::{self, Batch, Member, Secret, Source, Topic},
     staleness::Staleness,
 };
+use load_report::Slowdown;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use recovery::quarantine::Combination;
 use rollout::{Counts, Order, counts, stage};
@@ -33,6 +38,7 @@
     time::{Instant, Millis},
 };
 use wire::seal::{Boot, Key};
+use xxhash_rust::xxh3;
 
 /// The duration of gossip before the measurement, and of the measurement.
 const WARM_UP: Duration = Duration::from_secs(15);
@@ -47,6 +53,13 @@
 const STREAM_RATIO: f64 = 0.25;
 /// The number of routes of the service that is rolled out.
 const ROUTES: u16 = 3;
+/// The number of workspaces; the first ones have more requests.
+const WORKSPACES: u32 = 24;
+/// How long a server keeps its speed, and how often in 100 it is slow then.
+const SPEED_PERIOD: Duration = Duration::from_millis(600);
+const SLOW_PERCENT: u64 = 15;
+/// How long work takes at a slow server, in percent.
+const SLOWDOWN: u16 = 250;
 /// The length of such a prompt, in tokens.
 const PROMPT_TOKENS: u32 = 10_000;
 
@@ -56,6 +69,7 @@
     Requests,
     Streams,
     Rollout,
+    Contention,
 }
 
 /// The size of a fleet.
@@ -67,8 +81,9 @@
     rate: f64,
 }
 
-/// The present fleet, the planned one, and the largest that one process can simulate.
-const SIZES: [Size; 3] = [
+/// The present fleet, the planned one, the largest that one process can simulate, and fleets in
+/// which callers compete for the engines.
+const SIZES: [Size; 6] = [
     Size {
         routers: 6,
         zones: 3,
@@ -87,6 +102,24 @@
         servers: 600,
         rate: 5.4,
     },
+    Size {
+        routers: 6,
+        zones: 3,
+        servers: 144,
+        rate: 120.0,
+    },
+    Size {
+        routers: 67,
+        zones: 4,
+        servers: 144,
+        rate: 11.0,
+    },
+    Size {
+        routers: 300,
+        zones: 4,
+        servers: 144,
+        rate: 2.5,
+    },
 ];
 
 /// An empty store that does not change.
@@ -182,13 +215,34 @@
     format!("i-{server:010x}")
 }
 
+/// How long work takes at a server, as its responses report it.
+fn speed(server: usize, now: Instant) -> Slowdown {
+    let period = now.as_micros() / SPEED_PERIOD.as_micros() as u64;
+    let draw = xxh3::xxh3_64(&[period.to_le_bytes(), (server as u64).to_le_bytes()].concat());
+    if draw % 100 < SLOW_PERCENT {
+        Slowdown::from_percent(SLOWDOWN).expect("valid")
+    } else {
+        Slowdown::NONE
+    }
+}
+
+/// A request in flight.
+struct Request {
+    server: usize,
+    workspace: u32,
+    end: Instant,
+}
+
 /// The simulated requests of one router.
 struct Requests {
     random: SmallRng,
     clock: Clock,
     rate: f64,
     next_at: Instant,
-    in_flight: VecDeque<(usize, Instant)>,
+    traffic: Traffic,
+    in_flight: VecDeque<Request>,
+    /// The last report of each server.
+    reports: BTreeMap<usize, (Slowdown, Instant)>,
     trackers: Vec<outlier::OutcomeTracker>,
     prefixes: prefixes::PrefixUpdates,
     /// Outcomes during a roll-out.
@@ -196,13 +250,15 @@
 }
 
 impl Requests {
-    fn new(size: &Size, seed: u64, clock: Clock) -> Self {
+    fn new(size: &Size, traffic: Traffic, seed: u64, clock: Clock) -> Self {
         Self {
             random: SmallRng::seed_from_u64(seed),
             clock,
             rate: size.rate,
             next_at: clock.now(),
+            traffic,
             in_flight: VecDeque::new(),
+            reports: BTreeMap::new(),
             trackers: vec![outlier::OutcomeTracker::default(); size.servers],
             prefixes: prefixes::PrefixUpdates::default(),
             counts: Counts::default(),
@@ -213,8 +269,13 @@
         let now = self.clock.now();
         while self.next_at <= now {
             let server = self.random.random_range(0..self.trackers.len());
-            self.in_flight
-                .push_back((server, self.next_at + REQUEST_DURATION));
+            // The product of two uniform numbers prefers the first workspaces.
+            let skewed = self.random.random::<f64>() * self.random.random::<f64>();
+            self.in_flight.push_back(Request {
+                server,
+                workspace: (skewed * f64::from(WORKSPACES)) as u32,
+                end: self.next_at + REQUEST_DURATION,
+            });
             self.count(server);
             if self.random.random_bool(NEW_PROMPT_RATIO) {
                 self.record_cached(server, now);
@@ -222,11 +283,16 @@
             let gap = -self.random.random::<f64>().max(1e-9).ln() / self.rate;
             self.next_at = self.next_at + Duration::from_secs_f64(gap);
         }
-        while let Some((server, end)) = self.in_flight.pop_front_if(|(_, end)| *end <= now) {
+        while let Some(request) = self.in_flight.pop_front_if(|request| request.end <= now) {
+            let (server, end) = (request.server, request.end);
             self.trackers[server].record(self.random.random_bool(0.02), end);
+            self.reports.insert(server, (speed(server, end), end));
         }
         let loads = self.trackers.iter().enumerate().map(|(server, tracker)| {
-            let in_flight = self.in_flight.iter().filter(|(at, _)| *at == server);
+            let in_flight = self
+                .in_flight
+                .iter()
+                .filter(|request| request.server == server);
             dispatch::Load {
                 server: server_name(server).parse().expect("a name"),
                 running: u32::try_from(in_flight.count()).expect("few"),
@@ -239,9 +305,41 @@
             parts: Vec::new(),
             reports: Vec::new(),
             prefixes: self.prefixes.updates(now),
-            load_reports: Vec::new(),
-            usages: Vec::new(),
+            load_reports: self.load_reports(now),
+            usages: self.usages(),
+        }
+    }
+
+    /// The last report of each server that has answered within a second.
+    fn load_reports(&self, now: Instant) -> Vec<load_report::Shared> {
+        if self.traffic != Traffic::Contention {
+            return Vec::new();
+        }
+        let reports = self.reports.iter();
+        let recent = reports.filter(|(_, (_, at))| now.since(*at) < Duration::from_secs(1));
+        let shared = recent.map(|(&server, &(slowdown, at))| load_report::Shared {
+            server: load::Load::hash(&server_name(server).parse().expect("a name")),
+            slowdown,
+            age: Millis::from(now.since(at)),
+        });
+        shared.collect()
+    }
+
+    fn usages(&self) -> Vec<scheduling::Usage> {
+        if self.traffic != Traffic::Contention {
+            return Vec::new();
         }
+        let mut running: BTreeMap<u32, u32> = BTreeMap::new();
+        for request in &self.in_flight {
+            *running.entry(request.workspace).or_default() += 1;
+        }
+        let usages = running
+            .into_iter()
+            .map(|(workspace, running)| scheduling::Usage {
+                workspace: load::Load::short_hash(xxh3::xxh3_64(&workspace.to_le_bytes())) << 8,
+                running,
+            });
+        usages.collect()
     }
 
     /// Counts a response for the roll-out, on one of a few routes.
@@ -359,7 +457,7 @@
         let metrics = Arc::new(Metrics::default());
         all_metrics.push(Arc::clone(&metrics));
         let (dispatch, messages) = mpsc::unbounded_channel();
-        let requests = Requests::new(size, index as u64, clock);
+        let requests = Requests::new(size, traffic, index as u64, clock);
         tasks.push(tokio::spawn(requests.run(messages)));
         let (events, mut event_receiver) = mpsc::channel(64);
         tasks.push(tokio::spawn(async move {
@@ -447,17 +545,32 @@
     let median = rates[rates.len() / 2];
     let busiest = rates[rates.len() - 1];
     println!(
-        "routers={} servers={} rate={} traffic={traffic:?} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
-        size.routers, size.servers, size.rate, median.0, median.1, busiest.0, busiest.1
+        "routers={} zones={} servers={} rate={} traffic={traffic:?} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
+        size.routers, size.zones, size.servers, size.rate, median.0, median.1, busiest.0, busiest.1
     );
     Ok(())
 }
 
 #[tokio::main]
 async fn main() -> io::Result<()> {
-    for size in &SIZES {
-        for traffic in [Traffic::Requests, Traffic::Streams, Traffic::Rollout] {
-            measure(size, traffic).await?;
+    let routers: Option<usize> = env::args().nth(1).and_then(|text| text.parse().ok());
+    let name = env::args().nth(2);
+    let selected = SIZES
+        .iter()
+        .filter(|size| routers.is_none_or(|routers| routers == size.routers));
+    for size in selected {
+        for traffic in [
+            Traffic::Requests,
+            Traffic::Streams,
+            Traffic::Rollout,
+            Traffic::Contention,
+        ] {
+            if name
+                .as_ref()
+                .is_none_or(|name| *name == format!("{traffic:?}"))
+            {
+                measure(size, traffic).await?;
+            }
         }
     }
     Ok(())
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,15 +9,19 @@
 mod directory;
 pub mod fetch;
 pub mod introduction;
+pub mod load_reports;
 mod origins;
 mod receive;
 mod relays;
+mod service_state;
 pub mod slices;
 mod store_fallback;
 pub mod sums;
 mod table;
 mod targets;
 mod task;
+mod unknown;
+pub mod usages;
 mod watchers;
 
 use std::{sync::Arc, time::Duration};
@@ -30,13 +34,14 @@
 use wire::seal::{Opener, Sealer};
 
 pub use aggregators::{AGGREGATORS, Aggregators};
-pub use digest::{Digest, FleetTotal, Frame, LoadSlice, Scope, Versions, loads};
+pub use digest::{Digest, FleetTotal, Frame, LoadSlice, Scope, ServiceState, Versions, loads};
 pub use directory::Directory;
 pub use relays::{Relay, relays};
 pub use store_fallback::StoreFallback;
 pub use sums::{LoadSums, ZoneSum};
 pub use table::{Part, Table};
 pub use targets::gossip_targets;
+pub use unknown::Unknown;
 pub use watchers::{WATCHERS, Watcher, Watchers};
 
 use crate::{
--- a/crates/gateway/src/peers/aggregation.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -7,8 +7,8 @@
 use wire::seal::Tag;
 
 use super::{
-    AGGREGATORS, FAN_OUT, FleetTotal, Frame, LoadSlice, Scope, ZoneSum, relays, slices, sums,
-    task::Task,
+    AGGREGATORS, FAN_OUT, FleetTotal, Frame, LoadSlice, Scope, ServiceState, ZoneSum, relays,
+    slices, sums, task::Task,
 };
 use crate::{
     dispatch,
@@ -51,6 +51,7 @@
         let rest = self.sums.fleet_rest();
         let (known, buckets) = (rest.loads.clone(), rest.buckets.clone());
         self.publish_loads([total.as_slice(), &known].concat(), buckets);
+        self.publish_usages_of_zones(now);
         self.send_sum(&sum, now).await;
         // The aggregators alternate, so that each router receives one total per round.
         if self.rounds % aggregators.len() == position {
@@ -79,12 +80,13 @@
                 relay_to: Vec::new(),
             })
         });
+        let state = self.zone_state(sum.zone, sum.routers, now);
         let own_zone = self.inputs.own.zone.clone();
         for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
             for aggregator in self.aggregators(zone) {
                 // The sum makes the loads of the slice effective, so it follows the slice.
-                if let Some(slice) = &slice {
-                    self.send_to(slice, &aggregator).await;
+                for frame in slice.iter().chain(&state) {
+                    self.send_to(frame, &aggregator).await;
                 }
                 self.send_to(&frame, &aggregator).await;
             }
@@ -95,6 +97,7 @@
         let loads = self.fleet_encoder.next(total, now);
         let cached_prefixes = self.fleet_prefixes.updates(now);
         let slice = self.fleet_rotation.next(self.sums.fleet_rest(), turns, now);
+        let state = self.fleet_state(routers, now);
         let members = Arc::clone(&self.inputs.members.borrow());
         let own = self.inputs.own.clone();
         let same_zone: Vec<&Member> = members
@@ -114,6 +117,14 @@
                 };
                 self.send_to(&Frame::LoadSlice(slice), relay.member).await;
             }
+            if !state.is_empty() {
+                let state = ServiceState {
+                    relay_to: relay.targets.clone(),
+                    ..state.clone()
+                };
+                self.send_to(&Frame::ServiceState(state), relay.member)
+                    .await;
+            }
             let total = FleetTotal {
                 aggregator: sums::hash(own.host.as_str()),
                 routers,
@@ -224,13 +235,13 @@
     }
 
     /// Whether a total over `routers` is partial while a fuller one is current.
-    fn is_partial_total(&self, routers: u16, now: Instant) -> bool {
+    pub(super) fn is_partial_total(&self, routers: u16, now: Instant) -> bool {
         let (known_routers, expires_at) = self.fleet_routers;
         now < expires_at && sums::is_partial(routers, known_routers)
     }
 
     /// Sends a frame on to routers of this zone, given by the hashes of their names.
-    async fn relay(&mut self, frame: &Frame, targets: &[u32]) {
+    pub(super) async fn relay(&mut self, frame: &Frame, targets: &[u32]) {
         if targets.is_empty() {
             return;
         }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -117,6 +117,28 @@
     PartReports(Vec<recovery::quarantine::Report>),
     /// Loads that a report of the sender does not name.
     LoadSlice(LoadSlice),
+    /// The speeds of servers and the use by workspaces.
+    ServiceState(ServiceState),
+}
+
+/// The speeds of servers and the use by workspaces, as known to a router, a zone or the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceState {
+    /// Whose state this is.
+    pub scope: Scope,
+    /// What servers have reported of their speed; ages are as of sending.
+    pub load_reports: Vec<load_report::Shared>,
+    /// The requests in flight of workspaces, the largest first.
+    pub usages: Vec<scheduling::Usage>,
+    /// The hashes of the routers to which the receiver relays the state.
+    pub relay_to: Vec<u32>,
+}
+
+impl ServiceState {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.load_reports.is_empty() && self.usages.is_empty()
+    }
 }
 
 /// Loads that the reports of a router, a zone or the fleet do not name.
@@ -130,7 +152,7 @@
     pub relay_to: Vec<u32>,
 }
 
-/// Whose loads a slice holds.
+/// Whose state a frame holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
     /// The sender's.
@@ -231,6 +253,7 @@
             Self::OriginAnswer(..) => "origin_answer",
             Self::PartReports(_) => "part_reports",
             Self::LoadSlice(_) => "load_slice",
+            Self::ServiceState(_) => "service_state",
         }
     }
 
@@ -273,7 +296,8 @@
             | Self::OriginQuery(_)
             | Self::OriginAnswer(..)
             | Self::PartReports(_)
-            | Self::LoadSlice(_) => None,
+            | Self::LoadSlice(_)
+            | Self::ServiceState(_) => None,
         }
     }
 
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -78,7 +78,13 @@
                 self.notify_dispatch(dispatch::Message::PartReports(reports));
             }
             Ok(Frame::LoadSlice(slice)) => self.receive_slice(opened.tag, slice).await,
-            Err(_) => logging::event!(debug, "digest_malformed"),
+            Ok(Frame::ServiceState(state)) => self.receive_state(opened.tag, state).await,
+            // Frames of a newer version are ignored, too.
+            Err(_) => {
+                if let Some(count) = self.unknown.record(now) {
+                    logging::event!(debug, "digest_malformed", count = count);
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whether a sum over `routers` is partial while a fuller one is current.
-    fn is_hidden_by_fuller(&self, zone: u32, routers: u16, now: Instant) -> bool {
+    pub(super) fn is_hidden_by_fuller(&self, zone: u32, routers: u16, now: Instant) -> bool {
         self.zones.get(&zone).is_some_and(|(known, expires_at)| {
             now < *expires_at && is_partial(routers, known.routers)
         })
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -12,11 +12,12 @@
 
 use super::{
     Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSlice,
-    LoadSums, MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, Scope, StoreFallback, Table, Versions,
-    Watchers,
+    LoadSums, MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, Scope, StoreFallback, Table, Unknown,
+    Versions, Watchers,
     catch_up::{Completion, InFlight},
     digest, gossip_targets,
     origins::Origins,
+    service_state::Exchange,
     slices::{self, Figures, Rest, Rotation},
     sums,
 };
@@ -68,6 +69,10 @@
     pub(super) fleet_figures: Figures,
     /// Whether the last loads that were published had requests at servers that are not named.
     pub(super) has_buckets: bool,
+    /// Datagrams that could not be decoded.
+    pub(super) unknown: Unknown,
+    /// The speeds of servers and the use by workspaces.
+    pub(super) exchange: Exchange,
     own_rotation: Rotation,
     pub(super) zone_rotation: Rotation,
     pub(super) fleet_rotation: Rotation,
@@ -137,6 +142,8 @@
             peer_figures: BTreeMap::new(),
             fleet_figures: Figures::default(),
             has_buckets: false,
+            unknown: Unknown::default(),
+            exchange: Exchange::default(),
             own_rotation: Rotation::default(),
             zone_rotation: Rotation::default(),
             fleet_rotation: Rotation::default(),
@@ -213,6 +220,7 @@
         if self.is_large() {
             self.send_sums().await;
         }
+        self.expire_usages(now);
         self.repeat_origins().await;
     }
 
@@ -315,6 +323,7 @@
         let report = self.load_encoder.next(&named, now);
         self.own_loads = [named, rest.clone()].concat();
         let slice = self.own_slice(rest, now);
+        let service_state = self.own_state(&state.load_reports, state.usages, now);
         // In a large fleet each pair of routers exchanges a digest only every few seconds.
         // Loads in it would be too old to use and would take most of its bytes.
         let digest = if self.is_large() {
@@ -323,8 +332,10 @@
             digest.with_loads(report.clone(), state.prefixes.clone())
         };
         for member in self.targets(count) {
-            if let Some(slice) = slice.as_ref().filter(|_| !self.is_large()) {
-                self.send_to(slice, &member).await;
+            if !self.is_large() {
+                for frame in slice.iter().chain(&service_state) {
+                    self.send_to(frame, &member).await;
+                }
             }
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
             if !state.parts.is_empty() {
@@ -341,8 +352,8 @@
             cached_prefixes: state.prefixes,
         };
         for member in self.own_aggregators() {
-            if let Some(slice) = &slice {
-                self.send_to(slice, &member).await;
+            for frame in slice.iter().chain(&service_state) {
+                self.send_to(frame, &member).await;
             }
             self.send_to(&frame, &member).await;
         }
--- a/crates/gateway/tests/decisions/load_slices.rs
+++ b/crates/gateway/tests/decisions/load_slices.rs
@@ -16,7 +16,7 @@
     outlier::OutcomeCounts,
     peers::{
         AGGREGATORS, FleetTotal, Frame, INTERVAL, LoadSlice, LoadSums, Scope, ZoneSum,
-        slices::{Figures, Rest, Rotation, Running, Slice, TURNS},
+        slices::{Figures, Rotation, Running, Slice, TURNS},
         sums,
     },
     roster,
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -36,6 +36,7 @@
 mod rollouts;
 mod roster;
 mod route;
+mod service_state;
 mod silence;
 mod silence_fleet;
 mod slice_encoding;
