Estimate what other routers place between two sums of loads

Cause: sums are 200 to 700 ms old, so where callers compete, several routers promise the same free slot.

Change: where Bounds::is_contended is set, a router counts the last sum plus the rate at which the sums grew times their age, for each server and for the service by its free slots. The estimate is at most the free slots of a server. It decays from 300 ms after the last sum and is gone at 800 ms. It is renewed every 50 ms.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -434,6 +434,23 @@
     }
 }
 
+/// The bytes of datagrams that routers have sent so far, by kind and without headers.
+fn sent_by_kind(all_metrics: &[Arc<Metrics>]) -> BTreeMap<String, u64> {
+    let mut sent = BTreeMap::new();
+    for metrics in all_metrics {
+        let text = metrics.text();
+        let lines = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("weir_peer_bytes_total{kind=\""));
+        for line in lines {
+            let kind = line.split('"').next().unwrap_or_default();
+            let bytes = line.rsplit(' ').next().and_then(|text| text.parse().ok());
+            *sent.entry(String::from(kind)).or_insert(0) += bytes.unwrap_or(0);
+        }
+    }
+    sent
+}
+
 async fn measure(size: &Size, traffic: Traffic) -> io::Result<()> {
     let clock = Clock::start();
     let mut members = Vec::new();
@@ -525,7 +542,16 @@
         .iter()
         .map(|metrics| metrics.control_bytes())
         .collect();
+    let kinds_before = sent_by_kind(&all_metrics);
     time::sleep(MEASUREMENT).await;
+    let kinds: Vec<String> = sent_by_kind(&all_metrics)
+        .into_iter()
+        .map(|(kind, sent)| {
+            let sent = sent - kinds_before.get(&kind).copied().unwrap_or(0);
+            let mean = sent / MEASUREMENT.as_secs() / size.routers as u64;
+            format!("{kind}:{mean}")
+        })
+        .collect();
     let mut rates: Vec<_> = all_metrics
         .iter()
         .zip(before)
@@ -545,8 +571,16 @@
     let median = rates[rates.len() / 2];
     let busiest = rates[rates.len() - 1];
     println!(
-        "routers={} zones={} servers={} rate={} traffic={traffic:?} middle_sent={} middle_received={} busiest_sent={} busiest_received={}",
-        size.routers, size.zones, size.servers, size.rate, median.0, median.1, busiest.0, busiest.1
+        "routers={} zones={} servers={} rate={} traffic={traffic:?} middle_sent={} middle_received={} busiest_sent={} busiest_received={} mean_sent_by_kind={}",
+        size.routers,
+        size.zones,
+        size.servers,
+        size.rate,
+        median.0,
+        median.1,
+        busiest.0,
+        busiest.1,
+        kinds.join(",")
     );
     Ok(())
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -38,7 +38,7 @@
     connector::Connector,
     crashes::{Sign, Tracker},
     egress::Egresses,
-    load,
+    load::{self, growth::Estimator},
     metrics::Metrics,
     pause,
     pool::{Fleet, Pool},
@@ -81,6 +81,9 @@
     /// `aggregate_until`.
     aggregate: Vec<load::Load>,
     aggregate_until: Instant,
+    /// What others have placed since their last sum, by service.
+    estimators: BTreeMap<pool::Id, Estimator>,
+    estimate_at: Instant,
     /// The requests at servers that `aggregate` does not name.
     aggregate_buckets: load::buckets::Buckets,
     crashes: Tracker,
@@ -145,6 +148,8 @@
             peer_loads: BTreeMap::new(),
             aggregate: Vec::new(),
             aggregate_until: Instant::ZERO,
+            estimators: BTreeMap::new(),
+            estimate_at: Instant::ZERO,
             aggregate_buckets: load::buckets::Buckets::default(),
             crashes: Tracker::default(),
             crash_news: watch::channel(()).0,
@@ -233,6 +238,7 @@
     pub fn handle_message(&mut self, message: Message) {
         let now = self.clock.now();
         self.detect_pause(now);
+        self.update_estimates(now);
         match message {
             Message::Acquire(request, reply) => self.acquire(request, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
--- a/crates/gateway/src/dispatch/peers.rs
+++ b/crates/gateway/src/dispatch/peers.rs
@@ -1,6 +1,9 @@
 //! The loads of other routers, and the state sent to them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use units::{host, time::Instant};
 
@@ -12,6 +15,15 @@
     prefixes::CachedPrefix,
 };
 
+/// The mean age of the loads in a total when it arrives: half a round at the routers, at the
+/// aggregators of their zones and at those of this one.
+const SUM_AGE: Duration = Duration::from_millis(200);
+/// The mean age of the loads in the digests of all peers: half a round.
+const DIGEST_AGE: Duration = Duration::from_millis(100);
+/// The interval in which estimates are renewed. At the rate of a burst, some requests are
+/// placed within it.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Dispatch {
     /// Stores the loads reported by another router.
     ///
@@ -57,6 +69,23 @@
                 let share = unnamed.get(&buckets::of(hash)).copied().unwrap_or(0);
                 (if running > 0 { running } else { share }, outcomes)
             });
+            if pool.estimates_peers() {
+                let estimator = self.estimators.entry(name.clone()).or_default();
+                let age = if is_current { SUM_AGE } else { DIGEST_AGE };
+                estimator.record(pool.peer_loads(), age, now);
+                pool.apply_estimates(estimator, now);
+                if estimator.is_growing() {
+                    let (known, placed) = estimator.totals(now);
+                    logging::event!(
+                        debug,
+                        "peers_estimated",
+                        pool = name,
+                        known = known,
+                        placed = placed,
+                        age_ms = estimator.age(now).as_millis()
+                    );
+                }
+            }
             for (server, outcomes) in pool.detect_outliers(now) {
                 self.metrics.standing_changed(Standing::Ejected);
                 logging::event!(
@@ -73,6 +102,22 @@
         self.dequeue_all();
     }
 
+    /// Counts what others are estimated to have placed since their last sum.
+    pub(super) fn update_estimates(&mut self, now: Instant) {
+        if now < self.estimate_at {
+            return;
+        }
+        self.estimate_at = now + ESTIMATE_INTERVAL;
+        for (name, estimator) in &mut self.estimators {
+            let Some(queue) = self.queues.get_mut(name) else {
+                continue;
+            };
+            if queue.pool().estimates_peers() && estimator.is_growing() {
+                queue.pool_mut().apply_estimates(estimator, now);
+            }
+        }
+    }
+
     /// The requests at each server that `sums` does not name, by range of its hash.
     fn unnamed_shares(
         &self,
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -2,6 +2,7 @@
 //! routers.
 
 pub mod buckets;
+pub mod growth;
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
--- a/crates/gateway/src/pool/peers.rs
+++ b/crates/gateway/src/pool/peers.rs
@@ -3,7 +3,11 @@
 use units::{backend, time::Instant};
 
 use super::Pool;
-use crate::{outlier::OutcomeCounts, prefixes::CachedPrefix};
+use crate::{
+    load::growth::{Estimator, Known},
+    outlier::OutcomeCounts,
+    prefixes::CachedPrefix,
+};
 
 impl Pool {
     /// Sets the load and the recent outcomes that peers report for each server. Servers
@@ -16,6 +20,32 @@
         }
     }
 
+    /// Whether requests that peers have placed since their last report are estimated.
+    ///
+    /// Only where callers compete for slots, the same free slot is otherwise promised by
+    /// several routers.
+    pub fn estimates_peers(&self) -> bool {
+        self.bounds.is_contended
+    }
+
+    /// The load that peers report for each server, with its slots.
+    pub fn peer_loads(&self) -> impl Iterator<Item = Known> {
+        self.servers.values().map(|server| Known {
+            server: server.hash(),
+            running: server.peer_load(),
+            slots: server.slots(),
+        })
+    }
+
+    /// Sets the load that peers reported for each server, plus the estimate of what they have
+    /// placed since.
+    pub fn apply_estimates(&mut self, estimator: &Estimator, now: Instant) {
+        for server in self.servers.values_mut() {
+            let hash = server.hash();
+            server.set_peer_load(estimator.known(hash) + estimator.estimate(hash, now));
+        }
+    }
+
     /// Adds prefixes that servers have cached for requests of peers.
     pub fn add_peer_prefixes(&mut self, prefixes: &[CachedPrefix], now: Instant) {
         for server in self.servers.values_mut() {
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod copies;
 mod crash_fleet;
 mod crashes;
+mod estimates;
 mod events;
 mod excess;
 mod explore;
