Send usages in every second turn

Change: usages go in every second turn, by the aggregators of a zone in alternation. Those of other routers that were passed to the dispatch task count for 1 s, so that the loss of one datagram does not make them look idle.

A test shows that the estimate counts only where callers compete.

--- a/crates/gateway/src/peers/aggregation.rs
+++ b/crates/gateway/src/peers/aggregation.rs
@@ -52,7 +52,7 @@
         let (known, buckets) = (rest.loads.clone(), rest.buckets.clone());
         self.publish_loads([total.as_slice(), &known].concat(), buckets);
         self.publish_usages_of_zones(now);
-        self.send_sum(&sum, now).await;
+        self.send_sum(&sum, position, now).await;
         // The aggregators alternate, so that each router receives one total per round.
         if self.rounds % aggregators.len() == position {
             let turns = slices::TURNS / aggregators.len();
@@ -60,7 +60,7 @@
         }
     }
 
-    async fn send_sum(&mut self, sum: &ZoneSum, now: Instant) {
+    async fn send_sum(&mut self, sum: &ZoneSum, position: usize, now: Instant) {
         let members = Arc::clone(&self.inputs.members.borrow());
         let zones: BTreeSet<_> = members.iter().map(|member| &member.zone).collect();
         let frame = Frame::ZoneSum {
@@ -80,7 +80,7 @@
                 relay_to: Vec::new(),
             })
         });
-        let state = self.zone_state(sum.zone, sum.routers, now);
+        let state = self.zone_state(sum.zone, sum.routers, position, now);
         let own_zone = self.inputs.own.zone.clone();
         for zone in zones.into_iter().filter(|zone| **zone != own_zone) {
             for aggregator in self.aggregators(zone) {
--- a/crates/gateway/src/peers/service_state.rs
+++ b/crates/gateway/src/peers/service_state.rs
@@ -3,11 +3,13 @@
 //! In a small fleet, each router sends its own to all others beside its digests. In a large
 //! one they go through the aggregators of the zones, as loads do.
 
+use std::time::Duration;
+
 use units::time::Instant;
 use wire::seal::Tag;
 
 use super::{
-    Frame, Scope, ServiceState,
+    AGGREGATORS, Frame, Scope, ServiceState,
     load_reports::{self, Reports},
     sums,
     task::Task,
@@ -15,6 +17,16 @@
 };
 use crate::{dispatch, source::Source};
 
+/// How long the usages of others count that were last passed to the dispatch task: two
+/// intervals and a round, so that the loss of one datagram does not make them look idle.
+const PUBLISHED_TTL: Duration = Duration::from_secs(1);
+
+/// Whether usages are sent in a turn. They change less than loads, so every second one does,
+/// which saves half of their bytes.
+pub(super) const fn is_usage_turn(turn: usize) -> bool {
+    turn.is_multiple_of(2)
+}
+
 /// The state of the exchange.
 #[derive(Debug, Default)]
 pub(super) struct Exchange {
@@ -33,13 +45,13 @@
 }
 
 impl<S: Source> Task<S> {
-    /// Takes in the state of this router, and returns the frame that tells others of it.
+    /// Takes in the state of this router, and returns what others are told of it.
     pub(super) fn own_state(
         &mut self,
         reports: &[load_report::Shared],
         usages: Vec<scheduling::Usage>,
         now: Instant,
-    ) -> Option<Frame> {
+    ) -> ServiceState {
         let is_large = self.is_large();
         let exchange = &mut self.exchange;
         exchange.own_usages = usages;
@@ -48,17 +60,24 @@
             exchange.zone_reports.record(reports, now);
             exchange.fleet_reports.record(reports, now);
         }
-        let state = ServiceState {
+        ServiceState {
             scope: Scope::Router,
             load_reports: exchange.own_reports.next(now),
             usages: usages::largest(exchange.own_usages.clone()),
             relay_to: Vec::new(),
-        };
-        state.into_frame()
+        }
     }
 
-    /// The frame that tells other zones of the state of this zone.
-    pub(super) fn zone_state(&mut self, zone: u32, routers: u16, now: Instant) -> Option<Frame> {
+    /// The frame that tells other zones of the state of this zone. `position` is that of this
+    /// router among the aggregators of its zone, which take turns with the usages.
+    pub(super) fn zone_state(
+        &mut self,
+        zone: u32,
+        routers: u16,
+        position: usize,
+        now: Instant,
+    ) -> Option<Frame> {
+        let has_usages = is_usage_turn(self.rounds + position);
         let exchange = &mut self.exchange;
         let sum = exchange.usages.zone_sum(&exchange.own_usages, now);
         let state = ServiceState {
@@ -67,17 +86,23 @@
             usages: usages::largest(sum),
             relay_to: Vec::new(),
         };
-        state.into_frame()
+        state.into_frame(has_usages)
     }
 
     /// The state of the fleet for the routers of this zone.
     pub(super) fn fleet_state(&mut self, routers: u16, now: Instant) -> ServiceState {
+        // A total is sent in every second round, by each aggregator in turn.
+        let has_usages = is_usage_turn(self.rounds / AGGREGATORS);
         let exchange = &mut self.exchange;
         let total = exchange.total_usages(now);
         ServiceState {
             scope: Scope::Fleet { routers },
             load_reports: exchange.fleet_reports.next(now),
-            usages: usages::largest(total),
+            usages: if has_usages {
+                usages::largest(total)
+            } else {
+                Vec::new()
+            },
             relay_to: Vec::new(),
         }
     }
@@ -96,9 +121,10 @@
         };
         match state.scope {
             Scope::Router => {
-                self.exchange
-                    .usages
-                    .record_router(member.host, state.usages, now);
+                if !state.usages.is_empty() {
+                    let usages = &mut self.exchange.usages;
+                    usages.record_router(member.host, state.usages, now);
+                }
                 if self.is_large() {
                     self.exchange.zone_reports.record(&state.load_reports, now);
                     self.exchange.fleet_reports.record(&state.load_reports, now);
@@ -113,7 +139,9 @@
                 {
                     return;
                 }
-                self.exchange.usages.record_zone(zone, state.usages, now);
+                if !state.usages.is_empty() {
+                    self.exchange.usages.record_zone(zone, state.usages, now);
+                }
                 self.exchange.fleet_reports.record(&state.load_reports, now);
             }
             Scope::Fleet { routers } => {
@@ -123,7 +151,7 @@
                 };
                 self.relay(&Frame::ServiceState(relayed), &state.relay_to)
                     .await;
-                if !self.is_partial_total(routers, now) {
+                if !state.usages.is_empty() && !self.is_partial_total(routers, now) {
                     self.publish_usages(&state.usages, now);
                 }
             }
@@ -153,7 +181,7 @@
         if others.is_empty() && self.exchange.published_until.is_none() {
             return;
         }
-        self.exchange.published_until = (!others.is_empty()).then(|| now + sums::MAX_AGE);
+        self.exchange.published_until = (!others.is_empty()).then(|| now + PUBLISHED_TTL);
         self.notify_dispatch(dispatch::Message::PeerUsages(others));
     }
 }
@@ -166,8 +194,12 @@
 }
 
 impl ServiceState {
-    /// The frame that holds the state, unless there is nothing to tell.
-    fn into_frame(self) -> Option<Frame> {
+    /// The frame that holds the state, unless there is nothing to tell. The usages are left out
+    /// unless `has_usages`.
+    pub(super) fn into_frame(mut self, has_usages: bool) -> Option<Frame> {
+        if !has_usages {
+            self.usages.clear();
+        }
         (!self.is_empty()).then_some(Frame::ServiceState(self))
     }
 }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -17,7 +17,7 @@
     catch_up::{Completion, InFlight},
     digest, gossip_targets,
     origins::Origins,
-    service_state::Exchange,
+    service_state::{Exchange, is_usage_turn},
     slices::{self, Figures, Rest, Rotation},
     sums,
 };
@@ -331,9 +331,11 @@
         } else {
             digest.with_loads(report.clone(), state.prefixes.clone())
         };
+        let has_usages = is_usage_turn(self.rounds);
+        let state_frame = service_state.clone().into_frame(has_usages);
         for member in self.targets(count) {
             if !self.is_large() {
-                for frame in slice.iter().chain(&service_state) {
+                for frame in slice.iter().chain(&state_frame) {
                     self.send_to(frame, &member).await;
                 }
             }
@@ -351,8 +353,10 @@
             loads: report,
             cached_prefixes: state.prefixes,
         };
-        for member in self.own_aggregators() {
-            for frame in slice.iter().chain(&service_state) {
+        for (position, member) in self.own_aggregators().into_iter().enumerate() {
+            let has_usages = is_usage_turn(self.rounds + position);
+            let state_frame = service_state.clone().into_frame(has_usages);
+            for frame in slice.iter().chain(&state_frame) {
                 self.send_to(frame, &member).await;
             }
             self.send_to(&frame, &member).await;
--- a/crates/gateway/tests/decisions/estimates.rs
+++ b/crates/gateway/tests/decisions/estimates.rs
@@ -1,14 +1,21 @@
 //! Estimates of what other routers have placed since the last sum of their loads.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use gateway::{
-    load::growth::{Estimator, Known},
+    clock::Clock,
+    dispatch::{Dispatch, Message},
+    load::{
+        Load,
+        growth::{Estimator, Known},
+    },
+    metrics::Metrics,
     outlier::OutcomeCounts,
     pool::{Fleet, Outcome, Pool},
     roster,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use tokio::sync::oneshot;
 use units::{backend, time::Instant};
 use yare::parameterized;
 
@@ -144,7 +151,7 @@
                 .iter()
                 .map(|(server, running)| {
                     let own = own.get(server).copied().unwrap_or(0);
-                    let hash = gateway::load::Load::hash(server);
+                    let hash = Load::hash(server);
                     (hash, running.saturating_sub(own))
                 })
                 .collect();
@@ -339,3 +346,43 @@
     assert_eq!(estimator.estimate(7, at(200)), 2);
     assert_eq!(estimator.estimate(50, at(200)), 2);
 }
+
+/// The load that a router expects at an engine after two sums, 200 ms apart.
+async fn expected_load(is_contended: bool) -> u32 {
+    let mut settings = crate::prefixes::settings();
+    settings.bounds.is_contended = is_contended;
+    let metrics = Arc::new(Metrics::default());
+    let (mut task, _handle, _messages) = Dispatch::new(Clock::start(), metrics, settings);
+    let mut roster = roster::Roster::default();
+    roster.apply(roster::Change::Present(entry("s1", "a")), START);
+    task.handle_message(Message::Roster(Arc::new(roster)));
+    let server = Load::hash(&"s1".parse().expect("a valid name"));
+    for running in [2, 12] {
+        let load = Load {
+            server,
+            running,
+            outcomes: OutcomeCounts::default(),
+        };
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        task.handle_message(Message::Aggregate(vec![load]));
+    }
+    let (reply, mut report) = oneshot::channel();
+    task.handle_message(Message::Status(reply));
+    report.try_recv().expect("an immediate reply").servers[0].load
+}
+
+/// Guards against changed decisions in other deployments, and against estimates that do not
+/// reach the servers.
+#[tokio::test]
+async fn the_estimate_counts_only_where_callers_compete() {
+    assert_eq!(expected_load(false).await, 12);
+    // Sums count only if they are at most 800 ms apart, and the machine may pause for longer.
+    for _ in 0..20 {
+        let load = expected_load(true).await;
+        assert!((12..=64).contains(&load), "{load}");
+        if load > 12 {
+            return;
+        }
+    }
+    panic!("nothing is estimated");
+}
