--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -38,7 +38,7 @@
     connector::Connector,
     crashes::{Sign, Tracker},
     egress::Egresses,
-    load,
+    load::{self, growth::Estimator},
     metrics::Metrics,
     pause,
     pool::{Fleet, Pool},
@@ -81,6 +81,11 @@
     /// `aggregate_until`.
     aggregate: Vec<load::Load>,
     aggregate_until: Instant,
+    /// What others have placed since their last sum, by service.
+    estimators: BTreeMap<pool::Id, Estimator>,
+    estimate_at: Instant,
+    /// The requests at servers that `aggregate` does not name.
+    aggregate_buckets: load::buckets::Buckets,
     crashes: Tracker,
     /// Signals that there is news of requests that crash servers.
     crash_news: watch::Sender<()>,
@@ -143,6 +148,9 @@
             peer_loads: BTreeMap::new(),
             aggregate: Vec::new(),
             aggregate_until: Instant::ZERO,
+            estimators: BTreeMap::new(),
+            estimate_at: Instant::ZERO,
+            aggregate_buckets: load::buckets::Buckets::default(),
             crashes: Tracker::default(),
             crash_news: watch::channel(()).0,
             refused: watch::Sender::default(),
@@ -230,6 +238,7 @@
     pub fn handle_message(&mut self, message: Message) {
         let now = self.clock.now();
         self.detect_pause(now);
+        self.update_estimates(now);
         match message {
             Message::Acquire(request, reply) => self.acquire(request, reply, now),
             Message::FirstByte(ticket) => self.first_byte(&ticket, now),
@@ -255,6 +264,7 @@
                 self.aggregate_until = now + AGGREGATE_TTL;
                 self.sum_peers();
             }
+            Message::AggregateBuckets(buckets) => self.aggregate_buckets = buckets,
             Message::PeerLost(host) => {
                 self.egresses.set_silent(&host, true);
                 self.peer_loads.remove(&host);
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -11,11 +11,14 @@
 use wire::seal::{Audience, Boot, Key, Opener, Sealer, Tag};
 
 use super::{
-    Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSums,
-    MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, StoreFallback, Table, Versions, Watchers,
+    Aggregators, Digest, Directory, FAN_OUT, Frame, INITIAL_FAN_OUT, INTERVAL, Inputs, LoadSlice,
+    LoadSums, MIN_PUSH_INTERVAL, Outputs, QUIET_FAN_OUT, Scope, StoreFallback, Table, Unknown,
+    Versions, Watchers,
     catch_up::{Completion, InFlight},
     digest, gossip_targets,
     origins::Origins,
+    service_state::{Exchange, is_usage_turn},
+    slices::{self, Figures, Rest, Rotation},
     sums,
 };
 use crate::{
@@ -59,6 +62,20 @@
     /// The number of routers that the last accepted total covers, and when that count
     /// expires.
     pub(super) fleet_routers: (u16, Instant),
+    /// The loads of each peer, including those that its reports do not name, by the hash of
+    /// its host name.
+    pub(super) peer_figures: BTreeMap<u32, Figures>,
+    /// The loads in the totals and slices of this zone's aggregators.
+    pub(super) fleet_figures: Figures,
+    /// Whether the last loads that were published had requests at servers that are not named.
+    pub(super) has_buckets: bool,
+    /// Datagrams that could not be decoded.
+    pub(super) unknown: Unknown,
+    /// The speeds of servers and the use by workspaces.
+    pub(super) exchange: Exchange,
+    own_rotation: Rotation,
+    pub(super) zone_rotation: Rotation,
+    pub(super) fleet_rotation: Rotation,
     load_encoder: ReportEncoder,
     pub(super) zone_encoder: ReportEncoder,
     pub(super) fleet_encoder: ReportEncoder,
@@ -122,6 +139,14 @@
             peer_decoders: BTreeMap::new(),
             fleet_decoder: ReportDecoder::default(),
             fleet_routers: (0, Instant::ZERO),
+            peer_figures: BTreeMap::new(),
+            fleet_figures: Figures::default(),
+            has_buckets: false,
+            unknown: Unknown::default(),
+            exchange: Exchange::default(),
+            own_rotation: Rotation::default(),
+            zone_rotation: Rotation::default(),
+            fleet_rotation: Rotation::default(),
             load_encoder: ReportEncoder::default(),
             zone_encoder: ReportEncoder::default(),
             fleet_encoder: ReportEncoder::default(),
@@ -184,6 +209,7 @@
         for host in self.table.remove_expired(now) {
             logging::event!(info, "peer_lost", peer = host);
             self.peer_decoders.remove(&sums::hash(host.as_str()));
+            self.peer_figures.remove(&sums::hash(host.as_str()));
             self.notify_dispatch(dispatch::Message::PeerLost(host));
         }
         self.rounds = self.rounds.wrapping_add(1);
@@ -194,6 +220,7 @@
         if self.is_large() {
             self.send_sums().await;
         }
+        self.expire_usages(now);
         self.repeat_origins().await;
     }
 
@@ -292,8 +319,11 @@
         );
         let digest = digest.with_checksum(self.checksum());
         self.last_digest = Some(digest.clone());
-        self.own_loads = digest::loads(&state.loads);
-        let report = self.load_encoder.next(&self.own_loads, now);
+        let (named, rest) = digest::loads(&state.loads);
+        let report = self.load_encoder.next(&named, now);
+        self.own_loads = [named, rest.clone()].concat();
+        let slice = self.own_slice(rest, now);
+        let service_state = self.own_state(&state.load_reports, state.usages, now);
         // In a large fleet each pair of routers exchanges a digest only every few seconds.
         // Loads in it would be too old to use and would take most of its bytes.
         let digest = if self.is_large() {
@@ -301,7 +331,14 @@
         } else {
             digest.with_loads(report.clone(), state.prefixes.clone())
         };
+        let has_usages = is_usage_turn(self.rounds);
+        let state_frame = service_state.clone().into_frame(has_usages);
         for member in self.targets(count) {
+            if !self.is_large() {
+                for frame in slice.iter().chain(&state_frame) {
+                    self.send_to(frame, &member).await;
+                }
+            }
             self.send_to(&Frame::Digest(digest.clone()), &member).await;
             if !state.parts.is_empty() {
                 self.send_to(&Frame::PartReports(state.parts.clone()), &member)
@@ -316,11 +353,27 @@
             loads: report,
             cached_prefixes: state.prefixes,
         };
-        for member in self.own_aggregators() {
+        for (position, member) in self.own_aggregators().into_iter().enumerate() {
+            let has_usages = is_usage_turn(self.rounds + position);
+            let state_frame = service_state.clone().into_frame(has_usages);
+            for frame in slice.iter().chain(&state_frame) {
+                self.send_to(frame, &member).await;
+            }
             self.send_to(&frame, &member).await;
         }
     }
 
+    /// The next slice of this router's loads that its reports do not name.
+    fn own_slice(&mut self, rest: Vec<Load>, now: Instant) -> Option<Frame> {
+        let rest = Rest::new(rest);
+        let slice = self.own_rotation.next(&rest, slices::TURNS, now)?;
+        Some(Frame::LoadSlice(LoadSlice {
+            scope: Scope::Router,
+            slice,
+            relay_to: Vec::new(),
+        }))
+    }
+
     /// The next `count` members in gossip order.
     fn targets(&mut self, count: usize) -> Vec<Member> {
         let members = Arc::clone(&self.inputs.members.borrow());
