--- a/crates/load_report/src/slowdown.rs
+++ b/crates/load_report/src/slowdown.rs
@@ -46,6 +46,18 @@
     pub fn percent(self) -> u16 {
         self.0
     }
+
+    /// The time that work takes whose usual time is `time`, in any unit.
+    pub fn scale(self, time: u64) -> u64 {
+        time.saturating_mul(u64::from(self.0)) / 100
+    }
+
+    /// The part of `slots` that does the work of a usual server in the same time: fewer than
+    /// `slots` if the server is slow, but at least one.
+    pub fn effective_slots(self, slots: u32) -> u32 {
+        let percent = u32::from(self.max(Self::NONE).0);
+        (slots.saturating_mul(100) / percent).max(1).min(slots)
+    }
 }
 
 impl Default for Slowdown {
