Place requests by the load and the speed that servers report

Cause: a server that works several times slower for a moment, or that other routers have filled, gets its full share of requests. Requests in flight at plain servers are not exchanged in time, and all routers see the same idle server.

Change: where the servers of a service report a speed, the slowdown scales the read time, the delay by other requests and the service time; an engine holds proportionally fewer requests; plain servers are chosen by load interpretation. Log events, a metric and columns of the status page show what is believed and why. The code for cached parts moves to a file of its own. Other services are served as before.

--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -104,6 +104,7 @@
         now: Instant,
     ) -> Permit {
         self.choose_path(&request.pool, &mut placement, now);
+        self.log_placed(&request, &placement, now);
         if !request.is_retry {
             let members = self.fleet.members.len();
             self.retry_budget(&request.pool, now).deposit(members);
@@ -208,7 +209,7 @@
                 self.prefixes.record(server.hash(), part, now);
             }
             server.record_cached(&ticket.parts, now);
-            server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
+            self.record_time(ticket, expected(ticket), now);
         }
     }
 
@@ -230,7 +231,11 @@
             server.end_prefill(ticket.uncached);
             // A request that got no byte has waited at least this long.
             if outcome == Outcome::Cancelled {
-                server.record_first_byte(now.since(ticket.sent_at), expected(ticket), now);
+                let usual = expected(ticket);
+                let expected = queue.pool().expected_first_byte(&ticket.server, usual, now);
+                if let Some(server) = queue.pool_mut().server_mut(&ticket.server) {
+                    server.record_first_byte(now.since(ticket.sent_at), expected, now);
+                }
             }
         }
         if outcome == Outcome::Unreachable
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 //! series.
 
 mod labels;
+mod load_reports;
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
@@ -94,6 +95,7 @@
     config_bytes: Gauge,
     servers: Gauge,
     members: Gauge,
+    load_reports: Family<load_reports::Labels, Counter>,
 }
 
 impl Default for Metrics {
@@ -267,8 +269,10 @@
         );
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
+        let load_reports = load_reports::register(&mut registry);
         Self {
             registry,
+            load_reports,
             refusals,
             rests,
             discarded_bytes,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -25,7 +25,7 @@
 use units::{availability, backend, chat, cost::Cost, host, time::Instant};
 
 pub use outcome::Outcome;
-pub use server::Server;
+pub use server::{Effect, Server, Update};
 pub use versions::{Preference, VersionLoads};
 
 use crate::{connector::Path, roster, route, settings::Bounds, slow_start};
@@ -192,6 +192,7 @@
     /// Whether this router is up to date. If it is not, it cannot know that the version in
     /// service was replaced.
     is_up_to_date: bool,
+    speed: speed::Speed,
 }
 
 impl Pool {
@@ -218,6 +219,7 @@
             serving: Serving::default(),
             brittleness: brittle::Brittleness::default(),
             is_up_to_date: true,
+            speed: speed::Speed::default(),
         }
     }
 
@@ -278,6 +280,7 @@
         now: Instant,
     ) -> Result<Placement, Denial> {
         let choice = self.choose(demand, fleet, now)?;
+        self.speed.placed(now);
         let share = self.slow_start_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
         let bound = self.bound(now);
--- a/crates/gateway/src/pool/brittle.rs
+++ b/crates/gateway/src/pool/brittle.rs
@@ -50,7 +50,8 @@
         self.is_brittle(now) && !self.is_engine()
     }
 
-    fn is_engine(&self) -> bool {
+    /// Whether the servers are engines.
+    pub(super) fn is_engine(&self) -> bool {
         self.service.cache_tokens > 0
     }
 
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -65,6 +65,7 @@
         let bound = self.bound(now);
         candidates.retain(|server| {
             self.has_slot(server, demand)
+                && self.has_effective_slot(server, now)
                 && self.has_memory(server, demand, now)
                 && !self.is_spared(server, now)
                 && f64::from(server.load() + 1) <= bound
@@ -82,7 +83,7 @@
             .map(|server| server.slow_start_ready_at())
             .min();
         candidates.retain(|server| !self.is_slow_start_limited(server, fleet, now));
-        let best = self.cheapest(tier, &candidates, demand, now);
+        let best = self.cheapest(tier, &candidates, demand, fleet, now);
         best.ok_or(Denial::SlowStart(slow_start_ready_at.unwrap_or(now)))
     }
 
@@ -110,18 +111,29 @@
         }
     }
 
-    /// The candidate with the lowest expected time to first byte.
+    /// The candidate with the lowest expected time to first byte. Plain servers that report
+    /// their speed are chosen at random, since all routers hear of the best one at once.
     fn cheapest(
         &self,
         tier: versions::Tier,
         candidates: &[&Server],
         demand: &Demand,
+        fleet: &Fleet,
         now: Instant,
     ) -> Option<backend::Server> {
+        let reports_speed = self.reports_speed(now);
+        if reports_speed && !self.is_engine() {
+            return self.choose_by_completion(candidates, fleet, now);
+        }
         let ranking = cost::Ranking::new(&demand.parts, self.eligible(tier, demand));
         let cost = |server: &&Server| {
             let position = ranking.as_ref().map(|ranking| ranking.position(server));
-            cost::time_us(server, &self.zone, &demand.parts, position, now)
+            let load = if reports_speed {
+                cost::Load::reported(server, now)
+            } else {
+                cost::Load::of_routers(server)
+            };
+            cost::time_us(server, &self.zone, &demand.parts, position, load, now)
         };
         let best = candidates.iter().min_by_key(|server| cost(server))?;
         Some(best.name().clone())
--- a/crates/gateway/src/pool/cost.rs
+++ b/crates/gateway/src/pool/cost.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 
+use load_report::Slowdown;
 use placement::score;
 use smallvec::SmallVec;
 use units::{availability, chat, time::Instant};
@@ -104,6 +105,40 @@
     }
 }
 
+/// The load and the speed of a server by which it is ranked.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// The requests in flight.
+    requests: u64,
+    /// How long work takes.
+    slowdown: Slowdown,
+}
+
+impl Load {
+    /// The load that routers know of. The server does not report its speed.
+    pub fn of_routers(server: &Server) -> Self {
+        Self {
+            requests: u64::from(server.load()),
+            slowdown: Slowdown::NONE,
+        }
+    }
+
+    /// The load and the speed as the server reports them.
+    pub fn reported(server: &Server, now: Instant) -> Self {
+        Self {
+            requests: u64::from(server.expected_load(now)),
+            slowdown: server.slowdown(now),
+        }
+    }
+}
+
+/// The time of a request at `server` that does not depend on its load, in microseconds, for a
+/// router in `zone`.
+pub fn overhead_us(server: &Server, zone: &availability::Zone, now: Instant) -> u64 {
+    let zone_us = if server.zone() == zone { 0 } else { ZONE_US };
+    zone_us + server.lag_us(now)
+}
+
 /// The expected time to first byte at `server`, in microseconds, for a router in
 /// `zone`. `position` is the server's position in the prompt's ranking, if there is a
 /// prompt.
@@ -112,13 +147,13 @@
     zone: &availability::Zone,
     parts: &[Part],
     position: Option<usize>,
+    load: Load,
     now: Instant,
 ) -> u64 {
-    let zone_us = if server.zone() == zone { 0 } else { ZONE_US };
-    let load = u64::from(server.load());
-    let common_us = zone_us + server.lag_us(now);
+    let Load { requests, slowdown } = load;
+    let common_us = overhead_us(server, zone, now);
     let Some(position) = position else {
-        return common_us + load * SERVICE_LOAD_US;
+        return common_us + slowdown.scale(requests * SERVICE_LOAD_US);
     };
     // A server that has just started has nothing cached for any router.
     let expected_position = if server.is_cold(now) {
@@ -129,7 +164,7 @@
     let uncached = expected_uncached(server.uncached(parts, now), expected_position);
     let queued_tokens = server.pending_prefill().0 / 4;
     let prefill_us = (uncached + queued_tokens) * 1000 / PREFILL_TOKENS_PER_MS;
-    common_us + prefill_us + load * ENGINE_LOAD_US
+    common_us + slowdown.scale(prefill_us + requests * ENGINE_LOAD_US)
 }
 
 /// The number of tokens that the server at `position` is expected to prefill, where
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -1,7 +1,9 @@
 //! The state of one backend server as this router sees it.
 
 mod advisories;
+mod cache;
 mod outage;
+mod reported;
 mod shutdown;
 
 use std::{net::SocketAddr, time::Duration};
@@ -9,15 +11,16 @@
 use placement::CacheIndex;
 use rollout::Role;
 use tokio::sync::watch;
-use units::{availability, backend, chat, cost::Cost, time::Instant};
+use units::{availability, backend, cost::Cost, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::{Outcome, Part, backoff::Backoff};
+pub use reported::{Effect, Update};
+
+use super::{Outcome, backoff::Backoff};
 use crate::{
     advisory::Advisory,
     load::Load,
     outlier::{OutcomeCounts, OutcomeTracker},
-    prefixes::{self, CachedPrefix},
     roster,
     slow_start::{Pacer, Share},
 };
@@ -75,19 +78,17 @@
     lag_at: Instant,
     outcomes: OutcomeTracker,
     peer_outcomes: OutcomeCounts,
+    /// What the server has reported of its load.
+    reported: reported::Reported,
 }
 
 impl Server {
     /// Creates a server without requests.
     pub fn new(entry: roster::Entry) -> Self {
-        let settings = placement::Settings {
-            max_chats_per_server: MAX_PREFIX_PARTS,
-            min_cached_tokens: 1,
-            cache_ttl: CACHED_FOR,
-            ..placement::Settings::default()
-        };
+        let settings = cache::settings();
         Self {
             settled_at: settled_at(entry.cold_until),
+            reported: reported::Reported::new(entry.incarnation, Instant::ZERO),
             name_hash: xxh3::xxh3_64(entry.server.as_str().as_bytes()),
             entry,
             is_leaving: false,
@@ -129,6 +130,7 @@
             };
             if is_restarted {
                 self.restarted(reading);
+                self.reported = reported::Reported::new(entry.incarnation, reading.at);
             }
         }
         self.entry = entry.clone();
@@ -307,24 +309,6 @@
         self.pacer.ready_at()
     }
 
-    /// Uncached prompt tokens of requests that have not received their first byte.
-    pub fn pending_prefill(&self) -> Cost {
-        self.pending_prefill
-    }
-
-    /// The number of prompt tokens that the server would have to prefill.
-    ///
-    /// A cached part is usable only together with all parts before it, so these are
-    /// assumed to be cached too.
-    pub fn uncached(&self, parts: &[Part], now: Instant) -> u64 {
-        let last = parts.iter().rposition(|part| self.has_cached(part, now));
-        let cached = last.map_or(0, |last| last + 1);
-        parts[cached..]
-            .iter()
-            .map(|part| u64::from(part.tokens))
-            .sum()
-    }
-
     /// The recent time to first byte in excess of what the load explains, in
     /// microseconds.
     pub fn lag_us(&self, now: Instant) -> u64 {
@@ -338,17 +322,12 @@
     pub fn admit(&mut self, uncached: Cost, share: Option<Share>, now: Instant) {
         self.running += 1;
         self.pending_prefill += uncached;
+        self.reported.placed();
         if let Some(share) = share {
             self.pacer.record(share, now);
         }
     }
 
-    /// Removes the prefill of a request that has received its first byte or has ended
-    /// without one.
-    pub fn end_prefill(&mut self, uncached: Cost) {
-        self.pending_prefill -= uncached;
-    }
-
     /// Records a time to first byte of `waited`, of which the prompt explains
     /// `expected`.
     pub fn record_first_byte(&mut self, waited: Duration, expected: Duration, now: Instant) {
@@ -364,26 +343,6 @@
         self.lag_at
     }
 
-    /// Whether a part is known to be cached for a request of any router.
-    pub fn has_cached(&self, part: &Part, now: Instant) -> bool {
-        let hash = chat::Key(u64::from(prefixes::hash(part.key)));
-        self.own_prefixes.cached_tokens(part.key, now).is_some()
-            || self.peer_prefixes.cached_tokens(hash, now).is_some()
-    }
-
-    /// Records a prefix that the server has cached for a peer's request.
-    pub fn record_peer_prefix(&mut self, prefix: CachedPrefix, now: Instant) {
-        let hash = chat::Key(u64::from(prefix.part));
-        self.peer_prefixes.record_served(hash, prefix.tokens, now);
-    }
-
-    /// Records that the server has cached these parts of a prompt.
-    pub fn record_cached(&mut self, parts: &[Part], now: Instant) {
-        for part in parts {
-            self.own_prefixes.record_served(part.key, part.tokens, now);
-        }
-    }
-
     /// Until when the server gets nothing because it has rejected a request.
     pub(super) fn spared_until(&self) -> Instant {
         self.spared_until
@@ -452,8 +411,3 @@
     }
     cold_until + SETTLE_TIME
 }
-
-/// The number of prompt parts recorded for each server, at 200 bytes each.
-const MAX_PREFIX_PARTS: usize = 512;
-/// How long a part is assumed to stay cached after its last use.
-const CACHED_FOR: Duration = Duration::from_secs(600);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,7 +1,8 @@
 //! The status page: a router's current view of the fleet, for operators.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
+use load_report::Slowdown;
 use recovery::Moment;
 use units::{availability, backend, host, pool, time::Instant};
 
@@ -49,6 +50,15 @@
     pub is_leaving: bool,
     /// The recent response time in excess of what the load explains, in milliseconds.
     pub lag_ms: u64,
+    /// How long work takes there, in percent of the usual time; `None` if it has not been
+    /// reported recently.
+    pub slowdown: Option<Slowdown>,
+    /// The age of that report, in milliseconds.
+    pub slowdown_age_ms: u128,
+    /// Requests that the server has reported as running and waiting.
+    pub reported: Option<u32>,
+    /// The age of that report, in milliseconds.
+    pub reported_age_ms: u128,
 }
 
 impl Row {
@@ -71,6 +81,12 @@
             is_cold: server.is_cold(now),
             is_leaving: server.is_leaving(),
             lag_ms: server.lag_us(now) / 1000,
+            slowdown: server.slowdown_age(now).map(|_| server.slowdown(now)),
+            slowdown_age_ms: millis(server.slowdown_age(now)),
+            reported: server
+                .report_age(now)
+                .map(|_| server.reported_requests(now)),
+            reported_age_ms: millis(server.report_age(now)),
         }
     }
 }
@@ -91,10 +107,26 @@
             self.load,
             self.bound,
             self.lag_ms
-        )
+        )?;
+        if let Some(reported) = self.reported {
+            write!(
+                f,
+                " reported={reported} reported_age_ms={}",
+                self.reported_age_ms
+            )?;
+        }
+        if let Some(slowdown) = self.slowdown {
+            let (percent, age) = (slowdown.percent(), self.slowdown_age_ms);
+            write!(f, " slowdown={percent} slowdown_age_ms={age}")?;
+        }
+        Ok(())
     }
 }
 
+fn millis(age: Option<Duration>) -> u128 {
+    age.unwrap_or_default().as_millis()
+}
+
 /// The state of the dispatch task.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
--- a/crates/load_report/src/belief.rs
+++ b/crates/load_report/src/belief.rs
@@ -9,6 +9,9 @@
 /// How long a report counts. Reports that pass through an aggregator are up to 700 ms old when
 /// they arrive, and rounds are 200 ms apart; a report must outlive the loss of one round.
 pub const TTL: Duration = Duration::from_secs(1);
+/// The smallest slowdown that has an effect: a server that falsely reports to be fast attracts at
+/// most twice its share.
+const MIN_EFFECTIVE_PERCENT: u16 = 50;
 /// A measured time this many times shorter than the slowdown explains contradicts it. Expected
 /// times allow for engines that read several times faster than assumed.
 const CONTRADICTION_FACTOR: u32 = 8;
@@ -64,8 +67,7 @@
     /// Records a report that `incarnation` of the server made at `at`. Returns false if it is
     /// ignored because it is of another incarnation or not newer.
     pub fn record(&mut self, incarnation: u64, report: Report, at: Instant) -> bool {
-        if incarnation != self.incarnation
-            || self.requests.is_some_and(|requests| at < requests.at)
+        if incarnation != self.incarnation || self.requests.is_some_and(|requests| at < requests.at)
         {
             return false;
         }
@@ -122,8 +124,8 @@
         if now < self.distrusted_until {
             return Slowdown::NONE;
         }
-        self.known_speed(now)
-            .map_or(Slowdown::NONE, |speed| speed.slowdown)
+        let known = self.known_speed(now).map(|speed| speed.slowdown);
+        known.unwrap_or_default().at_least(MIN_EFFECTIVE_PERCENT)
     }
 
     /// The requests that the server has reported as running and waiting; zero if that is not
--- a/crates/load_report/src/slowdown.rs
+++ b/crates/load_report/src/slowdown.rs
@@ -47,6 +47,11 @@
         self.0
     }
 
+    /// The slowdown, or one of `percent` if that is more.
+    pub fn at_least(self, percent: u16) -> Self {
+        Self(self.0.max(percent)).min(Self::MAX)
+    }
+
     /// The time that work takes whose usual time is `time`, in any unit.
     pub fn scale(self, time: u64) -> u64 {
         time.saturating_mul(u64::from(self.0)) / 100
