Compare placement by reported load with the baselines in virtual time

Cause: whether reports help depends on their age, and a choice that all routers make alike overloads the server that looks best.

Change: four servers of six slots, one after the other slow, with 6, 67 and 300 routers, messages that take 0 to 500 ms or are lost, and a server that reports false figures. All routers together send 201 requests a second. The mean age of the candidates' figures decides how close the choice is to even. This router's own requests do not count as unknown arrivals.

--- a/crates/gateway/src/pool/speed.rs
+++ b/crates/gateway/src/pool/speed.rs
@@ -178,15 +178,18 @@
                 load: server.expected_load(now),
             })
             .collect();
-        // The choice is only as good as the oldest figure that it compares.
+        // With the age of the oldest figure, one server without a recent report would hide what is
+        // known of the others; with that of the newest, one report would attract too much.
         let ages = candidates.iter().map(|server| {
             let age = server.slowdown_age(now).into_iter();
             age.chain(server.report_age(now)).min().unwrap_or(TTL)
         });
-        let age = ages.max().unwrap_or(TTL);
-        // A router with more requests than the mean overestimates those of the others, and its
-        // choice is closer to even.
-        let arrivals = self.speed.arrivals.within(age, now) * fleet.members.len() as f64;
+        let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+        let age = ages.sum::<Duration>() / count.max(1);
+        // This router knows its own requests. One with more requests than the mean overestimates
+        // those of the others, and its choice is closer to even.
+        let others = fleet.members.len().saturating_sub(1);
+        let arrivals = self.speed.arrivals.within(age, now) * others as f64;
         let chosen = candidate::choose(&weighed, arrivals, self.speed.random(fleet, now))?;
         Some(candidates[chosen].name().clone())
     }
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -38,6 +38,7 @@
 mod silence;
 mod silence_fleet;
 mod slow_start;
+mod speed_fleet;
 mod throttling;
 mod value;
 mod versions;
