Test what is believed, decoded and passed on of reported load

Cause: the header, the messages between routers and the switch had no tests.

Change: tests of the header with figures of 0, a million and text, of restarts, late and unknown reports, of what is sent to other routers, and of an engine at a fifth of its speed. Choices without a reported speed equal those without any report.

--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -31,6 +31,7 @@
 mod rejections;
 mod replica;
 mod replicas;
+mod reported_load;
 mod retry_budget;
 mod rollouts;
 mod roster;
