--- a/crates/gateway/tests/decisions/speed_fleet.rs
+++ b/crates/gateway/tests/decisions/speed_fleet.rs
@@ -2,12 +2,14 @@
 //!
 //! Four servers of six slots get 201 requests of 30 ms in a second; one after the other is slow.
 
+mod run;
 mod scenario;
 
 use std::time::Duration;
 
 use load_report::{Report, Slowdown};
-use scenario::{Figures, Policy, SLOTS, Scenario, Summary, play};
+use run::play;
+use scenario::{Figures, Policy, SLOTS, Scenario, Summary};
 use yare::parameterized;
 
 /// A difference below this share of the requests is not told from chance: with 32,000 requests,
