--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -28,7 +28,7 @@
 
 pub use denial::{Denial, Oversize};
 pub use outcome::Outcome;
-pub use server::Server;
+pub use server::{Effect, Server, Update};
 pub use versions::{Preference, VersionLoads};
 
 use crate::{connector::Path, roster, route, settings::Bounds, slow_start};
@@ -182,6 +182,7 @@
     /// Whether this router is up to date. If it is not, it cannot know that the version in
     /// service was replaced.
     is_up_to_date: bool,
+    speed: speed::Speed,
 }
 
 impl Pool {
@@ -209,6 +210,7 @@
             brittleness: brittle::Brittleness::default(),
             holdings: holdings::Holdings::default(),
             is_up_to_date: true,
+            speed: speed::Speed::default(),
         }
     }
 
@@ -270,6 +272,7 @@
         now: Instant,
     ) -> Result<Placement, Denial> {
         let choice = self.choose(demand, fleet, now)?;
+        self.speed.placed(now);
         let share = self.slow_start_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
         let bound = self.bound(now);
