Read responses ahead of callers that read slowly, within a budget

Cause: a response whose caller reads slowly is read from its server no faster than the caller takes it, so that a server which cuts off unread responses breaks it. What is held had no budget.

Change, where settings::Bounds::is_contended is set: while a caller takes nothing, the task of its connection goes on reading the response into segments that are charged to one budget (buffers::Budget); a segment is given back when it has been written. Request bodies count in the same budget. Reading stops only between two pieces, so that silence of a server is told from a caller that reads slowly as before.

--- a/crates/buffers/src/budget.rs
+++ b/crates/buffers/src/budget.rs
@@ -196,7 +196,11 @@
         let added = state.commitment(taken) - state.commitment(account.taken);
         let free = state.free();
         let beyond_floor = taken.saturating_sub(state.limits.floor);
-        if beyond_floor > 0 && free.checked_sub(added).is_none_or(|left| beyond_floor > left) {
+        if beyond_floor > 0
+            && free
+                .checked_sub(added)
+                .is_none_or(|left| beyond_floor > left)
+        {
             let is_first = !std::mem::replace(&mut account.has_yielded, true);
             state.usage.yielded += u64::from(is_first);
             let held = account.taken;
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -18,7 +18,7 @@
 };
 use units::time::Instant;
 
-use crate::{allowance::Allowance, clock::Clock, discard::Discard};
+use crate::{allowance::Allowance, clock::Clock, discard::Discard, read_ahead::Delivery};
 
 /// Represents the absence of an instant.
 const NONE: u64 = u64::MAX;
@@ -33,6 +33,8 @@
     head_started: Notify,
     blocked_since_us: AtomicU64,
     deadline_us: AtomicU64,
+    /// How long the caller of a response that was received whole may read nothing.
+    patience_us: AtomicU64,
     ends_with_connection: AtomicBool,
     discard: Mutex<Option<Discard>>,
     allowance: Allowance,
@@ -48,6 +50,7 @@
             head_started: Notify::new(),
             blocked_since_us: AtomicU64::new(NONE),
             deadline_us: AtomicU64::new(NONE),
+            patience_us: AtomicU64::new(0),
             ends_with_connection: AtomicBool::new(false),
             discard: Mutex::new(None),
             allowance: Allowance::default(),
@@ -58,7 +61,7 @@
     /// Since when no request has been in flight and no response waited for its caller; `None`
     /// while one is or does.
     pub fn idle_since(&self) -> Option<Instant> {
-        if self.is_in_flight() || self.blocked_since_us.load(Ordering::Relaxed) != NONE {
+        if self.is_in_flight() || self.is_blocked() {
             return None;
         }
         let idle_since = self.idle_since_us.load(Ordering::Relaxed);
@@ -77,13 +80,21 @@
         (self.is_in_flight() && deadline != NONE).then_some(Instant::from_micros(deadline))
     }
 
+    /// Whether the caller reads nothing at present of a response that is being written.
+    pub fn is_blocked(&self) -> bool {
+        self.blocked_since_us.load(Ordering::Relaxed) != NONE
+    }
+
     /// When a caller that reads nothing of a response has had enough time: `patience` after the
-    /// response has been handed to the HTTP library, or its deadline if that is still to come.
+    /// response has been handed to the HTTP library, or its deadline if that is still to come. Of a
+    /// response that is held whole, the caller may read at any time, with pauses.
     pub fn unread_at(&self, patience: Duration) -> Option<Instant> {
         let since = self.blocked_since()?;
-        if self.is_in_flight() {
+        let held_patience = Duration::from_micros(self.patience_us.load(Ordering::Relaxed));
+        if self.is_in_flight() && held_patience.is_zero() {
             return self.deadline().map(|deadline| deadline.max(since));
         }
+        let patience = patience.max(held_patience);
         let idle_since = self.idle_since_us.load(Ordering::Relaxed);
         Some(since.max(Instant::from_micros(idle_since)) + patience)
     }
@@ -115,7 +126,7 @@
     }
 
     fn wrote(&self, result: &Poll<io::Result<usize>>) {
-        let is_blocked = self.blocked_since_us.load(Ordering::Relaxed) != NONE;
+        let is_blocked = self.is_blocked();
         if is_blocked != result.is_pending() {
             let now = self.clock.now().as_micros();
             let since = if is_blocked { NONE } else { now };
@@ -144,6 +155,7 @@
         activity.in_flight.fetch_add(1, Ordering::Relaxed);
         activity.head_since_us.store(NONE, Ordering::Relaxed);
         activity.deadline_us.store(NONE, Ordering::Relaxed);
+        activity.patience_us.store(0, Ordering::Relaxed);
         activity.allowance.lift();
         Self(Arc::clone(activity))
     }
@@ -156,6 +168,12 @@
         self.0.deadline_us.store(deadline, Ordering::Relaxed);
     }
 
+    /// Marks the connection as busy with the same request for as long as the returned guard exists.
+    pub fn share(&self) -> Self {
+        self.0.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(&self.0))
+    }
+
     /// Records that the response ends with the connection.
     pub fn end_with_connection(&self) {
         self.0.ends_with_connection.store(true, Ordering::Relaxed);
@@ -174,6 +192,14 @@
     }
 }
 
+impl Delivery for Guard {
+    fn received_whole(&self, patience: Duration) {
+        let patience = u64::try_from(patience.as_micros()).unwrap_or(u64::MAX);
+        self.0.patience_us.store(patience, Ordering::Relaxed);
+        self.0.deadline_us.store(NONE, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         let now = self.0.clock.now().as_micros();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -192,6 +192,12 @@
 }
 
 impl Body {
+    /// Reads at most `bytes` at once from now on, so that no part is longer and little is buffered
+    /// of a body that is not waited for.
+    pub fn set_max_read(&self, bytes: usize) {
+        self.limit.set_max_read(bytes as u64);
+    }
+
     /// Waits for the next part. If the returned future is dropped before, the connection is closed.
     ///
     /// # Errors
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::{pin, sync::Arc, time::Duration};
 
+use http_body_util::Either;
 use hyper::{Request, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -17,7 +18,7 @@
     clock::Clock,
     discard::{self, Discard},
     protocol::Protocol,
-    refusal,
+    read_ahead, refusal,
     route::{Limits, Table},
     serve::{self, Context},
     shutdown::Phase,
@@ -34,6 +35,10 @@
 /// A caller measures the idle time on its own side. If the connection were closed exactly
 /// at the timeout, requests that were sent just before it would be lost.
 const IDLE_GRACE: Duration = Duration::from_secs(1);
+/// The most bytes that the kernel holds for a caller and has not sent yet, where held bytes are
+/// accounted for. Without this bound, it holds some megabytes that count toward no budget. What is
+/// under way to the caller comes on top, so that throughput does not depend on this.
+const MAX_UNSENT: u32 = 32 * 1024;
 
 /// Serves callers until the closing phase is reached and all responses have been sent.
 pub async fn serve<P: Protocol>(
@@ -85,6 +90,12 @@
         logging::event!(debug, "caller_gone", reason = error);
         return;
     }
+    if context.held.is_on()
+        && let Err(error) = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT)
+    {
+        logging::event!(debug, "caller_gone", reason = error);
+        return;
+    }
     let limits = limits(context.table.borrow().as_deref());
     let clock = context.clock;
     let table = context.table.clone();
@@ -92,10 +103,19 @@
     let shared_activity = Arc::clone(&activity);
     let stream = Tracked::new(stream, Arc::clone(&activity));
     let shared_context = Arc::clone(&context);
+    let slot = Arc::new(read_ahead::Slot::default());
+    let served = Arc::clone(&slot);
     let service = service::service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
         let guard = Guard::new(&shared_activity);
-        async move { Ok::<_, std::convert::Infallible>(serve::serve(context, request, guard).await) }
+        let served = Arc::clone(&served);
+        async move {
+            let response = serve::serve(context, request, guard).await;
+            if let Either::Right(Either::Right(body)) = response.body() {
+                served.set(body);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -108,6 +128,7 @@
             // Requests that have arrived are read before their connection is closed.
             biased;
             result = &mut connection => break result,
+            never = slot.read_ahead(|| activity.is_blocked()) => match never {},
             expired = wait_for_timeout(&activity, clock, &table, is_ending) => expired,
             () = Phase::reached(&mut phase, Phase::Closing), if !is_ending => Expired::Idle,
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Label values come only from fixed sets, so that callers cannot increase the number of
 //! series.
 
+mod held;
 mod labels;
 
 use std::{sync::atomic::AtomicU64, time::Duration};
@@ -94,6 +95,7 @@
     config_bytes: Gauge,
     servers: Gauge,
     members: Gauge,
+    held: held::Held,
 }
 
 impl Default for Metrics {
@@ -267,6 +269,7 @@
         );
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
+        let held = held::Held::register(&mut registry);
         Self {
             registry,
             refusals,
@@ -299,6 +302,7 @@
             config_bytes,
             servers,
             members,
+            held,
         }
     }
 }
@@ -507,6 +511,11 @@
         self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
     }
 
+    /// Sets what is held for callers and servers that read slowly.
+    pub fn set_held(&self, usage: buffers::Usage) {
+        self.held.set(usage);
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut buffer = String::new();
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -14,8 +14,8 @@
 use units::host;
 
 use crate::{
-    clock::Clock, dispatch, metrics::Metrics, readiness::Readiness, route::Table, shutdown::Phase,
-    staleness::Staleness, status,
+    clock::Clock, dispatch, held, metrics::Metrics, readiness::Readiness, route::Table,
+    shutdown::Phase, staleness::Staleness, status,
 };
 
 /// The data that the endpoints report.
@@ -33,6 +33,8 @@
     pub clock: Clock,
     /// The ages of the replicated views.
     pub ages: Arc<Staleness>,
+    /// The memory for held bytes.
+    pub held: Arc<held::Memory>,
     /// The dispatch task.
     pub dispatch: mpsc::UnboundedSender<dispatch::Message>,
     /// The roll-outs.
@@ -88,6 +90,7 @@
 fn metrics(sources: &Sources) -> String {
     let now = sources.clock.now();
     sources.metrics.set_ages(&sources.ages, now);
+    sources.metrics.set_held(sources.held.usage());
     sources.metrics.text()
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,12 +1,13 @@
 //! Forwards the body of a response from a backend server to the caller.
 
+mod error;
 mod events;
 mod excess;
 mod failure;
 mod progress;
 mod receive;
 
-use std::{error, fmt, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use framing::{Delimiter, Format, Tracker};
@@ -16,12 +17,13 @@
 use units::{cost::Cost, time::Instant};
 use verdict::Code;
 
+pub use error::Error;
 pub use events::Splitter;
 pub use excess::{Excess, Limit};
 pub use progress::Progress;
 
 use failure::Failure;
-use receive::{Ahead, Next, frame};
+use receive::Next;
 
 use crate::{
     activity::Guard,
@@ -32,37 +34,15 @@
     parts,
     pool::Outcome,
     protocol::Protocol,
+    read_ahead::MAX_READ,
     route::Kind,
-    serve::{Exchange, Held, Running, Waited},
-    silence::{self, Silence},
+    serve::{Exchange, Running},
+    silence,
 };
 
 /// The least time without a byte after which a resumable stream may leave its server.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
 
-/// The response body is truncated.
-///
-/// The caller's connection is closed in the middle of the response, so that a partial
-/// body does not look complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Error {
-    /// The server broke the connection or stalled.
-    Server,
-    /// The deadline of the request passed.
-    Deadline,
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Server => "the server closed or stalled the response",
-            Self::Deadline => "the deadline of the request passed",
-        })
-    }
-}
-
-impl error::Error for Error {}
-
 #[derive(Debug)]
 struct Relay<P> {
     exchange: Exchange<P>,
@@ -109,6 +89,9 @@
         && tracker.format() == Format::EventStream
         && !matches!(tracker.delimiter(), Delimiter::Length(_));
     let context = exchange.context();
+    if context.held.is_on() {
+        response.body.set_max_read(MAX_READ);
+    }
     let mut relay = Relay {
         progress: Progress::new(&tracker, context.clock.now()),
         limit: Limit::new(head.status, context.max_event_bytes),
@@ -179,69 +162,6 @@
         }
     }
 
-    /// Waits for the server's next bytes, until the request's deadline at the latest. A server that
-    /// stays silent may be replaced meanwhile.
-    async fn receive(&mut self) -> Next {
-        if let Some(excess) = self.limit.excess(&self.tracker) {
-            return Next::Endless(excess);
-        }
-        let can_resume = self.can_resume();
-        let context = self.exchange.context();
-        let (clock, max_held) = (context.clock, context.max_event_bytes);
-        let plan = self.exchange.plan();
-        let target = plan.route.target;
-        let deadline = plan.deadline;
-        self.progress.wait(clock.now());
-        let Some(body) = &mut self.body else {
-            return Next::End;
-        };
-        let Some(permit) = self.permit.as_ref().filter(|_| can_resume) else {
-            return frame(body, self.permit.as_ref(), clock, deadline).await;
-        };
-        let silent_since = self.progress.silent_since();
-        let held = Held {
-            placement: permit.placement(),
-            silence: Silence {
-                since: silent_since,
-                due_at: silent_since + self.usual_gap,
-                leave_at: silence::leave_at(silent_since, target, MIN_SILENCE),
-            },
-            is_settled: true,
-            last_event_id: self.splitter.as_ref().and_then(Splitter::last_id),
-        };
-        let ahead = Ahead {
-            tracker: self.tracker.clone(),
-            progress: self.progress,
-            hold_from: held.silence.leave_at,
-            max_held,
-        };
-        let frame = ahead.receive(body, permit, clock, deadline);
-        let method = self.exchange.plan().method.clone();
-        let tracker = &self.tracker;
-        let is_usable = |response: &Response| continued(tracker, &method, response).is_some();
-        let goes_on = |next: &Next| match next {
-            Next::Broken(_) => false,
-            Next::End => tracker.end().is_ok(),
-            Next::Data(bytes) => has_event(tracker, bytes),
-            _ => true,
-        };
-        let waited = self.exchange.wait(frame, &held, goes_on, is_usable);
-        match waited.await {
-            Waited::Received(next) => next,
-            Waited::Replaced(response, cause) => Next::Replaced(response, cause),
-            Waited::Left(running, Some(Next::Broken(reason)), _) => {
-                Next::Left(running, Failure::Broken(reason))
-            }
-            Waited::Left(running, Some(Next::Data(_)), cause) => {
-                Next::Left(running, Failure::Silent(cause))
-            }
-            Waited::Left(running, Some(_), _) => {
-                Next::Left(running, Failure::Broken(String::from("truncated")))
-            }
-            Waited::Left(running, None, cause) => Next::Left(running, Failure::Silent(cause)),
-        }
-    }
-
     /// Records received bytes and returns those that can be forwarded now.
     fn forward(&mut self, bytes: Bytes) -> Option<Bytes> {
         if bytes.is_empty() {
@@ -403,6 +323,9 @@
         };
         self.progress = Progress::new(&tracker, self.exchange.context().clock.now());
         self.tracker = tracker;
+        if self.exchange.context().held.is_on() {
+            response.body.set_max_read(MAX_READ);
+        }
         self.body = Some(response.body);
         self.permit = response.permit;
         self.log_continuation();
@@ -418,13 +341,6 @@
     is_continuation.then_some(tracker)
 }
 
-/// Whether `bytes` complete an event of the stream that `tracker` follows.
-fn has_event(tracker: &Tracker, bytes: &[u8]) -> bool {
-    let mut ahead = tracker.clone();
-    ahead.record(bytes);
-    ahead.events() > tracker.events()
-}
-
 /// Lets the HTTP library write what it has of a response that breaks off: with the error it drops
 /// what it has not written, the head included.
 async fn broken_off(error: Error) -> Error {
--- a/crates/gateway/src/relay/receive.rs
+++ b/crates/gateway/src/relay/receive.rs
@@ -7,14 +7,15 @@
 use tokio::time;
 use units::time::Instant;
 
-use super::{Excess, Progress, failure::Failure};
+use super::{Excess, MIN_SILENCE, Progress, Relay, Splitter, continued, failure::Failure};
 use crate::{
     attempt::Response,
     clock::Clock,
     connection::{self, Body},
     dispatch::Permit,
-    serve::Running,
-    silence::Cause,
+    protocol::Protocol,
+    serve::{Held, Running, Waited},
+    silence::{self, Cause, Silence},
 };
 
 /// The time without a byte of a response that has begun after which its server is probed.
@@ -39,18 +40,18 @@
 }
 
 /// Receives a stream ahead of what is recorded, while its server may be replaced.
-pub(super) struct Ahead {
-    pub tracker: Tracker,
-    pub progress: Progress,
+struct Ahead {
+    tracker: Tracker,
+    progress: Progress,
     /// From when on bytes that are no progress are held back, so that they do not end the wait.
-    pub hold_from: Instant,
+    hold_from: Instant,
     /// The most bytes that are held back.
-    pub max_held: usize,
+    max_held: usize,
 }
 
 impl Ahead {
     /// Waits for the next bytes of `body`; from `hold_from` on, for some that are progress.
-    pub async fn receive(
+    async fn receive(
         mut self,
         body: &mut Body,
         permit: &Permit,
@@ -81,12 +82,7 @@
 }
 
 /// Waits for the next bytes of `body`, until `deadline` at the latest.
-pub(super) async fn frame(
-    body: &mut Body,
-    permit: Option<&Permit>,
-    clock: Clock,
-    deadline: Instant,
-) -> Next {
+async fn frame(body: &mut Body, permit: Option<&Permit>, clock: Clock, deadline: Instant) -> Next {
     let probe_at = deadline.min(clock.now() + PROBE_AFTER);
     let mut frame = pin::pin!(body.frame());
     let mut received = time::timeout_at(clock.at(probe_at), &mut frame).await;
@@ -104,3 +100,75 @@
         Ok(Err(failure)) => Next::Broken(failure.to_string()),
     }
 }
+
+impl<P: Protocol> Relay<P> {
+    /// Waits for the server's next bytes, until the request's deadline at the latest. A server that
+    /// stays silent may be replaced meanwhile.
+    pub(super) async fn receive(&mut self) -> Next {
+        if let Some(excess) = self.limit.excess(&self.tracker) {
+            return Next::Endless(excess);
+        }
+        let can_resume = self.can_resume();
+        let context = self.exchange.context();
+        let (clock, max_held) = (context.clock, context.max_event_bytes);
+        let plan = self.exchange.plan();
+        let target = plan.route.target;
+        let deadline = plan.deadline;
+        self.progress.wait(clock.now());
+        let Some(body) = &mut self.body else {
+            return Next::End;
+        };
+        let Some(permit) = self.permit.as_ref().filter(|_| can_resume) else {
+            return frame(body, self.permit.as_ref(), clock, deadline).await;
+        };
+        let silent_since = self.progress.silent_since();
+        let held = Held {
+            placement: permit.placement(),
+            silence: Silence {
+                since: silent_since,
+                due_at: silent_since + self.usual_gap,
+                leave_at: silence::leave_at(silent_since, target, MIN_SILENCE),
+            },
+            is_settled: true,
+            last_event_id: self.splitter.as_ref().and_then(Splitter::last_id),
+        };
+        let ahead = Ahead {
+            tracker: self.tracker.clone(),
+            progress: self.progress,
+            hold_from: held.silence.leave_at,
+            max_held,
+        };
+        let frame = ahead.receive(body, permit, clock, deadline);
+        let method = self.exchange.plan().method.clone();
+        let tracker = &self.tracker;
+        let is_usable = |response: &Response| continued(tracker, &method, response).is_some();
+        let goes_on = |next: &Next| match next {
+            Next::Broken(_) => false,
+            Next::End => tracker.end().is_ok(),
+            Next::Data(bytes) => has_event(tracker, bytes),
+            _ => true,
+        };
+        let waited = self.exchange.wait(frame, &held, goes_on, is_usable);
+        match waited.await {
+            Waited::Received(next) => next,
+            Waited::Replaced(response, cause) => Next::Replaced(response, cause),
+            Waited::Left(running, Some(Next::Broken(reason)), _) => {
+                Next::Left(running, Failure::Broken(reason))
+            }
+            Waited::Left(running, Some(Next::Data(_)), cause) => {
+                Next::Left(running, Failure::Silent(cause))
+            }
+            Waited::Left(running, Some(_), _) => {
+                Next::Left(running, Failure::Broken(String::from("truncated")))
+            }
+            Waited::Left(running, None, cause) => Next::Left(running, Failure::Silent(cause)),
+        }
+    }
+}
+
+/// Whether `bytes` complete an event of the stream that `tracker` follows.
+fn has_event(tracker: &Tracker, bytes: &[u8]) -> bool {
+    let mut ahead = tracker.clone();
+    ahead.record(bytes);
+    ahead.events() > tracker.events()
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,8 +26,8 @@
 pub use origin::Finding;
 
 use crate::{
-    activity, check, clock::Clock, connector::Connector, discard, dispatch, metrics::Metrics,
-    origins, protocol::Protocol, readiness::Readiness, refusal, relay, route::Table,
+    activity, check, clock::Clock, connector::Connector, discard, dispatch, held, metrics::Metrics,
+    origins, protocol::Protocol, read_ahead, readiness::Readiness, refusal, relay, route::Table,
     shutdown::Phase, staleness::Staleness,
 };
 
@@ -50,6 +50,8 @@
     pub anonymous: workspace::Id,
     /// The memory for request bodies, in units of [`BODY_UNIT`] bytes.
     pub body_memory: Arc<Semaphore>,
+    /// The memory for what is held for callers and servers that read slowly.
+    pub held: Arc<held::Memory>,
     /// The connections that are read on after a refusal.
     pub discards: discard::Room,
     /// The most bytes of an event that are held back.
@@ -70,8 +72,11 @@
     pub start_deadline: Instant,
 }
 
+/// A response that is read ahead of its caller.
+pub type ReadAhead<S> = read_ahead::Body<S, relay::Error, activity::Guard>;
+
 /// The body of a response: the text of a refusal, or the bytes of a server.
-pub type Body<S> = Either<Full<Bytes>, StreamBody<S>>;
+pub type Body<S> = Either<Full<Bytes>, Either<StreamBody<S>, ReadAhead<S>>>;
 
 /// Serves one request.
 pub async fn serve<P: Protocol>(
@@ -90,8 +95,15 @@
                 guard.end_with_connection();
             }
             guard.send_by(exchange.plan().deadline);
+            let share = context.held.open();
+            let id = exchange.plan().head.id.clone();
+            let delivery = guard.share();
             let stream = relay::stream(exchange, upstream, guard);
-            Response::from_parts(head, Either::Right(StreamBody::new(stream)))
+            let body = match share {
+                Some(share) => Either::Right(ReadAhead::new(id, stream, share, delivery)),
+                None => Either::Left(StreamBody::new(stream)),
+            };
+            Response::from_parts(head, Either::Right(body))
         }
         Err(Rejected { refusal, unread }) => {
             context.metrics.refused(&refusal);
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use buffers::Charge;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -91,8 +92,8 @@
     pub body: Bytes,
     /// The key of the stream, if it can be taken up.
     pub stream: Option<origins::Key>,
-    /// The permit for the body's share of the memory for request bodies.
-    pub _memory_permit: Option<Arc<OwnedSemaphorePermit>>,
+    /// The body's share of the memory for request bodies and of the budget of held bytes.
+    pub _memory: Arc<(Option<OwnedSemaphorePermit>, Option<Charge>)>,
     /// The fingerprint that the request shares with its retries by the caller.
     pub fingerprint: Fingerprint,
     /// The input to placement, including the servers that were already tried.
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -80,6 +80,7 @@
     } = admitted;
     headers::strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
+    let held = context.held.hold_request(body.len());
     let origin = origin::resolve(context, &head, &route, key_owner.as_deref()).await;
     let origin = origin.inspect_err(|refusal| log_refusal(&head, &table, refusal))?;
     let Origin {
@@ -108,7 +109,7 @@
             headers: parts.headers,
             body,
             stream,
-            _memory_permit: reserved.map(Arc::new),
+            _memory: Arc::new((reserved, held)),
             demand: Demand {
                 parts: head.parts.clone(),
                 version,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
     pub max_tunnels: usize,
     /// The memory for request bodies, in bytes.
     pub body_memory: usize,
+    /// The memory for parts of responses that are held for callers that read slowly, in bytes.
+    pub held_memory: usize,
     /// The most bytes of an event that are held back until it is complete. A stream with a longer
     /// one is forwarded as it arrives from then on, and no longer continued at another server.
     pub max_event_bytes: usize,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,5 +1,6 @@
 //! Startup and graceful shutdown of a router.
 
+mod registration;
 mod sockets;
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
@@ -23,7 +24,7 @@
     dispatch::{self, Dispatch},
     follow::{self, Follow},
     gate::Gates,
-    listener,
+    held, listener,
     metrics::Metrics,
     observer, origins,
     peers::{
@@ -37,7 +38,7 @@
     serve::{self, BODY_UNIT, Context},
     settings::Settings,
     shutdown::Phase,
-    source::{self, Batch, Member, Secret, Source, Topic},
+    source::{Member, Secret, Source, Topic},
     staleness::Staleness,
     state::{self, State},
     tunnel,
@@ -103,6 +104,7 @@
     tunnels: JoinHandle<()>,
     members: watch::Receiver<Arc<Vec<Member>>>,
     dispatch: mpsc::UnboundedSender<dispatch::Message>,
+    held: Arc<held::Memory>,
 }
 
 impl<S: Source> Router<S> {
@@ -236,7 +238,13 @@
             phase: phase_receiver.clone(),
         };
         let tunnels = tunnel::serve(sockets.tunnels, server, settings.max_tunnels);
+        let held = Arc::new(held::Memory::new(
+            settings.body_memory,
+            settings.held_memory,
+            settings.bounds.is_contended,
+        ));
         let sources = observer::Sources {
+            held: Arc::clone(&held),
             readiness: readiness_receiver.clone(),
             phase: phase_receiver.clone(),
             metrics: Arc::clone(&metrics),
@@ -258,6 +266,7 @@
             checks,
             phase: phase_receiver.clone(),
             body_memory: Arc::new(Semaphore::new(settings.body_memory / BODY_UNIT)),
+            held: Arc::clone(&held),
             discards: Room::new(settings.connections),
             max_event_bytes: settings.max_event_bytes,
             metrics,
@@ -274,7 +283,12 @@
             settings.connections,
             phase_receiver,
         );
-        tokio::spawn(register(source.clone(), own, members.clone(), event_sender));
+        tokio::spawn(registration::run(
+            source.clone(),
+            own,
+            members.clone(),
+            event_sender,
+        ));
         Ok(Self {
             source,
             settings,
@@ -283,6 +297,7 @@
             tunnels: tokio::spawn(tunnels),
             members,
             dispatch: handle,
+            held,
         })
     }
 
@@ -299,6 +314,7 @@
         }
         logging::event!(info, "settings_reloaded", grace_ms = settings.grace);
         self.settings.bounds = settings.bounds;
+        self.held.set_on(settings.bounds.is_contended);
         self.settings.grace = settings.grace;
         let message = dispatch::Message::Bounds(settings.bounds);
         // The receiver lives as long as the process.
@@ -420,40 +436,3 @@
 
 /// The capacity of the channel of store events.
 const EVENT_CHANNEL_CAPACITY: usize = 64;
-
-/// Registers this router until the store lists it, and again whenever it is missing.
-async fn register<S: Source>(
-    source: S,
-    own: Member,
-    mut members: watch::Receiver<Arc<Vec<Member>>>,
-    events: mpsc::Sender<follow::Event>,
-) {
-    loop {
-        let is_listed = members.borrow_and_update().contains(&own);
-        if is_listed {
-            if members.changed().await.is_err() {
-                return;
-            }
-            continue;
-        }
-        match register_once(&source, &own).await {
-            Ok(batch) => {
-                let event = follow::Event::Batch(Topic::Routers, batch);
-                // The receiver lives as long as the process.
-                drop(events.send(event).await);
-            }
-            Err(error) => logging::event!(info, "register_failed", reason = error),
-        }
-        // The new list takes a moment to be published. Waiting for it avoids a repeated
-        // registration.
-        let listed = time::timeout(STORE_RETRY_INTERVAL, members.changed()).await;
-        drop(listed);
-    }
-}
-
-/// Registers this router and reads the list of registered routers.
-async fn register_once<S: Source>(source: &S, own: &Member) -> Result<Batch, source::Error> {
-    let deadline = time::Instant::now() + STORE_TIMEOUT;
-    source.register(own, deadline).await?;
-    source.read(Topic::Routers, deadline).await
-}
--- a/crates/gateway/tests/decisions/rollouts.rs
+++ b/crates/gateway/tests/decisions/rollouts.rs
@@ -270,6 +270,7 @@
             connections: 1,
             max_tunnels: 10,
             body_memory: 1,
+            held_memory: 1,
             max_event_bytes: 4096,
             grace: Millis(1),
         };
--- a/crates/storage/src/head.rs
+++ b/crates/storage/src/head.rs
@@ -33,6 +33,7 @@
 pub fn limit<S: AsyncRead>(stream: S, limit: u64) -> (Limited<S>, Limit) {
     let state = State {
         limit,
+        max_read: u64::MAX,
         received: 0,
         phase: Phase::Open,
         reader: None,
@@ -87,6 +88,12 @@
         result
     }
 
+    /// Makes the stream provide at most `bytes` at once from now on, so that a reader whose buffer
+    /// grows with what it gets keeps a small one.
+    pub fn set_max_read(&self, bytes: u64) {
+        lock(&self.state).max_read = bytes.max(1);
+    }
+
     /// The bytes received since the request of the last [`Limit::wait`], up to its head.
     pub fn received(&self) -> u64 {
         lock(&self.state).received
@@ -130,6 +137,8 @@
 #[derive(Debug)]
 struct State {
     limit: u64,
+    /// The most bytes that are provided at once.
+    max_read: u64,
     /// The bytes received while the last head was awaited.
     received: u64,
     phase: Phase,
@@ -167,9 +176,9 @@
     fn poll_allowed(&mut self, cx: &Context<'_>) -> Poll<io::Result<u64>> {
         self.reader = Some(cx.waker().clone());
         match self.phase {
-            Phase::Open => Poll::Ready(Ok(u64::MAX)),
+            Phase::Open => Poll::Ready(Ok(self.max_read)),
             Phase::Head if self.received < self.limit => {
-                Poll::Ready(Ok(self.limit - self.received))
+                Poll::Ready(Ok(self.max_read.min(self.limit - self.received)))
             }
             Phase::Head | Phase::Exceeded => {
                 self.phase = Phase::Exceeded;
