--- a/crates/buffers/src/budget.rs
+++ b/crates/buffers/src/budget.rs
@@ -14,6 +14,9 @@
     pub requests: usize,
     /// What each response may hold in any case.
     pub floor: usize,
+    /// The most responses at once. Their floors are set aside, unless they take more than half of
+    /// what is left for responses.
+    pub responses: usize,
 }
 
 impl Default for Limits {
@@ -22,6 +25,7 @@
             bytes: 16 * 1024 * 1024,
             requests: 0,
             floor: 16 * 1024,
+            responses: 256,
         }
     }
 }
@@ -61,23 +65,28 @@
 #[derive(Debug)]
 struct State {
     limits: Limits,
-    /// What is set aside for responses: for each the floor, or what it has taken if that is more.
-    committed: usize,
+    /// What responses have taken beyond their floors.
+    excess: usize,
     requests: usize,
     usage: Usage,
 }
 
 impl State {
-    /// What responses may take beside what is set aside for them already.
+    /// What responses may still take beyond their floors.
     fn free(&self) -> usize {
-        let requests = self.requests.max(self.limits.requests);
-        let responses = self.limits.bytes.saturating_sub(requests);
-        responses.saturating_sub(self.committed)
+        let limits = self.limits;
+        let requests = self.requests.max(limits.requests);
+        let responses = limits.bytes.saturating_sub(requests);
+        let floors = limits.floor.saturating_mul(limits.responses);
+        let floors = floors
+            .min(responses / 2)
+            .max(limits.floor * self.usage.open);
+        responses.saturating_sub(floors).saturating_sub(self.excess)
     }
 
-    /// What is set aside for a response that has taken `bytes`.
-    fn commitment(&self, bytes: usize) -> usize {
-        bytes.max(self.limits.floor)
+    /// The part of `taken` bytes that is beyond the floor.
+    fn excess(&self, taken: usize) -> usize {
+        taken.saturating_sub(self.limits.floor)
     }
 
     fn hold(&mut self, bytes: usize) {
@@ -86,9 +95,9 @@
     }
 
     /// Changes what a response has taken.
-    fn recommit(&mut self, account: &mut Account, taken: usize) {
-        self.committed -= self.commitment(account.taken);
-        self.committed += self.commitment(taken);
+    fn set_taken(&mut self, account: &mut Account, taken: usize) {
+        self.excess -= self.excess(account.taken);
+        self.excess += self.excess(taken);
         account.taken = taken;
     }
 }
@@ -102,8 +111,8 @@
 
 /// All bytes that may be held.
 ///
-/// As long as the floors of all open responses fit, the held bytes never exceed the limit. If they
-/// do not, each response holds its floor at most.
+/// As long as the floors of the open responses fit what is set aside for them, the held bytes never
+/// exceed the limit.
 #[derive(Clone, Debug)]
 pub struct Budget(Arc<Mutex<State>>);
 
@@ -112,7 +121,7 @@
     pub fn new(limits: Limits) -> Self {
         Self(Arc::new(Mutex::new(State {
             limits,
-            committed: 0,
+            excess: 0,
             requests: 0,
             usage: Usage::default(),
         })))
@@ -134,9 +143,7 @@
 
     /// Adds a response, which holds nothing yet.
     pub fn open(&self) -> Share {
-        let mut state = self.state();
-        state.usage.open += 1;
-        state.committed += state.commitment(0);
+        self.state().usage.open += 1;
         Share(Arc::new(Opened {
             budget: self.clone(),
             account: Mutex::default(),
@@ -173,9 +180,7 @@
 
 impl Drop for Opened {
     fn drop(&mut self) {
-        let mut state = self.budget.state();
-        state.usage.open -= 1;
-        state.committed -= state.commitment(0);
+        self.budget.state().usage.open -= 1;
     }
 }
 
@@ -193,14 +198,10 @@
         let mut state = self.0.budget.state();
         let mut account = self.0.account();
         let taken = account.taken + bytes;
-        let added = state.commitment(taken) - state.commitment(account.taken);
+        let excess = state.excess(taken);
+        let added = excess - state.excess(account.taken);
         let free = state.free();
-        let beyond_floor = taken.saturating_sub(state.limits.floor);
-        if beyond_floor > 0
-            && free
-                .checked_sub(added)
-                .is_none_or(|left| beyond_floor > left)
-        {
+        if excess > 0 && free.checked_sub(added).is_none_or(|left| excess > left) {
             let is_first = !std::mem::replace(&mut account.has_yielded, true);
             state.usage.yielded += u64::from(is_first);
             let held = account.taken;
@@ -210,7 +211,7 @@
                 is_first,
             });
         }
-        state.recommit(&mut account, taken);
+        state.set_taken(&mut account, taken);
         Ok(Charge {
             owner: Owner::Response(Arc::clone(&self.0)),
             taken: bytes,
@@ -263,7 +264,7 @@
             Owner::Response(opened) => {
                 let mut account = opened.account();
                 let total = account.taken - self.taken + taken;
-                state.recommit(&mut account, total);
+                state.set_taken(&mut account, total);
             }
             Owner::Request(_) => state.requests = state.requests - self.taken + taken,
         }
--- a/crates/buffers/src/lib.rs
+++ b/crates/buffers/src/lib.rs
@@ -11,9 +11,9 @@
 //! ```
 //! use buffers::{Budget, Limits};
 //!
-//! let budget = Budget::new(Limits { bytes: 100, requests: 0, floor: 10 });
+//! let budget = Budget::new(Limits { bytes: 120, requests: 0, floor: 10, responses: 2 });
 //! let large = budget.open();
-//! let held = large.take(50).expect("as much as is left free beside it");
+//! let held = large.take(60).expect("as much as is left free beside it");
 //! assert!(large.take(20).is_err());
 //! let small = budget.open();
 //! assert!(small.take(20).is_ok());
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -4,7 +4,7 @@
 
 use buffers::{Budget, Charge, Limits, Share, Usage};
 
-use crate::read_ahead;
+use crate::{read_ahead, settings::Settings};
 
 /// The memory for held bytes, and whether it is in use.
 #[derive(Debug)]
@@ -14,16 +14,17 @@
 }
 
 impl Memory {
-    /// Creates the memory for `requests` bytes of request bodies and `responses` bytes of responses.
-    pub fn new(requests: usize, responses: usize, is_on: bool) -> Self {
+    /// Creates the memory that `settings` allow.
+    pub fn new(settings: &Settings) -> Self {
         let limits = Limits {
-            bytes: requests.saturating_add(responses),
-            requests,
+            bytes: settings.body_memory.saturating_add(settings.held_memory),
+            requests: settings.body_memory,
             floor: read_ahead::MAX_READ,
+            responses: settings.connections,
         };
         Self {
             budget: Budget::new(limits),
-            is_on: AtomicBool::new(is_on),
+            is_on: AtomicBool::new(settings.bounds.is_contended),
         }
     }
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -238,11 +238,7 @@
             phase: phase_receiver.clone(),
         };
         let tunnels = tunnel::serve(sockets.tunnels, server, settings.max_tunnels);
-        let held = Arc::new(held::Memory::new(
-            settings.body_memory,
-            settings.held_memory,
-            settings.bounds.is_contended,
-        ));
+        let held = Arc::new(held::Memory::new(&settings));
         let sources = observer::Sources {
             held: Arc::clone(&held),
             readiness: readiness_receiver.clone(),
