--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Label values come only from fixed sets, so that callers cannot increase the number of
 //! series.
 
+mod held;
 mod labels;
 mod load_reports;
 
@@ -97,6 +98,7 @@
     servers: Gauge,
     members: Gauge,
     load_reports: Family<load_reports::Labels, Counter>,
+    held: held::Held,
 }
 
 impl Default for Metrics {
@@ -277,6 +279,7 @@
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
         let load_reports = load_reports::register(&mut registry);
+        let held = held::Held::register(&mut registry);
         Self {
             registry,
             load_reports,
@@ -311,6 +314,7 @@
             config_bytes,
             servers,
             members,
+            held,
         }
     }
 }
@@ -524,6 +528,11 @@
         self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
     }
 
+    /// Sets what is held for callers and servers that read slowly.
+    pub fn set_held(&self, usage: buffers::Usage) {
+        self.held.set(usage);
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut buffer = String::new();
