Split the rate and bound requests from the queue

Change: the rate of placements and the requests that only servers of one version can process are modules of their own. No code differs otherwise.

Measured: the tests of the queue pass unchanged.

--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -1,6 +1,9 @@
 //! The queue of requests that wait for a server of one service, served fairly across
 //! workspaces.
 
+mod bound;
+mod rate;
+
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
@@ -10,6 +13,7 @@
 use units::{backend, cost::Cost, request, time::Instant, workspace};
 
 use crate::pool::{self, Demand, Denial, Fleet, Outcome, Placement, Pool};
+use rate::PlacementRate;
 
 /// The most requests that one router queues for one service.
 ///
@@ -18,12 +22,6 @@
 const MAX_QUEUED: usize = 256;
 /// How many workspaces are considered when a slot becomes free.
 const MAX_HEADS: usize = 16;
-/// The window over which the rate of placements is measured.
-const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// The shortest time from which a rate is known.
-const MIN_RATE_TIME: Duration = Duration::from_millis(100);
-/// How long a rate is known after the last request left the queue.
-const RATE_TTL: Duration = Duration::from_secs(10);
 /// The shortest time after which a refused caller may retry: about the duration of a
 /// short response.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -201,43 +199,6 @@
         Ok(placement)
     }
 
-    /// Queues a request that only servers of one version can process.
-    fn push_bound(&mut self, request: Request, denial: Denial, now: Instant) -> Admission {
-        if now >= request.latest_start || self.bound.len() >= MAX_QUEUED {
-            return Admission::Refused(self.refusal(denial, &request, now));
-        }
-        self.note_wake(denial, now);
-        self.bound.push_back(request.attempt);
-        self.waiting.insert(request.attempt, request);
-        Admission::Queued
-    }
-
-    /// Places the requests that wait for servers of one version, and refuses those that have
-    /// reached their latest start.
-    fn dequeue_bound(&mut self, fleet: &Fleet, now: Instant) -> Vec<Dequeued> {
-        let mut dequeued = Vec::new();
-        for attempt in std::mem::take(&mut self.bound) {
-            let Some(request) = self.waiting.get(&attempt).cloned() else {
-                continue;
-            };
-            match self.place(&request, fleet, now) {
-                Ok(placement) => {
-                    self.queue.charge(&request.workspace, request.cost);
-                    self.waiting.remove(&attempt);
-                    dequeued.push((attempt, Ok(placement)));
-                }
-                Err(denial) if now >= request.latest_start || is_hopeless(denial, &request) => {
-                    dequeued.extend(self.refuse(attempt, denial, now));
-                }
-                Err(denial) => {
-                    self.note_wake(denial, now);
-                    self.bound.push_back(attempt);
-                }
-            }
-        }
-        dequeued
-    }
-
     /// Whether the request would wait beyond its latest start.
     fn would_miss_deadline(&self, request: &Request, now: Instant) -> bool {
         if now >= request.latest_start {
@@ -424,61 +385,3 @@
         _ => request::Priority::Batch,
     }
 }
-
-/// The rate at which requests leave the queue, by their cost.
-///
-/// It is measured only while requests are queued: otherwise, it is that of the callers, and would
-/// say nothing of how long a queued request waits.
-#[derive(Clone, Copy, Debug, Default)]
-struct PlacementRate {
-    /// Since when requests are queued and counted in neither window.
-    queued_since: Option<Instant>,
-    current: Window,
-    /// The last full window.
-    previous: Window,
-    measured_at: Instant,
-}
-
-/// The work that was placed within some time in which requests were queued.
-#[derive(Clone, Copy, Debug, Default)]
-struct Window {
-    time: Duration,
-    cost: Cost,
-}
-
-impl PlacementRate {
-    /// Records whether requests are queued from now on.
-    fn observe(&mut self, is_queued: bool, now: Instant) {
-        if let Some(since) = self.queued_since {
-            self.current.time += now.since(since);
-            self.measured_at = now;
-        } else if now.since(self.measured_at) > RATE_TTL {
-            *self = Self::default();
-        }
-        self.queued_since = is_queued.then_some(now);
-        if self.current.time >= RATE_WINDOW {
-            self.previous = std::mem::take(&mut self.current);
-        }
-    }
-
-    fn record(&mut self, cost: Cost) {
-        if self.queued_since.is_some() {
-            self.current.cost += cost;
-        }
-    }
-
-    /// The time in which work of `cost` is placed at the current rate; zero if it is not known.
-    fn time_to_place(&self, cost: Cost, now: Instant) -> Duration {
-        let since = self.queued_since.unwrap_or(now);
-        let time = self.previous.time + self.current.time + now.since(since);
-        let placed = self.previous.cost.0 + self.current.cost.0;
-        if time < MIN_RATE_TIME {
-            // Without a measured rate there is no reason to refuse the request.
-            return Duration::ZERO;
-        }
-        if placed == 0 {
-            return time;
-        }
-        time.mul_f64(cost.0 as f64 / placed as f64)
-    }
-}
