Add reserves for urgent requests and fleet-wide shares to scheduling

Cause: less urgent requests take the last slots, and a workspace's share is counted at one router.

Change: Reserve says which slots stay free for more urgent ranks, on a server and over the service. Shares are max-min fair over the requests in flight at all routers. An allotment divides the free slots that all routers see.

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -1,12 +1,11 @@
 //! Reserves for more urgent requests, and shares of workspaces over the fleet.
 
-use serde::{Deserialize, Serialize};
+mod allotment;
+mod arrivals;
+mod reserve;
+mod shares;
 
-/// The requests of a workspace that a router has in flight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Usage {
-    /// The hash of the workspace's name.
-    pub workspace: u32,
-    /// Requests in flight.
-    pub running: u32,
-}
+pub use allotment::{allotment, part};
+pub use arrivals::Arrivals;
+pub use reserve::Reserve;
+pub use shares::{Shares, Usage, Workspace, largest};
