Schedule requests by urgency over the fleet under contention

Cause: rank orders only the requests of one workspace at one router. All routers fill the free slots that they see with less urgent requests, which wait longer in the queue than urgent ones may.

Change: where callers compete or servers report their speed, a request leaves a reserve to more urgent ranks on each server and over the service; each rank has a lane of its own in the queue; a router takes only its part of scarce free slots in a round of the exchange; the most urgent rank may exceed the slots of a full engine by a quarter. Elsewhere decisions are the same.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -249,6 +249,13 @@
         self.remove(last.ticket.attempt)
     }
 
+    /// Removes the last ticket of the workspace with the most queued tickets.
+    pub fn pop_last(&mut self) -> Option<Waiting> {
+        let &(_, flow) = self.by_length.last()?;
+        let last = self.flows[flow].waiting.values().next_back()?;
+        self.remove(last.ticket.attempt)
+    }
+
     /// Removes the tickets for which `predicate` holds. Its second argument is the
     /// estimated cost served before the ticket.
     pub fn extract_if(&mut self, predicate: impl Fn(&Waiting, Cost) -> bool) -> Vec<Waiting> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -309,7 +309,9 @@
                     pool.set_service(service.clone());
                 }
                 self.rollouts.apply(&name, &mut pool);
-                Queue::new(pool)
+                let mut queue = Queue::new(pool);
+                queue.set_ranks(self.table.ranks(&name));
+                queue
             });
             let pool = queue.pool_mut();
             pool.set_reading(roster.reading());
@@ -324,6 +326,9 @@
                 queue.pool_mut().set_service(service.clone());
             }
         }
+        for (name, queue) in &mut self.queues {
+            queue.set_ranks(table.ranks(name));
+        }
         self.table = table;
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,7 @@
 
 use recovery::OutlierDetector;
 use rollout::{Role, Serving};
+use scheduling::Reserve;
 use smallvec::SmallVec;
 use units::{availability, backend, chat, cost::Cost, host, time::Instant};
 
@@ -50,7 +51,7 @@
 pub type Parts = SmallVec<[Part; 4]>;
 
 /// The properties of a request that placement depends on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
     /// The prompt; empty for a plain service.
     pub parts: Parts,
@@ -58,6 +59,9 @@
     pub tried: SmallVec<[backend::Server; 2]>,
     /// Whether the request must leave some slots of each server to other workspaces.
     pub leaves_reserve: bool,
+    /// The slots that the request leaves to more urgent ones; `None` if requests are not
+    /// scheduled by urgency.
+    pub reserve: Option<Reserve>,
     /// The urgency of the request; zero is the most urgent.
     pub rank: u8,
     /// The version that the request goes to during a roll-out.
@@ -192,6 +196,8 @@
     /// Whether this router is up to date. If it is not, it cannot know that the version in
     /// service was replaced.
     is_up_to_date: bool,
+    /// The present round of the exchange between routers.
+    round: u64,
 }
 
 impl Pool {
@@ -218,6 +224,7 @@
             serving: Serving::default(),
             brittleness: brittle::Brittleness::default(),
             is_up_to_date: true,
+            round: 0,
         }
     }
 
@@ -277,6 +284,7 @@
         fleet: &Fleet,
         now: Instant,
     ) -> Result<Placement, Denial> {
+        self.begin_round(now);
         let choice = self.choose(demand, fleet, now)?;
         let share = self.slow_start_share(&choice, fleet, now);
         let source = self.source(&choice, demand, now);
--- a/crates/gateway/src/pool/choice.rs
+++ b/crates/gateway/src/pool/choice.rs
@@ -63,12 +63,14 @@
             return Err(self.no_candidate(untried(), now));
         }
         let bound = self.bound(now);
+        let room = self.room(&candidates, demand);
         candidates.retain(|server| {
-            self.has_slot(server, demand)
+            self.has_slot(server, demand, room)
                 && self.has_memory(server, demand, now)
                 && !self.is_spared(server, now)
                 && f64::from(server.load() + 1) <= bound
         });
+        self.retain_allotted(&mut candidates, demand, room, fleet, now);
         if candidates.is_empty() {
             return Err(Denial::Full);
         }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -2,6 +2,7 @@
 
 mod advisories;
 mod outage;
+mod room;
 mod shutdown;
 
 use std::{net::SocketAddr, time::Duration};
@@ -22,9 +23,6 @@
     slow_start::{Pacer, Share},
 };
 
-/// One slot in this many is reserved for workspaces that use less than their share, as
-/// in `admission`.
-const RESERVE_DIVISOR: u32 = 4;
 /// How long a server is treated as cold once the backoff after a connection failure
 /// ends.
 ///
@@ -55,6 +53,8 @@
     /// Whether the server receives the requests of a canary.
     is_in_canary: bool,
     running: u32,
+    /// Requests of this router in flight when the present round of the exchange began.
+    running_before: u32,
     peer_load: u32,
     pending_prefill: Cost,
     own_prefixes: CacheIndex,
@@ -97,6 +97,7 @@
             role: Role::default(),
             is_in_canary: false,
             running: 0,
+            running_before: 0,
             peer_load: 0,
             pending_prefill: Cost(0),
             own_prefixes: CacheIndex::new(settings.clone()),
@@ -190,26 +191,6 @@
         self.entry.incarnation
     }
 
-    /// Requests of this router in flight.
-    pub fn running(&self) -> u32 {
-        self.running
-    }
-
-    /// Requests of all routers in flight; peers' counts may be stale.
-    pub fn load(&self) -> u32 {
-        self.running + self.peer_load
-    }
-
-    /// Requests of peers in flight, which may be stale.
-    pub fn peer_load(&self) -> u32 {
-        self.peer_load
-    }
-
-    /// Sets the number of requests that peers have in flight.
-    pub fn set_peer_load(&mut self, load: u32) {
-        self.peer_load = load;
-    }
-
     /// Recent outcomes of this router's requests.
     pub fn outcomes(&self, now: Instant) -> OutcomeCounts {
         self.outcomes.counts(now)
@@ -225,27 +206,6 @@
         self.peer_outcomes = outcomes;
     }
 
-    /// The number of requests that the server runs concurrently.
-    pub fn slots(&self) -> u32 {
-        self.entry.slots
-    }
-
-    /// Whether a slot is free, not counting the reserved ones if `leaves_reserve`.
-    /// Requests of peers occupy slots only if `counts_peers`.
-    pub fn has_room(&self, leaves_reserve: bool, counts_peers: bool) -> bool {
-        let used = if counts_peers {
-            self.load()
-        } else {
-            self.running
-        };
-        let reserved = if leaves_reserve {
-            self.entry.slots / RESERVE_DIVISOR
-        } else {
-            0
-        };
-        used + reserved < self.entry.slots
-    }
-
     /// Whether the server is cold or may have restarted unnoticed.
     pub fn is_cold(&self, now: Instant) -> bool {
         let assumed_until = self.assumed_cold_until.max(self.outage.cold_until);
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -2,26 +2,27 @@
 //! workspaces.
 
 mod bound;
+mod lanes;
 mod rate;
+mod urgency;
 
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
-use admission::{Queue as FairQueue, Shares, Standing, Ticket, Waiting};
+use admission::{Standing, Ticket, Waiting};
 use units::{backend, cost::Cost, request, time::Instant, workspace};
 
 use crate::pool::{self, Demand, Denial, Fleet, Outcome, Placement, Pool};
-use rate::PlacementRate;
+use lanes::Lanes;
+use urgency::{Exhausted, Urgency};
 
 /// The most requests that one router queues for one service.
 ///
 /// At a hundred requests per second this is more than two seconds of work, longer than
 /// most callers wait for a first byte.
 const MAX_QUEUED: usize = 256;
-/// How many workspaces are considered when a slot becomes free.
-const MAX_HEADS: usize = 16;
 /// The shortest time after which a refused caller may retry: about the duration of a
 /// short response.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -29,9 +30,6 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// The time in which a server of a version that has none left may start again.
 const RESTART_TIME: Duration = Duration::from_secs(1);
-/// The delay added per rank below the most urgent, in the order among requests of one
-/// workspace.
-const RANK_STEP: Duration = Duration::from_millis(200);
 
 /// A request for a slot at a server.
 #[derive(Clone, Debug)]
@@ -82,8 +80,9 @@
 #[derive(Debug)]
 pub struct Queue {
     pool: Pool,
-    queue: FairQueue,
-    shares: Shares,
+    lanes: Lanes,
+    urgency: Urgency,
+    shares: admission::Shares,
     settings: admission::Settings,
     waiting: HashMap<request::Attempt, Request>,
     /// The requests that wait for servers of one version, oldest first.
@@ -91,7 +90,6 @@
     /// In the fair queue, they would delay requests of their workspace that servers of other
     /// versions have room for.
     bound: VecDeque<request::Attempt>,
-    rate: PlacementRate,
     /// When a server may take a request although no other request ends.
     capacity_at: Option<Instant>,
     /// Results of requests that were displaced from a full queue and not yet returned.
@@ -103,12 +101,12 @@
     pub fn new(pool: Pool) -> Self {
         Self {
             pool,
-            queue: FairQueue::default(),
-            shares: Shares::default(),
+            lanes: Lanes::default(),
+            urgency: Urgency::default(),
+            shares: admission::Shares::default(),
             settings: admission::Settings::default(),
             waiting: HashMap::new(),
             bound: VecDeque::new(),
-            rate: PlacementRate::default(),
             capacity_at: None,
             displaced: Vec::new(),
         }
@@ -140,6 +138,7 @@
         self.shares.expire(now);
         self.shares
             .offered(&request.workspace, 1, &self.settings, now);
+        self.record_arrival(&request, now);
         let denial = match self.try_place(&request, fleet, now) {
             Ok(placement) => return Admission::Placed(Box::new(placement)),
             Err(denial) if is_hopeless(denial, &request) => {
@@ -155,7 +154,6 @@
         }
         self.note_wake(denial, now);
         self.push(request, now);
-        self.rate.observe(true, now);
         Admission::Queued
     }
 
@@ -170,11 +168,13 @@
         now: Instant,
     ) -> Result<Placement, Denial> {
         let is_bound = request.demand.version.is_some();
-        if self.queue.len_of(&request.workspace) > 0 && !is_bound {
+        let lane = self.lane(request, now);
+        if self.lanes.lane(lane).len_of(&request.workspace) > 0 && !is_bound {
             return Err(Denial::Full);
         }
         let placement = self.place(request, fleet, now)?;
-        self.queue.charge(&request.workspace, request.cost);
+        let lane = self.lanes.lane(lane);
+        lane.charge(&request.workspace, request.cost);
         Ok(placement)
     }
 
@@ -184,23 +184,36 @@
         fleet: &Fleet,
         now: Instant,
     ) -> Result<Placement, Denial> {
-        let slot_share = self.pool.slots() / u32::try_from(fleet.members.len().max(1)).unwrap_or(1);
+        let demand = self.demand(request, fleet, now);
+        let placement = self.pool.admit(&demand, fleet, now)?;
+        self.shares
+            .admitted(&request.workspace, 1, &self.settings, now);
+        self.urgency.admitted(&request.workspace);
+        let lane = self.lane(request, now);
+        self.lanes.lane(lane).record(request.cost);
+        Ok(placement)
+    }
+
+    /// The properties of a request that placement depends on, with the slots that it leaves to
+    /// others.
+    fn demand(&self, request: &Request, fleet: &Fleet, now: Instant) -> Demand {
         let mut demand = request.demand.clone();
         demand.rank = request.rank;
+        if self.pool.is_scheduled(now) {
+            demand.reserve = Some(self.reserve(request, fleet, now));
+            return demand;
+        }
+        let slot_share = self.pool.slots() / u32::try_from(fleet.members.len().max(1)).unwrap_or(1);
         // The workspace had a slot for the stream before it broke off.
         demand.leaves_reserve = demand.version.is_none()
             && self
                 .shares
                 .is_over_share(&request.workspace, slot_share, &self.settings, now);
-        let placement = self.pool.admit(&demand, fleet, now)?;
-        self.shares
-            .admitted(&request.workspace, 1, &self.settings, now);
-        self.rate.record(request.cost);
-        Ok(placement)
+        demand
     }
 
     /// Whether the request would wait beyond its latest start.
-    fn would_miss_deadline(&self, request: &Request, now: Instant) -> bool {
+    fn would_miss_deadline(&mut self, request: &Request, now: Instant) -> bool {
         if now >= request.latest_start {
             return true;
         }
@@ -211,10 +224,14 @@
     /// with the most queued requests. Returns false if that is the request's own
     /// workspace.
     fn make_room(&mut self, request: &Request, now: Instant) -> bool {
-        if self.queue.len() < MAX_QUEUED {
+        if self.lanes.len() < MAX_QUEUED {
             return true;
         }
-        let Some(last) = self.queue.pop_from_longest(&request.workspace) else {
+        let lane = self.lane(request, now);
+        let less_urgent = self.lanes.pop_less_urgent(lane);
+        let own_lane = self.lanes.lane(lane);
+        let last = less_urgent.or_else(|| own_lane.pop_from_longest(&request.workspace));
+        let Some(last) = last else {
             return false;
         };
         let refused = self.refuse(last.ticket.attempt, Denial::Full, now);
@@ -223,11 +240,10 @@
     }
 
     /// The expected wait of the request, by the recent rate of placements.
-    fn expected_wait(&self, request: &Request, now: Instant) -> Duration {
-        let ahead = self
-            .queue
-            .cost_ahead(&request.workspace, priority(request.rank));
-        self.rate.time_to_place(ahead, now)
+    fn expected_wait(&mut self, request: &Request, now: Instant) -> Duration {
+        let lane = self.lane(request, now);
+        let lane = self.lanes.lane(lane);
+        lane.expected_wait(&request.workspace, priority(request.rank), now)
     }
 
     fn push(&mut self, request: Request, now: Instant) {
@@ -243,7 +259,8 @@
             ticket,
             latest_start: request.latest_start,
         };
-        self.queue.push(waiting, RANK_STEP, now);
+        let lane = self.lane(&request, now);
+        self.lanes.push(lane, waiting, now);
         self.waiting.insert(request.attempt, request);
     }
 
@@ -253,32 +270,42 @@
         let mut dequeued = std::mem::take(&mut self.displaced);
         self.capacity_at = None;
         dequeued.extend(self.dequeue_bound(fleet, now));
-        while let Some(expired) = self.queue.pop_expired(now) {
+        while let Some(expired) = self.lanes.pop_expired(now) {
             dequeued.extend(self.refuse(expired.ticket.attempt, Denial::Full, now));
         }
         while let Some(next) = self.dequeue_one(fleet, now) {
             dequeued.push(next);
         }
-        self.rate.observe(!self.queue.is_empty(), now);
+        if self.pool.is_scheduled(now) {
+            for late in self.lanes.extract_late(now) {
+                dequeued.extend(self.refuse(late.ticket.attempt, Denial::Full, now));
+            }
+        }
+        self.lanes.observe(now);
         dequeued
     }
 
     fn dequeue_one(&mut self, fleet: &Fleet, now: Instant) -> Option<Dequeued> {
-        let heads: Vec<_> = self.queue.heads().take(MAX_HEADS).collect();
-        let heads: Vec<_> = heads.iter().map(|head| head.ticket.attempt).collect();
-        for attempt in heads {
+        let mut exhausted = Exhausted::default();
+        for attempt in self.lanes.heads() {
             let request = self.waiting.get(&attempt)?.clone();
+            if self.is_exhausted(&exhausted, &request, fleet, now) {
+                continue;
+            }
             match self.place(&request, fleet, now) {
                 Ok(placement) => {
-                    self.queue.serve(attempt);
+                    self.lanes.serve(attempt);
                     self.waiting.remove(&attempt);
                     return Some((attempt, Ok(placement)));
                 }
                 Err(denial) if is_hopeless(denial, &request) => {
-                    self.queue.remove(attempt);
+                    self.lanes.remove(attempt);
                     return self.refuse(attempt, denial, now);
                 }
-                Err(denial) => self.note_wake(denial, now),
+                Err(denial) => {
+                    self.note_wake(denial, now);
+                    self.note_exhausted(&mut exhausted, &request, fleet, now);
+                }
             }
         }
         None
@@ -296,7 +323,7 @@
 
     /// Removes a request whose caller has disconnected.
     pub fn cancel(&mut self, attempt: request::Attempt) {
-        self.queue.remove(attempt);
+        self.lanes.remove(attempt);
         self.bound.retain(|bound| *bound != attempt);
         self.waiting.remove(&attempt);
     }
@@ -310,6 +337,7 @@
         now: Instant,
     ) -> Option<pool::Standing> {
         self.shares.finished(workspace, 1, &self.settings, now);
+        self.urgency.finished(workspace);
         self.pool.ended(server, outcome, now)
     }
 
@@ -325,7 +353,7 @@
             let request = self.waiting.get(attempt)?;
             Some(request.latest_start)
         });
-        let expiry = self.queue.next_expiry().into_iter().chain(bound);
+        let expiry = self.lanes.next_expiry().into_iter().chain(bound);
         expiry.chain(self.capacity_at).min()
     }
 
@@ -346,8 +374,9 @@
     ///
     /// Up to half of that time is added, depending on the attempt, so that callers
     /// refused together do not retry together.
-    fn refusal(&self, denial: Denial, request: &Request, now: Instant) -> Refusal {
-        let queueing = self.rate.time_to_place(self.queue.cost(), now);
+    fn refusal(&mut self, denial: Denial, request: &Request, now: Instant) -> Refusal {
+        let lane = self.lane(request, now);
+        let queueing = self.lanes.lane(lane).time_to_place(Cost(0), now);
         let wait = match denial {
             Denial::ZonesUnreachable(at) => at.since(now).min(MAX_RETRY_DELAY),
             Denial::VersionGone => RESTART_TIME,
--- a/crates/gateway/src/queue/bound.rs
+++ b/crates/gateway/src/queue/bound.rs
@@ -32,7 +32,9 @@
             };
             match self.place(&request, fleet, now) {
                 Ok(placement) => {
-                    self.queue.charge(&request.workspace, request.cost);
+                    let lane = self.lane(&request, now);
+                    let lane = self.lanes.lane(lane);
+                    lane.charge(&request.workspace, request.cost);
                     self.waiting.remove(&attempt);
                     dequeued.push((attempt, Ok(placement)));
                 }
--- a/crates/gateway/src/queue/rate.rs
+++ b/crates/gateway/src/queue/rate.rs
@@ -68,4 +68,10 @@
         }
         time.mul_f64(cost.0 as f64 / placed as f64)
     }
+    /// As [`Self::time_to_place`], but only if the rate was measured over a full window.
+    pub fn settled_time_to_place(&self, cost: Cost, now: Instant) -> Option<Duration> {
+        let since = self.queued_since.unwrap_or(now);
+        let time = self.previous.time + self.current.time + now.since(since);
+        (time >= RATE_WINDOW).then(|| self.time_to_place(cost, now))
+    }
 }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -193,6 +193,13 @@
         routes.map(|route| route.name.as_str())
     }
 
+    /// The ranks of the routes that send requests to a service.
+    pub fn ranks<'a>(&'a self, pool: &'a pool::Id) -> impl Iterator<Item = u8> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let sends = |route: &&Arc<Route>| route.splits.iter().any(|split| split.pool == *pool);
+        routes.filter(sends).map(|route| route.rank)
+    }
+
     /// The owner of an API key.
     pub fn key_owner(&self, key: &str) -> Option<&Arc<KeyOwner>> {
         self.keys.get(key)
