Send urgent requests to full engines while slots are scarce

Cause: all routers sent chats to the few engines that the sums of loads showed with free slots, where they queued behind each other.

Change: while free slots are scarce, the most urgent rank chooses among all engines within the bound of overcommit.

--- a/crates/gateway/src/pool/room.rs
+++ b/crates/gateway/src/pool/room.rs
@@ -127,9 +127,12 @@
 
     fn has_unreserved_slot(&self, server: &Server, reserve: Reserve, room: Room) -> bool {
         let (slots, used) = (server.slots(), self.used(server));
-        if room.used >= room.slots {
-            // A plain server rejects what exceeds its slots; an engine runs it next.
-            return self.counts_peers() && reserve.admits_overcommitted(slots, used);
+        // A plain server rejects what exceeds its slots; an engine runs it next.
+        if self.counts_peers()
+            && reserve.admits_overcommitted(slots, used)
+            && reserve.is_scarce(room.slots, room.used, room.servers)
+        {
+            return true;
         }
         reserve.admits_over_service(room.slots, room.used, room.servers)
             && reserve.admits(slots, used, room.servers)
--- a/crates/gateway/tests/decisions/urgency_fleet/engine.rs
+++ b/crates/gateway/tests/decisions/urgency_fleet/engine.rs
@@ -67,8 +67,4 @@
     pub fn waiting_count(&self) -> usize {
         self.waiting.values().map(VecDeque::len).sum()
     }
-
-    pub fn is_idle(&self) -> bool {
-        self.running < self.slots
-    }
 }
--- a/crates/gateway/tests/decisions/urgency_fleet/world.rs
+++ b/crates/gateway/tests/decisions/urgency_fleet/world.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
-    FirstEvent(usize, u32),
+    Begin(usize, u32),
     End(usize, u32),
     Exchange,
     Receive(usize),
@@ -285,7 +285,7 @@
             self.now = at;
             match event {
                 Event::Arrive(call) => self.arrive(call),
-                Event::FirstEvent(call, attempt) => self.first_event(call, attempt),
+                Event::Begin(call, attempt) => self.first_event(call, attempt),
                 Event::End(call, attempt) => self.end(call, attempt),
                 Event::Exchange => self.exchange(),
                 Event::Receive(router) => self.receive(router),
@@ -388,13 +388,13 @@
             return;
         }
         // Half of the callers retry at once.
-        let at = if call % 2 == 0 {
+        let at = if call.is_multiple_of(2) {
             self.now + Duration::from_millis(20)
         } else {
             retry_at
         };
         let tenth = at.since(world::START).as_millis() as u64 / 100;
-        if call % 2 == 1 {
+        if !call.is_multiple_of(2) {
             *self.report.returns.entry(tenth).or_default() += 1;
         }
         self.push(at, Event::Arrive(call));
@@ -450,7 +450,7 @@
         let (class, attempt) = (&CLASSES[state.class], state.attempt);
         let first = self.now + class.first;
         let end = self.now + class.run;
-        self.push(first, Event::FirstEvent(call, attempt));
+        self.push(first, Event::Begin(call, attempt));
         self.push(end, Event::End(call, attempt));
     }
 
@@ -604,7 +604,7 @@
 
     /// Whether `router` hears what `other` sent.
     fn hears(&self, router: usize, other: usize, sent_ms: u64) -> bool {
-        let is_apart = |router: usize| router % ZONES == 0;
+        let is_apart = |router: usize| router.is_multiple_of(ZONES);
         match &self.scenario.exchange {
             Exchange::Whole => true,
             Exchange::Silent => false,
