Spread the returns of refused callers over the backlog

Cause: all callers that are refused for lack of slots return within the same time, whatever was refused before them. Operators cannot see why a request found no slot.

A lone workspace is never over its share. Less urgent ranks get smaller allotments, and short ones of the next rank larger ones. The most urgent rank exceeds an engine's slots only if all are taken or others may take the free ones unseen.

--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -71,6 +71,7 @@
         now: Instant,
     ) {
         self.refund_retry(&request.pool, request.is_retry, now);
+        self.record_contention(request, refusal, now);
         send_reply(reply, Err(refusal));
     }
 
--- a/crates/gateway/src/dispatch/usages.rs
+++ b/crates/gateway/src/dispatch/usages.rs
@@ -4,7 +4,8 @@
 use units::{pool, time::Instant};
 use xxhash_rust::xxh3;
 
-use super::Dispatch;
+use super::{AcquireRequest, Dispatch, Refusal};
+use crate::{pool::Denial, queue::Queue};
 
 /// The bits of a usage's key that identify the workspace; the others identify the service.
 ///
@@ -32,6 +33,46 @@
         }
     }
 
+    /// Logs and counts a request that is refused for lack of slots where requests are scheduled by
+    /// urgency.
+    pub(super) fn record_contention(
+        &self,
+        request: &AcquireRequest,
+        refusal: Refusal,
+        now: Instant,
+    ) {
+        let Refusal::Denied(refusal) = refusal else {
+            return;
+        };
+        let queue = self.queues.get(&request.pool);
+        let contention = |queue: &Queue| queue.contention(&request.workspace, request.rank, now);
+        let Some(contention) = queue.and_then(contention) else {
+            return;
+        };
+        if refusal.denial != Denial::Full {
+            return;
+        }
+        let is_over_share = contention.is_over_share;
+        self.metrics.slot_refused(request.rank, is_over_share);
+        let age_ms = contention.age.map(|age| age.as_millis().to_string());
+        logging::event!(
+            info,
+            "slot_refused",
+            fingerprint = request.fingerprint,
+            pool = request.pool,
+            workspace = request.workspace,
+            rank = request.rank,
+            more_urgent = contention.more_urgent,
+            slots = contention.slots,
+            load = contention.load,
+            queued = contention.queued,
+            running = contention.running,
+            over_share = is_over_share,
+            age_ms = age_ms.as_deref().unwrap_or("none"),
+            retry_ms = refusal.retry_at.since(now).as_millis()
+        );
+    }
+
     /// The requests in flight of each workspace that this router tells others; none where
     /// requests are not scheduled by urgency.
     pub(super) fn usages(&self, now: Instant) -> Vec<Usage> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     }
 }
 
+/// The highest rank that is counted on its own; it stands for all less urgent ones too.
+const MAX_RANK_LABEL: u8 = 3;
 /// The size of the UDP and IP headers of a datagram, in bytes.
 const DATAGRAM_HEADERS: u64 = 28;
 
@@ -65,6 +67,7 @@
 pub struct Metrics {
     registry: Registry,
     refusals: Family<labels::Refusal, Counter>,
+    slot_refusals: Family<labels::SlotRefusal, Counter>,
     rests: Family<labels::Rest, Counter>,
     discarded_bytes: Counter,
     responses: Family<labels::Response, Counter>,
@@ -100,6 +103,7 @@
     fn default() -> Self {
         let mut registry = Registry::default();
         let refusals = Family::default();
+        let slot_refusals = Family::default();
         let rests = Family::default();
         let discarded_bytes = Counter::default();
         let responses = Family::default();
@@ -130,6 +134,11 @@
         let servers = Gauge::default();
         let members = Gauge::default();
         registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
+        registry.register(
+            "weir_slot_refusals",
+            "Requests refused for lack of slots, by rank and by whether their workspace had more than its share",
+            Family::clone(&slot_refusals),
+        );
         registry.register(
             "weir_discarded_rests",
             "Requests that were refused while their callers still sent, by how reading on ended",
@@ -270,6 +279,7 @@
         Self {
             registry,
             refusals,
+            slot_refusals,
             rests,
             discarded_bytes,
             responses,
@@ -350,6 +360,15 @@
         self.wait_seconds.observe(waited.as_secs_f64());
     }
 
+    /// Counts a request that was refused for lack of slots.
+    pub fn slot_refused(&self, rank: u8, is_over_share: bool) {
+        let labels = labels::SlotRefusal {
+            rank: rank.min(MAX_RANK_LABEL),
+            over_share: if is_over_share { "yes" } else { "no" },
+        };
+        self.slot_refusals.get_or_create(&labels).inc();
+    }
+
     /// Records the longest gap between two chunks of a response.
     pub fn longest_gap(&self, gap: Duration) {
         self.gap_seconds.observe(gap.as_secs_f64());
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -9,6 +9,13 @@
     pub(super) verdict: String,
 }
 
+/// The labels of a request that was refused for lack of slots.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct SlotRefusal {
+    pub(super) rank: u8,
+    pub(super) over_share: &'static str,
+}
+
 /// The labels of the discarded rest of a refused request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct Rest {
--- a/crates/gateway/src/pool/room.rs
+++ b/crates/gateway/src/pool/room.rs
@@ -21,6 +21,15 @@
     servers: u32,
     slots: u32,
     used: u32,
+    /// Whether other routers take slots that this one does not see yet.
+    is_shared: bool,
+}
+
+impl Room {
+    /// Whether other routers may take all free slots before this one sees it.
+    fn is_scarce(self, reserve: Reserve) -> bool {
+        self.is_shared && reserve.is_scarce(self.slots, self.used, self.servers)
+    }
 }
 
 impl Pool {
@@ -58,14 +67,12 @@
         let Some(reserve) = demand.reserve else {
             return;
         };
-        let totals = self.totals();
-        if !self.counts_peers()
-            || totals.load == totals.running
-            || !reserve.is_scarce(room.slots, room.used, room.servers)
-        {
+        if !room.is_scarce(reserve) {
             return;
         }
+        let totals = self.totals();
         let part = scheduling::part(totals.running, totals.load, fleet.members.len());
+        let part = part / f64::from(reserve.steps.max(1));
         let own = xxh3::xxh3_64(fleet.own.as_str().as_bytes());
         let round = now.as_micros() / ROUND.as_micros() as u64;
         let is_allotted = |server: &Server| {
@@ -105,6 +112,7 @@
             servers: 0,
             slots: 0,
             used: 0,
+            is_shared: false,
         };
         if demand.reserve.is_none() {
             return room;
@@ -113,6 +121,7 @@
             room.servers += 1;
             room.slots += server.slots();
             room.used += self.used(server).min(server.slots());
+            room.is_shared |= self.counts_peers() && server.peer_load() > 0;
         }
         room
     }
@@ -130,7 +139,7 @@
         // A plain server rejects what exceeds its slots; an engine runs it next.
         if self.counts_peers()
             && reserve.admits_overcommitted(slots, used)
-            && reserve.is_scarce(room.slots, room.used, room.servers)
+            && (room.used >= room.slots || room.is_scarce(reserve))
         {
             return true;
         }
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -16,6 +16,7 @@
 
 use crate::pool::{self, Demand, Denial, Fleet, Outcome, Placement, Pool};
 use lanes::Lanes;
+pub use urgency::Contention;
 use urgency::{Exhausted, Urgency};
 
 /// The most requests that one router queues for one service.
@@ -377,6 +378,10 @@
     fn refusal(&mut self, denial: Denial, request: &Request, now: Instant) -> Refusal {
         let lane = self.lane(request, now);
         let queueing = self.lanes.lane(lane).time_to_place(Cost(0), now);
+        let is_backlog = matches!(denial, Denial::Full | Denial::SlowStart(_));
+        if is_backlog && self.pool.is_scheduled(now) {
+            return self.spread_refusal(denial, request, now);
+        }
         let wait = match denial {
             Denial::ZonesUnreachable(at) => at.since(now).min(MAX_RETRY_DELAY),
             Denial::VersionGone => RESTART_TIME,
--- a/crates/gateway/src/queue/lanes.rs
+++ b/crates/gateway/src/queue/lanes.rs
@@ -18,6 +18,8 @@
 pub struct Lane {
     queue: FairQueue,
     rate: PlacementRate,
+    /// When the callers that were refused so far will have been served, if they return.
+    booked_until: Instant,
 }
 
 impl Lane {
@@ -52,6 +54,16 @@
         self.rate.time_to_place(self.queue.cost() + cost, now)
     }
 
+    /// When the queued requests and those of callers that were refused before will have been
+    /// placed, with a further one of `cost`, but within `most`.
+    pub fn book(&mut self, cost: Cost, most: Duration, now: Instant) -> Instant {
+        let queued = self.time_to_place(Cost(0), now);
+        let own = self.time_to_place(cost, now).saturating_sub(queued);
+        let after = self.booked_until.max(now + queued) + own;
+        self.booked_until = after.min(now + most);
+        self.booked_until
+    }
+
     /// Removes the last request of the workspace with the most queued requests, if it has more
     /// than `workspace`.
     pub fn pop_from_longest(&mut self, workspace: &workspace::Id) -> Option<Waiting> {
--- a/crates/gateway/src/queue/urgency.rs
+++ b/crates/gateway/src/queue/urgency.rs
@@ -6,8 +6,8 @@
 use units::{time::Instant, workspace};
 use xxhash_rust::xxh3;
 
-use super::{Queue, Request};
-use crate::pool::Fleet;
+use super::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, Queue, Refusal, Request};
+use crate::pool::{Denial, Fleet};
 
 /// The age of the oldest information about other routers: three rounds of the exchange.
 const INFORMATION_AGE: Duration = Duration::from_millis(700);
@@ -31,6 +31,25 @@
     }
 }
 
+/// What decides that a request gets no slot.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Contention {
+    /// The more urgent ranks of the service.
+    pub more_urgent: u32,
+    /// The slots of the service.
+    pub slots: u32,
+    /// Requests of all routers in flight.
+    pub load: u32,
+    /// The requests that this router queues.
+    pub queued: usize,
+    /// Requests of the workspace in flight at all routers.
+    pub running: u32,
+    /// Whether the workspace has more than its share.
+    pub is_over_share: bool,
+    /// The age of what other routers told of workspaces; `None` if it has expired.
+    pub age: Option<Duration>,
+}
+
 /// The reserves that found no slot.
 #[derive(Debug, Default)]
 pub(super) struct Exhausted {
@@ -53,6 +72,53 @@
         self.urgency.shares.own()
     }
 
+    /// A refusal for lack of slots. Callers return one after the other while the backlog is worked
+    /// off.
+    ///
+    /// Each router counts the callers that it has refused, at the rate at which it places
+    /// requests, so that the returns to all routers follow the rate of the fleet.
+    pub(super) fn spread_refusal(
+        &mut self,
+        denial: Denial,
+        request: &Request,
+        now: Instant,
+    ) -> Refusal {
+        let lane = self.lane(request, now);
+        let lane = self.lanes.lane(lane);
+        let served_at = lane.book(request.cost, MAX_RETRY_DELAY, now);
+        let draw = xxh3::xxh3_64(&request.attempt.0.to_le_bytes()) as f64 / u64::MAX as f64;
+        let wait = served_at.since(now).max(MIN_RETRY_DELAY);
+        Refusal {
+            denial,
+            retry_at: now + wait.mul_f64(0.5 + draw),
+        }
+    }
+
+    /// What decided that a request of `workspace` and `rank` gets no slot.
+    pub fn contention(
+        &self,
+        workspace: &workspace::Id,
+        rank: u8,
+        now: Instant,
+    ) -> Option<Contention> {
+        if !self.pool.is_scheduled(now) {
+            return None;
+        }
+        let totals = self.pool.totals();
+        let key = hash(workspace);
+        let shares = &self.urgency.shares;
+        let shared = totals.slots.saturating_sub(totals.servers);
+        Some(Contention {
+            more_urgent: self.urgency.arrivals.more_urgent(rank, now),
+            slots: totals.slots,
+            load: totals.load,
+            queued: self.len(),
+            running: shares.running(key, now),
+            is_over_share: shares.is_over(key, shared, now),
+            age: shares.age(now),
+        })
+    }
+
     /// The lane in which a request is queued.
     pub(super) fn lane(&self, request: &Request, now: Instant) -> u8 {
         if self.pool.is_scheduled(now) {
--- a/crates/scheduling/src/allotment.rs
+++ b/crates/scheduling/src/allotment.rs
@@ -1,7 +1,7 @@
 //! The part of free slots that a router may take while the others see the same ones.
 
 /// The rounds of the exchange until the others see which slots a router has taken.
-const ROUNDS_UNSEEN: f64 = 2.0;
+const ROUNDS_UNSEEN: f64 = 1.5;
 
 /// The part of a router in the free slots of one round. It has `running` of the `load` requests
 /// that `routers` routers have in flight.
--- a/crates/scheduling/src/shares.rs
+++ b/crates/scheduling/src/shares.rs
@@ -74,6 +74,12 @@
         largest(own.map(|(&workspace, &running)| Usage { workspace, running }))
     }
 
+    /// The age of what other routers told; `None` if it has expired or nothing was told.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let left = self.peers_expire_at.since(now);
+        (now < self.peers_expire_at).then(|| PEERS_TTL.saturating_sub(left))
+    }
+
     /// The requests of a workspace in flight at all routers.
     pub fn running(&self, workspace: Workspace, now: Instant) -> u32 {
         let own = self.own.get(&workspace).copied().unwrap_or(0);
@@ -81,10 +87,17 @@
         own.saturating_add(peers)
     }
 
-    /// Whether a workspace has more than its share of `slots`.
+    /// Whether a workspace has more than its share of `slots`, so that it has to leave some to
+    /// others. Without others, nothing is left.
     pub fn is_over(&self, workspace: Workspace, slots: u32, now: Instant) -> bool {
         let running = f64::from(self.running(workspace, now));
-        running > self.share(workspace, slots, now)
+        running > self.share(workspace, slots, now) && self.has_others(workspace, now)
+    }
+
+    fn has_others(&self, workspace: Workspace, now: Instant) -> bool {
+        let all = self.own.iter().chain(self.peers_at(now));
+        let mut others = all.filter(|(other, _)| **other != workspace);
+        others.any(|(_, running)| *running > 0)
     }
 
     /// The share of a workspace in `slots`; infinite while not all of them are taken.
