--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -39,6 +39,7 @@
 mod silence_fleet;
 mod slow_start;
 mod throttling;
+mod urgency;
 mod urgency_fleet;
 mod value;
 mod versions;
--- a/crates/gateway/tests/decisions/urgency_fleet/scenario.rs
+++ b/crates/gateway/tests/decisions/urgency_fleet/scenario.rs
@@ -22,8 +22,6 @@
 /// The engines of the deployment whose rates the classes have.
 pub const ENGINES: usize = 140;
 pub const SLOTS: usize = 12;
-/// A third of them is lost on an overloaded day.
-pub const LEFT: usize = 94;
 
 const STEP_US: u64 = 3_820;
 const TOKENS_PER_EVENT: u64 = 9;
@@ -81,7 +79,10 @@
 #[derive(Clone, Debug)]
 pub struct Scenario {
     pub routers: usize,
+    /// The engines that are left.
     pub engines: usize,
+    /// The part of the engines that is lost.
+    pub lost: f64,
     pub is_contended: bool,
     /// The rate of each class relative to a usual day with all engines.
     pub surge: [f64; 3],
@@ -89,6 +90,7 @@
     pub surge_ms: Range<u64>,
     /// The rate of one workspace relative to its usual one during the surge.
     pub hot_rate: f64,
+    pub hot: usize,
     pub workspaces: usize,
     pub skew: f64,
     /// Whether one router gets all requests.
@@ -109,10 +111,12 @@
         Self {
             routers: 67,
             engines: 24,
+            lost: 1.0 / 3.0,
             is_contended: true,
             surge: [1.0; 3],
             surge_ms: 0..u64::MAX,
             hot_rate: 1.0,
+            hot: 6,
             workspaces: 24,
             skew: 1.2,
             is_uneven: false,
@@ -140,6 +144,22 @@
         }
     }
 
+    /// A day with all engines on which the largest workspace sends eight times as much as usual,
+    /// and one router gets all requests.
+    pub fn hot(routers: usize) -> Self {
+        Self {
+            routers,
+            lost: 0.0,
+            surge_ms: 1_000..8_000,
+            counted_ms: 1_000..7_000,
+            duration_ms: 8_000,
+            hot_rate: 8.0,
+            hot: 0,
+            is_uneven: true,
+            ..Self::default()
+        }
+    }
+
     /// The day with the switch off.
     pub fn off(&self) -> Self {
         Self {
@@ -150,7 +170,6 @@
 
     /// Requests per second of a class at usual rates, for the engines of this day.
     pub fn per_s(&self, class: usize) -> f64 {
-        let full = self.engines as f64 * ENGINES as f64 / LEFT as f64;
-        CLASSES[class].per_s * full / ENGINES as f64
+        CLASSES[class].per_s * self.engines as f64 / (ENGINES as f64 * (1.0 - self.lost))
     }
 }
