--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -321,7 +321,9 @@
                 }
                 pool.set_routes(self.table.routes_to(&name));
                 self.rollouts.apply(&name, &mut pool);
-                Queue::new(pool)
+                let mut queue = Queue::new(pool);
+                queue.set_ranks(self.table.ranks(&name));
+                queue
             });
             let pool = queue.pool_mut();
             pool.set_reading(roster.reading());
@@ -337,6 +339,9 @@
                 queue.pool_mut().set_routes(table.routes_to(name));
             }
         }
+        for (name, queue) in &mut self.queues {
+            queue.set_ranks(table.ranks(name));
+        }
         self.table = table;
     }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -201,6 +201,11 @@
             .filter(move |route| route.splits.iter().any(|split| split.pool == *pool))
     }
 
+    /// The ranks of the routes that send requests to a service.
+    pub fn ranks(&self, pool: &pool::Id) -> impl Iterator<Item = u8> {
+        self.routes_to(pool).map(|route| route.rank)
+    }
+
     /// The owner of an API key.
     pub fn key_owner(&self, key: &str) -> Option<&Arc<KeyOwner>> {
         self.keys.get(key)
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -46,6 +46,8 @@
 mod slow_start;
 mod speed_fleet;
 mod throttling;
+mod urgency;
+mod urgency_fleet;
 mod value;
 mod versions;
 mod world;
