Order requests by workspace and then by route, not by workspace alone

Callers saw drafts answered while chats were refused. Cause: the configuration gives each workspace a rank, nearly all of them the same one, and that rank replaced the route's. So requests of all routes were equally urgent, in the queue, in the reserves and at the engines, which were told the same rank.

Change: where requests are scheduled by urgency, the workspace's rank counts first and the route's among workspaces of the same one. Elsewhere the rank is as before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -322,7 +322,7 @@
                 pool.set_routes(self.table.routes_to(&name));
                 self.rollouts.apply(&name, &mut pool);
                 let mut queue = Queue::new(pool);
-                queue.set_ranks(self.table.ranks(&name));
+                queue.set_ranks(self.table.ranks(&name).into_iter());
                 queue
             });
             let pool = queue.pool_mut();
@@ -340,7 +340,7 @@
             }
         }
         for (name, queue) in &mut self.queues {
-            queue.set_ranks(table.ranks(name));
+            queue.set_ranks(table.ranks(name).into_iter());
         }
         self.table = table;
     }
--- a/crates/gateway/src/dispatch/requests.rs
+++ b/crates/gateway/src/dispatch/requests.rs
@@ -63,7 +63,7 @@
             Admission::Queued => {
                 // A request that waits for its turn to be read must not hold back an urgent one of
                 // its workspace.
-                let is_urgent = request.rank == 0 && self.settings.bounds.is_contended;
+                let is_urgent = request.demand.route_rank == 0 && self.settings.bounds.is_contended;
                 let pool = request.pool.clone();
                 self.pending.insert(attempt, (request, reply));
                 if is_urgent {
--- a/crates/gateway/src/dispatch/usages.rs
+++ b/crates/gateway/src/dispatch/usages.rs
@@ -45,7 +45,10 @@
             return;
         };
         let queue = self.queues.get(&request.pool);
-        let contention = |queue: &Queue| queue.contention(&request.workspace, request.rank, now);
+        let contention = |queue: &Queue| {
+            let rank = queue.scheduled_rank(request.rank, &request.demand, now);
+            queue.contention(&request.workspace, rank, now)
+        };
         let Some(contention) = queue.and_then(contention) else {
             return;
         };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -67,6 +67,8 @@
     pub reserve: Option<Reserve>,
     /// The urgency of the request; zero is the most urgent.
     pub rank: u8,
+    /// The urgency of its route.
+    pub route_rank: u8,
     /// The version that the request goes to during a roll-out.
     pub preference: Preference,
     /// The version that has to process the request, because the caller has received events
@@ -123,6 +125,8 @@
     pub path: Path,
     /// Whether the server is reached through one router only, which counts its slots.
     pub is_gated: bool,
+    /// Whether requests are scheduled by the urgency of workspaces and routes.
+    pub is_scheduled: bool,
 }
 
 /// The state of a server as this router sees it.
@@ -305,6 +309,7 @@
             bound,
             path: Path::Direct,
             is_gated: false,
+            is_scheduled: self.is_scheduled(now),
         })
     }
 
--- a/crates/gateway/src/pool/memory.rs
+++ b/crates/gateway/src/pool/memory.rs
@@ -71,7 +71,7 @@
         demand: &Demand,
         now: Instant,
     ) -> Result<(), Denial> {
-        let Some(bound) = self.reading_bound(demand.rank) else {
+        let Some(bound) = self.reading_bound(demand.route_rank) else {
             return Ok(());
         };
         let may_read = |server: &&Server| {
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -135,7 +135,8 @@
     }
 
     /// Submits a request: places it, queues it or refuses it.
-    pub fn submit(&mut self, request: Request, fleet: &Fleet, now: Instant) -> Admission {
+    pub fn submit(&mut self, mut request: Request, fleet: &Fleet, now: Instant) -> Admission {
+        request.rank = self.scheduled_rank(request.rank, &request.demand, now);
         self.shares.expire(now);
         self.shares
             .offered(&request.workspace, 1, &self.settings, now);
--- a/crates/gateway/src/queue/urgency.rs
+++ b/crates/gateway/src/queue/urgency.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use scheduling::{Arrivals, Reserve, Shares, Usage, Workspace};
+use scheduling::{Arrivals, Reserve, Shares, Usage, Workspace, rank};
 use units::{time::Instant, workspace};
 use xxhash_rust::xxh3;
 
 use super::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, Queue, Refusal, Request};
-use crate::pool::{Denial, Fleet};
+use crate::pool::{Demand, Denial, Fleet};
 
 /// The age of the oldest information about other routers: three rounds of the exchange.
 const INFORMATION_AGE: Duration = Duration::from_millis(700);
@@ -128,6 +128,15 @@
         }
     }
 
+    /// The rank by which a request is scheduled. A stream that is continued precedes new ones.
+    pub fn scheduled_rank(&self, rank: u8, demand: &Demand, now: Instant) -> u8 {
+        if self.pool.is_scheduled(now) && demand.version.is_none() {
+            rank::combine(rank, demand.route_rank)
+        } else {
+            rank
+        }
+    }
+
     pub(super) fn record_arrival(&mut self, request: &Request, now: Instant) {
         // A stream that is continued has no rank of its own.
         if request.demand.version.is_none() && self.pool.is_scheduled(now) {
@@ -157,7 +166,9 @@
             steps,
             arrivals: more_urgent * scale,
             competing: competing * scale,
-            may_overcommit: steps == 0 && arrivals.has_less_urgent(request.rank, now),
+            may_overcommit: !is_over
+                && arrivals.more_urgent_routes(request.rank, now) == 0
+                && arrivals.has_less_urgent(request.rank, now),
         }
     }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -2,11 +2,12 @@
 //! configuration.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     sync::Arc,
 };
 
+use scheduling::rank;
 use smallvec::SmallVec;
 use units::{pool, time::Millis, workspace};
 
@@ -201,9 +202,15 @@
             .filter(move |route| route.splits.iter().any(|split| split.pool == *pool))
     }
 
-    /// The ranks of the routes that send requests to a service.
-    pub fn ranks(&self, pool: &pool::Id) -> impl Iterator<Item = u8> {
-        self.routes_to(pool).map(|route| route.rank)
+    /// The ranks by which requests to a service are scheduled.
+    pub fn ranks(&self, pool: &pool::Id) -> BTreeSet<u8> {
+        let workspaces: BTreeSet<u8> = self.keys.values().filter_map(|owner| owner.rank).collect();
+        let combined = |route: &Route| {
+            let workspaces = workspaces.clone().into_iter().chain([route.rank]);
+            let route = route.rank;
+            workspaces.map(move |workspace| rank::combine(workspace, route))
+        };
+        self.routes_to(pool).flat_map(combined).collect()
     }
 
     /// The owner of an API key.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 use rollout::counts;
+use scheduling::rank;
 use smallvec::SmallVec;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use units::{
@@ -321,7 +322,7 @@
                 .key_owner
                 .as_ref()
                 .map(|key_owner| &key_owner.workspace),
-            rank: self.rank(),
+            rank: self.rank_at(placement),
             last_event_id: last_event_id.or(self.plan.head.last_event_id.as_deref()),
             source: placement.source,
             is_engine: self.plan.is_engine,
@@ -338,6 +339,15 @@
         request
     }
 
+    /// The rank that the server of `placement` is told.
+    fn rank_at(&self, placement: &Placement) -> u8 {
+        if placement.is_scheduled {
+            rank::combine(self.rank(), self.plan.route.rank)
+        } else {
+            self.rank()
+        }
+    }
+
     fn rank(&self) -> u8 {
         let override_rank = self
             .plan
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -88,6 +88,7 @@
         stream,
         version,
     } = origin;
+    let route_rank = route.rank;
     let service = table.services.get(&pool);
     let is_engine = service.is_some_and(|service| service.cache_tokens > 0);
     let health_path = service.map_or_else(String::new, |service| service.health_path.clone());
@@ -111,6 +112,7 @@
             stream,
             _memory: Arc::new((reserved, held)),
             demand: Demand {
+                route_rank,
                 parts: head.parts.clone(),
                 version,
                 usage: head.usage,
--- a/crates/gateway/tests/network/pauses.rs
+++ b/crates/gateway/tests/network/pauses.rs
@@ -68,6 +68,7 @@
         connect_deadline: Instant::NEVER,
         path: Path::Direct,
         is_gated: false,
+        is_scheduled: false,
     }
 }
 
--- a/crates/scheduling/src/arrivals.rs
+++ b/crates/scheduling/src/arrivals.rs
@@ -1,9 +1,11 @@
 //! The ranks of a service's requests, and how many of each arrive.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::RangeBounds, time::Duration};
 
 use units::time::Instant;
 
+use crate::rank;
+
 /// The time constant of the averaged rates.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// How long a rank counts as one of the service after its last request.
@@ -53,10 +55,34 @@
         rank.expires_at = now + RANK_TTL;
     }
 
-    /// The number of ranks that are more urgent than `rank`.
+    /// The steps by which other requests are more urgent: the more urgent ranks of workspaces, and
+    /// the more urgent ranks of routes among equally urgent workspaces.
     pub fn more_urgent(&self, rank: u8, now: Instant) -> u32 {
-        let ranks = self.ranks.range(..rank);
-        ranks.filter(|(_, rank)| rank.is_current(now)).count() as u32
+        let start = rank::level_start(rank);
+        let mut levels = 0;
+        let mut last = None;
+        for (&other, _) in self.current(..start, now) {
+            if last.is_none_or(|last| !rank::is_same_level(last, other)) {
+                levels += 1;
+            }
+            last = Some(other);
+        }
+        levels + self.more_urgent_routes(rank, now)
+    }
+
+    /// The more urgent ranks of routes among equally urgent workspaces.
+    pub fn more_urgent_routes(&self, rank: u8, now: Instant) -> u32 {
+        let ranks = self.current(rank::level_start(rank)..rank, now);
+        u32::try_from(ranks.count()).unwrap_or(u32::MAX)
+    }
+
+    fn current(
+        &self,
+        ranks: impl RangeBounds<u8>,
+        now: Instant,
+    ) -> impl Iterator<Item = (&u8, &Rank)> {
+        let ranks = self.ranks.range(ranks);
+        ranks.filter(move |(_, rank)| rank.is_current(now))
     }
 
     /// Whether the service has requests that are less urgent than `rank`.
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod allotment;
 mod arrivals;
+pub mod rank;
 mod reserve;
 mod shares;
 
