Treat slots as scarce by the fluctuation of arrivals, not by their number

Cause: slots counted as scarce as soon as the requests that arrive within 700 ms exceeded the free ones, although as many end in that time. From about half of the load on, each router kept to the few servers with a slot allotted to it, and drafts left the last slots of each server free, so that prompts left their caches.

Change: slots are scarce if two standard deviations of the difference of arrivals and ends exceed the free ones; only then do requests leave slots free on each server and keep to allotted ones. Over the service, the reserve stays.

No bound changes.

--- a/crates/gateway/src/pool/room.rs
+++ b/crates/gateway/src/pool/room.rs
@@ -136,15 +136,24 @@
 
     fn has_unreserved_slot(&self, server: &Server, reserve: Reserve, room: Room) -> bool {
         let (slots, used) = (server.slots(), self.used(server));
+        let is_scarce = room.is_scarce(reserve);
         // A plain server rejects what exceeds its slots; an engine runs it next.
         if self.counts_peers()
             && reserve.admits_overcommitted(slots, used)
-            && (room.used >= room.slots || room.is_scarce(reserve))
+            && (room.used >= room.slots || is_scarce)
         {
             return true;
         }
-        reserve.admits_over_service(room.slots, room.used, room.servers)
-            && reserve.admits(slots, used, room.servers)
+        if !reserve.admits_over_service(room.slots, room.used, room.servers) {
+            return false;
+        }
+        // While slots are not scarce, more urgent requests find one elsewhere, and the reserve of
+        // each server would only move prompts away from their caches.
+        if is_scarce {
+            reserve.admits(slots, used, room.servers)
+        } else {
+            used < slots
+        }
     }
 
     /// The slots of a server that are known to be taken.
--- a/crates/gateway/tests/decisions/engine_memory.rs
+++ b/crates/gateway/tests/decisions/engine_memory.rs
@@ -320,6 +320,7 @@
             rank,
             latest_start,
             demand: Demand {
+                route_rank: rank,
                 deferrable_until,
                 ..demand(number, 11_800, Usage::default())
             },
--- a/crates/gateway/tests/decisions/engine_memory/fleet.rs
+++ b/crates/gateway/tests/decisions/engine_memory/fleet.rs
@@ -297,6 +297,7 @@
                 hint: Some(Tokens((output as f64 * error) as u64)),
                 most: Some(Tokens(output * 8)),
             },
+            route_rank: kind.rank,
             deferrable_until: self.now() + Duration::from_millis(kind.target_ms * 2 * 3 / 4),
             ..Demand::default()
         };
--- a/crates/scheduling/src/reserve.rs
+++ b/crates/scheduling/src/reserve.rs
@@ -39,9 +39,12 @@
 
     /// Whether the requests that arrive within the age of the information may take all free slots
     /// of a service.
+    ///
+    /// About as many end in that time as arrive. Taken by their number alone, slots would be scarce
+    /// at half of the load that the service bears, and prompts would leave their caches.
     pub fn is_scarce(&self, slots: u32, used: u32, servers: u32) -> bool {
         let taken = used.saturating_add(self.over_service(slots, servers));
-        f64::from(slots.saturating_sub(taken)) < self.competing
+        f64::from(slots.saturating_sub(taken)) < fluctuation(self.competing)
     }
 
     /// Whether the request may go to a server with `slots`, all of which may be taken.
@@ -63,13 +66,20 @@
     }
 
     /// The slots that more urgent requests take within the age of the information.
-    ///
-    /// As many of them end in that time as arrive, so only the difference of two Poisson counts
-    /// takes slots.
     fn taken(&self) -> f64 {
-        if self.steps == 0 || !self.arrivals.is_finite() {
+        if self.steps == 0 {
             return 0.0;
         }
-        COVERED_DEVIATIONS * (2.0 * self.arrivals.max(0.0)).sqrt()
+        fluctuation(self.arrivals)
+    }
+}
+
+/// The slots that `arrivals` requests take beside those that they find taken.
+///
+/// As many requests end as arrive, so only the difference of two Poisson counts takes slots.
+fn fluctuation(arrivals: f64) -> f64 {
+    if !arrivals.is_finite() {
+        return 0.0;
     }
+    COVERED_DEVIATIONS * (2.0 * arrivals.max(0.0)).sqrt()
 }
