--- /dev/null
+++ b/review/standin/takeups.rs
@@ -0,0 +1,244 @@
+//! Streams that clients take up again after the routers were stopped and started in turn.
+
+use std::{
+    sync::{Arc, Mutex, atomic::{AtomicBool, Ordering}},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    Verdict,
+    client::{self, Request},
+    fleet::{Fleet, Net},
+    record::Record,
+    runner::{Runner, Settings},
+    store::Store,
+};
+
+/// `bounds.stable_window_ms`.
+const STABLE_WINDOW: Duration = Duration::from_millis(3000);
+/// `bounds.grace_period_s`.
+const GRACE: Duration = Duration::from_secs(8);
+/// The pause between two machines that are stopped.
+const GAP: Duration = Duration::from_secs(1);
+/// `timeout_ms` of the route, and what clients wait.
+const DEADLINE_MS: u64 = 12_000;
+/// The events of a long stream, 200 ms apart.
+const EVENTS: u64 = 55;
+const STREAMS: usize = 24;
+const ZONES: [&str; 3] = ["dk-east-a", "dk-east-b", "dk-east-c"];
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-long","hostname":"ficu95.example","prefix":"/long/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400},{"name":"r-short","hostname":"ficu95.example","prefix":"/short/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400}],"services":[{"name":"huvo11a","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":16.0,"engine":{"slots":64,"kv_capacity_tokens":620704,"kv_token_bytes":327680,"bandwidth_mbps":280000.0,"moves":false,"backups":false,"stride":8,"most":2,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
+
+#[derive(Default)]
+struct Counts {
+    cut: usize,
+    taken_up: usize,
+    went_on: usize,
+    whole: usize,
+    not_in_touch: usize,
+    begun: usize,
+    begun_of: usize,
+}
+
+pub fn run(has_trouble: bool, record: &Record) -> Verdict {
+    let Some(net) = Net::choose() else {
+        return Verdict::CouldNotRun(String::from("no free addresses"));
+    };
+    let store_address = net.address(3, 1, 8223);
+    let store = match Store::start(store_address) {
+        Ok(store) => store,
+        Err(error) => return Verdict::CouldNotRun(error.to_string()),
+    };
+    for (index, zone) in ZONES.iter().enumerate() {
+        let settings = Settings {
+            id: format!("i-7f3a91c{index}"),
+            service: String::from("huvo11a"),
+            zone: String::from(*zone),
+            version: String::from("v1"),
+            address: net.address(2, index as u8 + 1, 8080),
+            slots: 64,
+            is_engine: true,
+        };
+        if let Err(error) = Runner::start(settings, &store, record) {
+            return Verdict::CouldNotRun(error.to_string());
+        }
+    }
+    store.put("op", "config", CONFIGURATION);
+    let fleet = match Fleet::start(net, store_address, &ZONES, 1, record) {
+        Ok(fleet) => fleet,
+        Err(error) => return Verdict::CouldNotRun(error.to_string()),
+    };
+    let verdict = if fleet.wait_until_ready(Duration::from_secs(15)) {
+        play(&fleet, has_trouble, record)
+    } else {
+        Verdict::CouldNotRun(String::from("the routers are not ready"))
+    };
+    let ended = fleet.stop();
+    for end in ended {
+        record.say(&format!("ended by itself: {end}"));
+    }
+    verdict
+}
+
+fn play(fleet: &Fleet, has_trouble: bool, record: &Record) -> Verdict {
+    // All machines are in touch, and know each other.
+    thread::sleep(Duration::from_secs(5));
+    let counts = Arc::new(Mutex::new(Counts::default()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let last = fleet.routers.len() - 1;
+    let mut threads = Vec::new();
+    for number in 0..STREAMS {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        threads.push(thread::spawn(move || {
+            stream(&fleet, number, last, has_trouble, &record, &counts);
+        }));
+    }
+    for worker in 0..2 {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        let is_over = Arc::clone(&is_over);
+        threads.push(thread::spawn(move || begin_new(&fleet, worker, &is_over, &record, &counts)));
+    }
+    let mut restarts = Vec::new();
+    if has_trouble {
+        thread::sleep(Duration::from_millis(300));
+        // For comparison, `ONLY_LAST=1` stops the last machine alone.
+        let from = if std::env::var_os("ONLY_LAST").is_some() { last } else { 0 };
+        if from == last {
+            thread::sleep(GAP * last as u32);
+        }
+        for index in from..fleet.routers.len() {
+            let fleet = fleet.clone();
+            restarts.push(thread::spawn(move || fleet.restart(index, GRACE)));
+            if index < last {
+                thread::sleep(GAP);
+            }
+        }
+    }
+    thread::sleep(Duration::from_secs(14));
+    is_over.store(true, Ordering::SeqCst);
+    for thread in threads.into_iter().chain(restarts) {
+        let _ = thread.join();
+    }
+    let counts = counts.lock().unwrap();
+    record.say(&format!(
+        "streams={STREAMS} whole_at_once={} broken={} taken_up_at_machines_in_touch={} went_on={} \
+         at_machines_not_in_touch={} new_streams={} of_which_began={}",
+        counts.whole, counts.cut, counts.taken_up, counts.went_on, counts.not_in_touch,
+        counts.begun_of, counts.begun
+    ));
+    if counts.taken_up < 12 || counts.begun_of == 0 {
+        return Verdict::CouldNotRun(String::from("fewer than 12 streams were taken up"));
+    }
+    let went_on = counts.went_on as f64 / counts.taken_up as f64;
+    let began = counts.begun as f64 / counts.begun_of as f64;
+    record.say(&format!("share that goes on: {went_on:.2}; share of new streams that begin: {began:.2}"));
+    if went_on < began / 2.0 { Verdict::Broken } else { Verdict::Held }
+}
+
+fn request(path: &str, id: String, deadline_ms: u64, events: u64) -> Request {
+    Request {
+        method: "POST",
+        path: String::from(path),
+        key: String::from(KEY),
+        deadline_ms,
+        headers: vec![
+            (String::from("Model"), String::from("m")),
+            (String::from("Token-Usage"), format!("1460,{}", events * 8)),
+            (String::from("Prefix-Hash"), format!("5c1e07a2:800,91bd3f06:410,{id}:250")),
+        ],
+        body: format!("prompt of {id}"),
+        id,
+    }
+}
+
+/// A stream that begins at the machine that is stopped last. If its connection breaks, its client
+/// takes it up once, at another machine that the balancer chooses.
+fn stream(
+    fleet: &Fleet,
+    number: usize,
+    last: usize,
+    has_trouble: bool,
+    record: &Record,
+    counts: &Mutex<Counts>,
+) {
+    thread::sleep(Duration::from_millis(number as u64 * 5));
+    let begun = Instant::now();
+    let first = format!("a{number:03x}0");
+    let router = &fleet.routers[last];
+    record.line(&format!("client sends {first} to {}", router.name));
+    // Without the disruption, a fault on the client's side breaks the connection.
+    let leave_after = (!has_trouble).then(|| Duration::from_millis(9700));
+    let original = request("/long/chat", first.clone(), DEADLINE_MS, EVENTS);
+    let answer = client::call(router.frontend, &original, leave_after);
+    let at = answer.events.last().copied().unwrap_or(0);
+    record.line(&format!(
+        "client gets {} for {first}: events to {at}, complete={}, error={:?}",
+        answer.status, answer.is_complete, answer.error
+    ));
+    if answer.is_complete {
+        counts.lock().unwrap().whole += 1;
+        return;
+    }
+    counts.lock().unwrap().cut += 1;
+    let left = DEADLINE_MS.saturating_sub(begun.elapsed().as_millis() as u64);
+    let Some(next) = fleet.next(number, Some(&router.name)) else {
+        record.line(&format!("client finds no machine for {first}"));
+        return;
+    };
+    let is_in_touch = next.is_in_touch(STABLE_WINDOW);
+    let second = format!("a{number:03x}1");
+    let mut again = Request { id: second.clone(), deadline_ms: left, ..original };
+    again.headers.push((String::from("Resumes"), first.clone()));
+    if at > 0 {
+        again.headers.push((String::from("Last-Event-Id"), at.to_string()));
+    }
+    record.line(&format!(
+        "client takes {first} up with {second} at {} after {at}, {left} ms left, in touch={is_in_touch}",
+        next.name
+    ));
+    let answer = client::call(next.frontend, &again, None);
+    record.line(&format!(
+        "client gets {} for {second}: events {:?}, complete={}, retry_after={:?}, body={:?}",
+        answer.status, answer.events, answer.is_complete, answer.retry_after,
+        answer.body.chars().take(160).collect::<String>()
+    ));
+    let mut counts = counts.lock().unwrap();
+    if !is_in_touch {
+        counts.not_in_touch += 1;
+        return;
+    }
+    counts.taken_up += 1;
+    if answer.status == 200 && answer.events.first() == Some(&(at + 1)) {
+        counts.went_on += 1;
+    }
+}
+
+/// Begins short new streams at the machines to which the balancer sends new connections.
+fn begin_new(
+    fleet: &Fleet,
+    worker: usize,
+    is_over: &AtomicBool,
+    record: &Record,
+    counts: &Mutex<Counts>,
+) {
+    let mut turn = worker;
+    while !is_over.load(Ordering::SeqCst) {
+        turn += 1;
+        let id = format!("b{worker}{turn:03x}");
+        if let Some(router) = fleet.next(turn, None) {
+            let answer = client::call(router.frontend, &request("/short/chat", id.clone(), DEADLINE_MS, 6), None);
+            record.line(&format!(
+                "client gets {} for {id} from {}: events {:?}, complete={}, error={:?}",
+                answer.status, router.name, answer.events, answer.is_complete, answer.error
+            ));
+            let mut counts = counts.lock().unwrap();
+            counts.begun_of += 1;
+            if !answer.events.is_empty() {
+                counts.begun += 1;
+            }
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
