Add review case 1: streams go on at another version while the store is silent

Seen: while the store is silent, a runner starts again under its id as another version. Streams of the old version go on there, in the same answer.

Suspected cause: the version of a runner is that of its last entry; the process behind the id is not checked before a stream goes on there.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,10 +4,12 @@
 mod fleet;
 mod http;
 mod json;
+mod names;
 mod record;
 mod runner;
 mod store;
 mod takeups;
+mod versions;
 
 use std::process::ExitCode;
 
@@ -33,7 +35,10 @@
         }
     };
     let verdict = match case.as_str() {
-        "take-ups" => takeups::run(has_trouble, &record),
+        "names" => names::run(has_trouble, &record),
+        "take-ups" => takeups::rolling(has_trouble, &record),
+        "versions" => versions::run(has_trouble, &record),
+        "take-ups-lost" => takeups::lost(has_trouble, &record),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -35,12 +35,20 @@
     /// Whether its entry is written to the store.
     pub is_listed: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
+    /// The version of its software.
+    version: Arc<Mutex<String>>,
+    /// The number of its process, and whether it runs.
+    process: Arc<AtomicU64>,
+    is_down: Arc<AtomicBool>,
 }
 
 impl Runner {
     pub fn start(settings: Settings, store: &Store, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind(settings.address)?;
         let runner = Self {
+            version: Arc::new(Mutex::new(settings.version.clone())),
+            process: Arc::default(),
+            is_down: Arc::default(),
             settings: Arc::new(settings),
             record: record.clone(),
             born: Arc::new(AtomicU64::new(now_ms())),
@@ -57,22 +65,55 @@
             beating.beat(&its_store);
         });
         let serving = runner.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let runner = serving.clone();
-                thread::spawn(move || runner.serve(stream));
-            }
-        });
+        thread::spawn(move || serving.listen(listener));
         Ok(runner)
     }
 
+    /// Accepts connections, except while no process runs.
+    fn listen(&self, first: TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            let Some(open) = &listener else {
+                thread::sleep(Duration::from_millis(2));
+                if !self.is_down.load(Ordering::SeqCst) {
+                    listener = TcpListener::bind(self.settings.address).ok();
+                }
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let runner = self.clone();
+                    thread::spawn(move || runner.serve(stream));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+            if self.is_down.load(Ordering::SeqCst) {
+                listener = None;
+            }
+        }
+    }
+
+    /// Ends its process; all its connections break.
+    pub fn crash(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        self.process.fetch_add(1, Ordering::SeqCst);
+        self.record.line(&format!("runner {} crashes", self.settings.id));
+    }
+
     /// Starts the next process under the same id.
-    pub fn reborn(&self) {
+    pub fn restart(&self, version: &str, store: &Store) {
+        *self.version.lock().unwrap() = String::from(version);
         self.born.store(now_ms(), Ordering::SeqCst);
+        self.is_down.store(false, Ordering::SeqCst);
+        self.record.line(&format!("runner {} is started again, version {version}", self.settings.id));
+        self.beat(store);
     }
 
     pub fn beat(&self, store: &Store) {
-        if !self.is_listed.load(Ordering::SeqCst) {
+        let is_silent = self.is_down.load(Ordering::SeqCst) || !self.is_listed.load(Ordering::SeqCst);
+        if is_silent || store.is_silent() {
             return;
         }
         let settings = &self.settings;
@@ -81,7 +122,7 @@
         let born = self.born.load(Ordering::SeqCst);
         let entry = format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":{},"state":"{state}","cold_remaining_ms":0,"sequence":{sequence},"born":{born}}}"#,
-            settings.service, settings.address, settings.zone, settings.version, settings.slots
+            settings.service, settings.address, settings.zone, self.version.lock().unwrap(), settings.slots
         );
         store.put("servers", &settings.id, &entry);
     }
@@ -165,13 +206,19 @@
         }).unwrap_or(8) / TOKENS_PER_EVENT;
         let gap = if head.target().contains("/long/") { LONG_GAP } else { SHORT_GAP };
         let after: u64 = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let process = self.process.load(Ordering::SeqCst);
+        let version = self.version.lock().unwrap().clone();
         thread::sleep(Duration::from_millis(40));
         connection.send(&format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
         ))?;
         for event in after + 1..=events {
-            connection.chunk(&format!("id: {event}\ndata: {event} of {events}\n\n"))?;
+            connection.chunk(&format!("id: {event}\ndata: {event} of {events} by {version}\n\n"))?;
             thread::sleep(gap);
+            if self.process.load(Ordering::SeqCst) != process {
+                let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
         }
         connection.send("0\r\n\r\n")
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -34,6 +37,7 @@
     tables: Mutex<Tables>,
     changed: Condvar,
     started: Instant,
+    is_silent: AtomicBool,
 }
 
 impl Store {
@@ -43,6 +47,7 @@
             tables: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            is_silent: AtomicBool::new(false),
         }));
         let server = store.clone();
         thread::spawn(move || {
@@ -54,6 +59,24 @@
         Ok(store)
     }
 
+    /// Whether it responds to nobody, and performs nothing.
+    pub fn is_silent(&self) -> bool {
+        self.0.is_silent.load(Ordering::SeqCst)
+    }
+
+    pub fn set_silent(&self, is_silent: bool) {
+        self.0.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    /// Waits while it is silent. A connection on which a response is lost delivers nothing further.
+    fn wait_while_silent(&self) -> bool {
+        let was_silent = self.is_silent();
+        while self.is_silent() {
+            thread::sleep(Duration::from_millis(10));
+        }
+        was_silent
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.change(table, key, Some(encode(value.as_bytes())));
     }
@@ -80,7 +103,13 @@
             let Ok(body) = connection.whole(&head) else {
                 return;
             };
+            if self.wait_while_silent() {
+                return;
+            }
             let (status, body) = self.answer(&head, &body);
+            if self.wait_while_silent() {
+                return;
+            }
             let length = body.len();
             let text = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
--- a/review/standin/takeups.rs
+++ b/review/standin/takeups.rs
@@ -22,14 +22,14 @@
 /// The pause between two machines that are stopped.
 const GAP: Duration = Duration::from_secs(1);
 /// `timeout_ms` of the route, and what clients wait.
-const DEADLINE_MS: u64 = 12_000;
+pub const DEADLINE_MS: u64 = 12_000;
 /// The events of a long stream, 200 ms apart.
 const EVENTS: u64 = 55;
 const STREAMS: usize = 24;
-const ZONES: [&str; 3] = ["dk-east-a", "dk-east-b", "dk-east-c"];
+pub const ZONES: [&str; 3] = ["dk-east-a", "dk-east-b", "dk-east-c"];
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-long","hostname":"ficu95.example","prefix":"/long/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400},{"name":"r-short","hostname":"ficu95.example","prefix":"/short/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400}],"services":[{"name":"huvo11a","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":16.0,"engine":{"slots":64,"kv_capacity_tokens":620704,"kv_token_bytes":327680,"bandwidth_mbps":280000.0,"moves":false,"backups":false,"stride":8,"most":2,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
+pub const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-long","hostname":"ficu95.example","prefix":"/long/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400},{"name":"r-short","hostname":"ficu95.example","prefix":"/short/","route_kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2,"anonymous":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":400}],"services":[{"name":"huvo11a","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":16.0,"engine":{"slots":64,"kv_capacity_tokens":620704,"kv_token_bytes":327680,"bandwidth_mbps":280000.0,"moves":false,"backups":false,"stride":8,"most":2,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
 
 #[derive(Default)]
 struct Counts {
@@ -42,7 +42,17 @@
     begun_of: usize,
 }
 
-pub fn run(has_trouble: bool, record: &Record) -> Verdict {
+/// The routers are stopped and started in turn.
+pub fn rolling(has_trouble: bool, record: &Record) -> Verdict {
+    run(1, record, |fleet| play_rolling(fleet, has_trouble, record))
+}
+
+/// Most routers are lost for good, and later one more.
+pub fn lost(has_trouble: bool, record: &Record) -> Verdict {
+    run(4, record, |fleet| play_lost(fleet, has_trouble, record))
+}
+
+fn run(per_zone: usize, record: &Record, play: impl Fn(&Fleet) -> Verdict) -> Verdict {
     let Some(net) = Net::choose() else {
         return Verdict::CouldNotRun(String::from("no free addresses"));
     };
@@ -66,12 +76,12 @@
         }
     }
     store.put("op", "config", CONFIGURATION);
-    let fleet = match Fleet::start(net, store_address, &ZONES, 1, record) {
+    let fleet = match Fleet::start(net, store_address, &ZONES, per_zone, record) {
         Ok(fleet) => fleet,
         Err(error) => return Verdict::CouldNotRun(error.to_string()),
     };
     let verdict = if fleet.wait_until_ready(Duration::from_secs(15)) {
-        play(&fleet, has_trouble, record)
+        play(&fleet)
     } else {
         Verdict::CouldNotRun(String::from("the routers are not ready"))
     };
@@ -82,7 +92,7 @@
     verdict
 }
 
-fn play(fleet: &Fleet, has_trouble: bool, record: &Record) -> Verdict {
+fn play_rolling(fleet: &Fleet, has_trouble: bool, record: &Record) -> Verdict {
     // All machines are in touch, and know each other.
     thread::sleep(Duration::from_secs(5));
     let counts = Arc::new(Mutex::new(Counts::default()));
@@ -92,7 +102,12 @@
     for number in 0..STREAMS {
         let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
         threads.push(thread::spawn(move || {
-            stream(&fleet, number, last, has_trouble, &record, &counts);
+            let plan = Plan {
+                path: "/long/chat",
+                events: EVENTS,
+                leave_after: (!has_trouble).then_some(Duration::from_millis(9700)),
+            };
+            stream(&fleet, number, last, &plan, &record, &counts);
         }));
     }
     for worker in 0..2 {
@@ -121,11 +136,59 @@
     for thread in threads.into_iter().chain(restarts) {
         let _ = thread.join();
     }
-    let counts = counts.lock().unwrap();
+    judge(&counts.lock().unwrap(), record)
+}
+
+/// The machines that are lost, as an index from which on the others are kept.
+const KEPT: usize = 10;
+
+fn play_lost(fleet: &Fleet, has_trouble: bool, record: &Record) -> Verdict {
+    thread::sleep(Duration::from_secs(5));
+    let counts = Arc::new(Mutex::new(Counts::default()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    if has_trouble {
+        for router in &fleet.routers[..KEPT] {
+            record.line(&format!("SIGKILL to {}, which is lost for good", router.name));
+            router.signal("KILL");
+        }
+        thread::sleep(Duration::from_secs(8));
+    }
+    let last = fleet.routers.len() - 1;
+    let mut threads = Vec::new();
+    for number in 0..2 * STREAMS {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        threads.push(thread::spawn(move || {
+            let plan = Plan {
+                path: "/long/chat",
+                events: 30,
+                leave_after: (!has_trouble).then_some(Duration::from_millis(3000)),
+            };
+            stream(&fleet, number, last, &plan, &record, &counts);
+        }));
+    }
+    for worker in 0..2 {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        let is_over = Arc::clone(&is_over);
+        threads.push(thread::spawn(move || begin_new(&fleet, worker, &is_over, &record, &counts)));
+    }
+    thread::sleep(Duration::from_secs(3));
+    if has_trouble {
+        record.line(&format!("SIGKILL to {}", fleet.routers[last].name));
+        fleet.routers[last].signal("KILL");
+    }
+    thread::sleep(Duration::from_secs(6));
+    is_over.store(true, Ordering::SeqCst);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    judge(&counts.lock().unwrap(), record)
+}
+
+fn judge(counts: &Counts, record: &Record) -> Verdict {
     record.say(&format!(
-        "streams={STREAMS} whole_at_once={} broken={} taken_up_at_machines_in_touch={} went_on={} \
+        "streams={} whole_at_once={} broken={} taken_up_at_machines_in_touch={} went_on={} \
          at_machines_not_in_touch={} new_streams={} of_which_began={}",
-        counts.whole, counts.cut, counts.taken_up, counts.went_on, counts.not_in_touch,
+        counts.whole + counts.cut, counts.whole, counts.cut, counts.taken_up, counts.went_on, counts.not_in_touch,
         counts.begun_of, counts.begun
     ));
     if counts.taken_up < 12 || counts.begun_of == 0 {
@@ -137,7 +200,15 @@
     if went_on < began / 2.0 { Verdict::Broken } else { Verdict::Held }
 }
 
-fn request(path: &str, id: String, deadline_ms: u64, events: u64) -> Request {
+/// How a stream is asked for.
+struct Plan {
+    path: &'static str,
+    events: u64,
+    /// When the connection breaks on the client's side.
+    leave_after: Option<Duration>,
+}
+
+pub fn request(path: &str, id: String, deadline_ms: u64, events: u64) -> Request {
     Request {
         method: "POST",
         path: String::from(path),
@@ -153,13 +224,13 @@
     }
 }
 
-/// A stream that begins at the machine that is stopped last. If its connection breaks, its client
-/// takes it up once, at another machine that the balancer chooses.
+/// A stream that begins at the machine `last`. If its connection breaks, its client takes it up once,
+/// at another machine that the balancer chooses.
 fn stream(
     fleet: &Fleet,
     number: usize,
     last: usize,
-    has_trouble: bool,
+    plan: &Plan,
     record: &Record,
     counts: &Mutex<Counts>,
 ) {
@@ -168,10 +239,8 @@
     let first = format!("a{number:03x}0");
     let router = &fleet.routers[last];
     record.line(&format!("client sends {first} to {}", router.name));
-    // Without the disruption, a fault on the client's side breaks the connection.
-    let leave_after = (!has_trouble).then(|| Duration::from_millis(9700));
-    let original = request("/long/chat", first.clone(), DEADLINE_MS, EVENTS);
-    let answer = client::call(router.frontend, &original, leave_after);
+    let original = request(plan.path, first.clone(), DEADLINE_MS, plan.events);
+    let answer = client::call(router.frontend, &original, plan.leave_after);
     let at = answer.events.last().copied().unwrap_or(0);
     record.line(&format!(
         "client gets {} for {first}: events to {at}, complete={}, error={:?}",
