--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -38,6 +38,7 @@
         "names" => names::run(has_trouble, &record),
         "take-ups" => takeups::rolling(has_trouble, &record),
         "versions" => versions::run(has_trouble, &record),
+        "take-ups-long" => takeups::long(has_trouble, &record),
         "take-ups-lost" => takeups::lost(has_trouble, &record),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
--- a/review/standin/takeups.rs
+++ b/review/standin/takeups.rs
@@ -44,15 +44,34 @@
 
 /// The routers are stopped and started in turn.
 pub fn rolling(has_trouble: bool, record: &Record) -> Verdict {
-    run(1, record, |fleet| play_rolling(fleet, has_trouble, record))
+    run(&USUAL, record, |fleet| play_rolling(fleet, has_trouble, record))
 }
 
 /// Most routers are lost for good, and later one more.
 pub fn lost(has_trouble: bool, record: &Record) -> Verdict {
-    run(4, record, |fleet| play_lost(fleet, has_trouble, record))
+    run(&Setup { per_zone: 4, ..USUAL }, record, |fleet| play_lost(fleet, has_trouble, record))
 }
 
-fn run(per_zone: usize, record: &Record, play: impl Fn(&Fleet) -> Verdict) -> Verdict {
+/// Streams that last longer than a minute, of two versions that serve side by side.
+pub fn long(has_trouble: bool, record: &Record) -> Verdict {
+    let setup = Setup { per_zone: 1, versions: &["v1", "v2", "v1", "v2"], timeout_ms: LONG_MS };
+    run(&setup, record, |fleet| play_long(fleet, has_trouble, record))
+}
+
+/// What is started.
+struct Setup {
+    /// The machines in each zone.
+    per_zone: usize,
+    /// The version of each runner.
+    versions: &'static [&'static str],
+    /// `timeout_ms` of the route.
+    timeout_ms: u64,
+}
+
+const USUAL: Setup =
+    Setup { per_zone: 1, versions: &["v1", "v1", "v1"], timeout_ms: DEADLINE_MS };
+
+fn run(setup: &Setup, record: &Record, play: impl Fn(&Fleet) -> Verdict) -> Verdict {
     let Some(net) = Net::choose() else {
         return Verdict::CouldNotRun(String::from("no free addresses"));
     };
@@ -61,12 +80,12 @@
         Ok(store) => store,
         Err(error) => return Verdict::CouldNotRun(error.to_string()),
     };
-    for (index, zone) in ZONES.iter().enumerate() {
+    for (index, version) in setup.versions.iter().enumerate() {
         let settings = Settings {
             id: format!("i-7f3a91c{index}"),
             service: String::from("huvo11a"),
-            zone: String::from(*zone),
-            version: String::from("v1"),
+            zone: String::from(ZONES[index % ZONES.len()]),
+            version: String::from(*version),
             address: net.address(2, index as u8 + 1, 8080),
             slots: 64,
             is_engine: true,
@@ -75,8 +94,10 @@
             return Verdict::CouldNotRun(error.to_string());
         }
     }
-    store.put("op", "config", CONFIGURATION);
-    let fleet = match Fleet::start(net, store_address, &ZONES, per_zone, record) {
+    let timeout = format!(r#""timeout_ms":{}"#, setup.timeout_ms);
+    let configuration = CONFIGURATION.replace(r#""timeout_ms":12000"#, &timeout);
+    store.put("op", "config", &configuration);
+    let fleet = match Fleet::start(net, store_address, &ZONES, setup.per_zone, record) {
         Ok(fleet) => fleet,
         Err(error) => return Verdict::CouldNotRun(error.to_string()),
     };
@@ -103,7 +124,7 @@
         let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
         threads.push(thread::spawn(move || {
             let plan = Plan {
-                path: "/long/chat",
+                deadline_ms: DEADLINE_MS,
                 events: EVENTS,
                 leave_after: (!has_trouble).then_some(Duration::from_millis(9700)),
             };
@@ -159,7 +180,7 @@
         let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
         threads.push(thread::spawn(move || {
             let plan = Plan {
-                path: "/long/chat",
+                deadline_ms: DEADLINE_MS,
                 events: 30,
                 leave_after: (!has_trouble).then_some(Duration::from_millis(3000)),
             };
@@ -200,9 +221,45 @@
     if went_on < began / 2.0 { Verdict::Broken } else { Verdict::Held }
 }
 
+/// `timeout_ms` of the route with long streams, and what their clients wait.
+const LONG_MS: u64 = 90_000;
+
+fn play_long(fleet: &Fleet, has_trouble: bool, record: &Record) -> Verdict {
+    thread::sleep(Duration::from_secs(5));
+    let counts = Arc::new(Mutex::new(Counts::default()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let last = fleet.routers.len() - 1;
+    // For comparison, the connections break within a minute.
+    let breaks_after = Duration::from_secs(if has_trouble { 66 } else { 40 });
+    let mut threads = Vec::new();
+    for number in 0..2 * STREAMS {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        threads.push(thread::spawn(move || {
+            let plan = Plan {
+                deadline_ms: LONG_MS,
+                events: 380,
+                leave_after: (number % 2 == 0).then_some(breaks_after),
+            };
+            stream(&fleet, number, last, &plan, &record, &counts);
+        }));
+    }
+    thread::sleep(breaks_after - Duration::from_secs(3));
+    for worker in 0..2 {
+        let (fleet, record, counts) = (fleet.clone(), record.clone(), Arc::clone(&counts));
+        let is_over = Arc::clone(&is_over);
+        threads.push(thread::spawn(move || begin_new(&fleet, worker, &is_over, &record, &counts)));
+    }
+    thread::sleep(Duration::from_secs(6));
+    is_over.store(true, Ordering::SeqCst);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    judge(&counts.lock().unwrap(), record)
+}
+
 /// How a stream is asked for.
 struct Plan {
-    path: &'static str,
+    deadline_ms: u64,
     events: u64,
     /// When the connection breaks on the client's side.
     leave_after: Option<Duration>,
@@ -239,7 +296,7 @@
     let first = format!("a{number:03x}0");
     let router = &fleet.routers[last];
     record.line(&format!("client sends {first} to {}", router.name));
-    let original = request(plan.path, first.clone(), DEADLINE_MS, plan.events);
+    let original = request("/long/chat", first.clone(), plan.deadline_ms, plan.events);
     let answer = client::call(router.frontend, &original, plan.leave_after);
     let at = answer.events.last().copied().unwrap_or(0);
     record.line(&format!(
@@ -251,7 +308,7 @@
         return;
     }
     counts.lock().unwrap().cut += 1;
-    let left = DEADLINE_MS.saturating_sub(begun.elapsed().as_millis() as u64);
+    let left = plan.deadline_ms.saturating_sub(begun.elapsed().as_millis() as u64);
     let Some(next) = fleet.next(number, Some(&router.name)) else {
         record.line(&format!("client finds no machine for {first}"));
         return;
