Add review case 1: an answer without end lasts beyond its time-out

Seen: a success whose body never ends and comes as fast as it is taken is forwarded until its caller leaves, long after the time-out of the route.

Suspected cause: the deadline is a timer around the wait for the next part, and is not looked at while a part is always ready.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, its runners and its clients, and the cases that use them.
 
 mod client;
+mod endless;
 mod fleet;
 mod http;
 mod json;
@@ -36,6 +37,7 @@
         }
     };
     let verdict = match case.as_str() {
+        "endless" => endless::run(has_trouble, &record),
         "names" => names::run(has_trouble, &record),
         "take-ups" => takeups::rolling(has_trouble, &record),
         "versions" => versions::run(has_trouble, &record),
