Send the signals of the review's cases through the shell

Seen: the stand-in called a program that not every machine has. Suspected cause: none; the shell has it built in.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -90,10 +90,9 @@
         let child = self.child.lock().unwrap();
         if let Some(child) = &*child {
             *self.last_signal.lock().unwrap() = Some(Instant::now());
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(child.id().to_string())
-                .status();
+            // The shell has `kill` built in.
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").arg("-c").arg(command).status();
         }
     }
 
