Let the review's cases end their processes when nobody reads their output

Seen: the stand-in panicked on a closed pipe before it ended its processes' record. Suspected cause: a print that can't be written. Measured: with its output cut off, case 1 ends and no process is left.

--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -46,6 +46,7 @@
     /// A line that is printed as well.
     pub fn say(&self, text: &str) {
         self.line(text);
-        println!("{text}");
+        // Nobody may read it.
+        let _ = writeln!(std::io::stdout(), "{text}");
     }
 }
