Refuse a request whose body has not arrived by its deadline

Callers saw: an answer 10 s after the head of a request whose body does not arrive, on a route with a timeout of 300 ms as on any other. Cause: the wait for a body has a timeout of its own and does not know the deadline of the request, although the route is known when the wait begins. Change: the wait ends at the deadline, or after 10 s if that is sooner, with 408, which says that the request has not run.

--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -33,7 +33,7 @@
 /// How many bytes may be received beside a body: extensions of chunks, trailers, and the start of
 /// the next request.
 const MAX_OTHER_BYTES: u64 = 64 * 1024;
-/// The timeout for receiving a request body.
+/// The longest timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a request waits for memory for the start of its body.
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
@@ -61,7 +61,8 @@
             return Err(Rejected { refusal, unread });
         }
     };
-    let admitted = match admit(context, &head, parts.uri.path(), &mut body, allowance).await {
+    let path = parts.uri.path();
+    let admitted = match admit(context, &head, arrived, path, &mut body, allowance).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let limit = context.body_limit();
@@ -135,6 +136,7 @@
 async fn admit<P: Protocol>(
     context: &Context<P>,
     head: &Head,
+    arrived: Instant,
     path: &str,
     body: &mut Incoming,
     allowance: &Allowance,
@@ -148,8 +150,10 @@
     let limit = table.limits.body_bytes;
     let framed = limit.saturating_mul(FRAMED_BYTES_PER_BYTE);
     allowance.set(framed.saturating_add(MAX_OTHER_BYTES));
+    let until = deadline(arrived, &route, head).min(arrived + BODY_TIMEOUT);
+    let until = context.clock.at(until);
     let body = tokio::select! {
-        body = read(body, limit, &context.body_memory) => body,
+        body = read(body, limit, until, &context.body_memory) => body,
         () = allowance.used_up() => Err(too_large()),
     };
     allowance.lift();
@@ -186,7 +190,7 @@
 /// A request body and the permit for its share of the memory for bodies.
 type BodyWithPermit = (Bytes, Option<OwnedSemaphorePermit>);
 
-/// Reads a body, limited by the maximum body size and the memory for all bodies.
+/// Reads a body until `until`, limited by the maximum body size and the memory for all bodies.
 ///
 /// Bodies are kept until their responses end. Without the limit, many concurrent large
 /// bodies would exhaust the memory of the process, which would be killed together with
@@ -194,9 +198,10 @@
 async fn read(
     body: &mut Incoming,
     limit: u64,
+    until: time::Instant,
     memory: &Arc<Semaphore>,
 ) -> Result<BodyWithPermit, Refusal> {
-    match time::timeout(BODY_TIMEOUT, collect(body, limit, memory)).await {
+    match time::timeout_at(until, collect(body, limit, memory)).await {
         Ok(collected) => collected,
         Err(_) => Err(Refusal::not_run(
             Code::SlowCaller,
