End responses at their deadline whose callers read slowly

Callers saw: slots of servers in use by requests whose deadline had passed. Cause: while the caller's socket is full, nothing but the listener can end a response, and it slept until the head or idle timeout that applied when it last looked. It did not wake when a response began, and after a look at which the caller was reading it slept for an idle timeout more. Change: it wakes when a response begins, at the deadline, and each 100 ms after it while the response is in flight.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -30,7 +30,7 @@
     in_flight: AtomicU32,
     idle_since_us: AtomicU64,
     head_since_us: AtomicU64,
-    head_started: Notify,
+    begun: Notify,
     blocked_since_us: AtomicU64,
     deadline_us: AtomicU64,
     /// How long the caller of a response that was received whole may read nothing.
@@ -47,7 +47,7 @@
             in_flight: AtomicU32::new(0),
             idle_since_us: AtomicU64::new(clock.now().as_micros()),
             head_since_us: AtomicU64::new(NONE),
-            head_started: Notify::new(),
+            begun: Notify::new(),
             blocked_since_us: AtomicU64::new(NONE),
             deadline_us: AtomicU64::new(NONE),
             patience_us: AtomicU64::new(0),
@@ -109,9 +109,9 @@
         (since != NONE && self.idle_since().is_some()).then_some(Instant::from_micros(since))
     }
 
-    /// Waits until the first bytes of a request head are received.
-    pub async fn head_started(&self) {
-        self.head_started.notified().await;
+    /// Waits until a request head or a response begins, from when on other timeouts apply.
+    pub async fn begun(&self) {
+        self.begun.notified().await;
     }
 
     /// Whether the caller takes the end of the connection for the end of the present response.
@@ -141,7 +141,7 @@
         }
         let now = self.clock.now().as_micros();
         self.head_since_us.store(now, Ordering::Relaxed);
-        self.head_started.notify_one();
+        self.begun.notify_one();
     }
 }
 
@@ -166,6 +166,7 @@
     pub fn send_by(&self, deadline: Instant) {
         let deadline = deadline.as_micros();
         self.0.deadline_us.store(deadline, Ordering::Relaxed);
+        self.0.begun.notify_one();
     }
 
     /// Marks the connection as busy with the same request for as long as the returned guard exists.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -35,6 +35,8 @@
 /// A caller measures the idle time on its own side. If the connection were closed exactly
 /// at the timeout, requests that were sent just before it would be lost.
 const IDLE_GRACE: Duration = Duration::from_secs(1);
+/// The interval between two checks of a response that is in flight after its deadline.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The most bytes that the kernel holds for a caller and has not sent yet, where held bytes are
 /// accounted for. Without this bound, it holds some megabytes that count toward no budget. What is
 /// under way to the caller comes on top, so that throughput does not depend on this.
@@ -250,12 +252,14 @@
         if deadline <= now {
             return expired;
         }
-        // A response in flight may be blocked by its deadline.
-        let response_deadline = activity.deadline().filter(|deadline| *deadline > now);
-        let wake_at = response_deadline.map_or(deadline, |at| at.min(deadline));
+        // A response in flight may be blocked at its deadline, or soon after it.
+        let check_at = activity
+            .deadline()
+            .map(|at| at.max(now + OVERDUE_CHECK_INTERVAL));
+        let wake_at = check_at.map_or(deadline, |at| at.min(deadline));
         tokio::select! {
             () = time::sleep_until(clock.at(wake_at)) => {}
-            () = activity.head_started() => {}
+            () = activity.begun() => {}
         }
     }
 }
