Cut responses that outlast their deadline

Cause: nothing compared the clock with the deadline. The only bound was the timeout of each wait for a part. Its timer does not expire while a part is there whenever it is looked for, nor while the thread always has tasks to run: the runtime moves the clock of its timers between rounds of 61 polls or when it is idle, and each part has a wait and a timer of its own. Evidence: of 25,693 waits that began after the deadline, on one thread with four such streams, each polled its future three times, so that the timer was looked at, and none had expired. A wrong deadline is ruled out: at 1 KB in 50 ms the same request ends at 1.50 s of 1.5 s. Change: Cutoff is asked before each wait.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod connection;
 pub mod connector;
 pub mod crashes;
+pub mod cutoff;
 pub mod dial;
 pub mod discard;
 pub mod dispatch;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
     attempt::Response,
     connection::Body,
     connector::Path,
+    cutoff::Cutoff,
     dispatch::Permit,
     parts,
     pool::Outcome,
@@ -56,6 +57,7 @@
     limit: Limit,
     /// Holds the events of a resumable stream back until they are complete.
     splitter: Option<Splitter>,
+    cutoff: Cutoff,
     first_byte_at: Option<Instant>,
     last_byte_at: Option<Instant>,
     longest_gap: Duration,
@@ -101,6 +103,7 @@
         body: Some(response.body),
         permit: response.permit,
         splitter: is_resumable.then(Splitter::default),
+        cutoff: Cutoff::new(exchange.plan().deadline),
         first_byte_at: None,
         last_byte_at: None,
         longest_gap: Duration::ZERO,
--- a/crates/gateway/src/relay/receive.rs
+++ b/crates/gateway/src/relay/receive.rs
@@ -58,7 +58,7 @@
         clock: Clock,
         deadline: Instant,
     ) -> Next {
-        let release_at = clock.now() + MAX_HOLD;
+        let release_at = deadline.min(clock.now() + MAX_HOLD);
         let mut held = BytesMut::new();
         loop {
             let bytes = match frame(body, Some(permit), clock, deadline).await {
@@ -81,7 +81,8 @@
     }
 }
 
-/// Waits for the next bytes of `body`, until `deadline` at the latest.
+/// Waits for the next bytes of `body`, until `deadline` at the latest. Bytes that are there already are
+/// returned after it as well.
 async fn frame(body: &mut Body, permit: Option<&Permit>, clock: Clock, deadline: Instant) -> Next {
     let probe_at = deadline.min(clock.now() + PROBE_AFTER);
     let mut frame = pin::pin!(body.frame());
@@ -108,6 +109,9 @@
         if let Some(excess) = self.limit.excess(&self.tracker) {
             return Next::Endless(excess);
         }
+        if self.cutoff.is_reached(self.exchange.context().clock.now()) {
+            return Next::TimedOut;
+        }
         let can_resume = self.can_resume();
         let context = self.exchange.context();
         let (clock, max_held) = (context.clock, context.max_event_bytes);
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod copies;
 mod crash_fleet;
 mod crashes;
+mod cutoff;
 mod engine_memory;
 mod estimates;
 mod events;
--- a/crates/router/src/backend/response.rs
+++ b/crates/router/src/backend/response.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use framing::{Format, Tracker};
+use gateway::cutoff::Cutoff;
 use hyper::{
     HeaderMap, Method, Response,
     body::{Frame, Incoming},
@@ -78,6 +79,7 @@
             can_move: false,
             ..watchdog
         },
+        cutoff: Cutoff::new(watchdog.deadline),
         tail: Tail::new(events),
         is_failure: head.status.is_server_error(),
         silence: Silence::default(),
@@ -173,6 +175,7 @@
     body: Incoming,
     chunks: mpsc::Sender<Chunk>,
     watchdog: Watchdog,
+    cutoff: Cutoff,
     /// Decides whether the body is complete.
     tracker: Tracker,
     tail: Tail,
@@ -231,6 +234,9 @@
 
     async fn forward(&mut self) -> End {
         loop {
+            if self.cutoff.is_reached(self.watchdog.clock.now()) {
+                return deadline_exceeded();
+            }
             let frame = match self.receive().await {
                 Ok(frame) => frame,
                 Err(end) => return end,
