Apply each usable entry of a configuration, whatever its names

An operator who removes a leaked key does not get rid of it. Cause: the rule for names that this project's own interface declares was applied to names of others, and the first entry that could not be used discarded the document. Evidence: each read of the row is logged as row_malformed with that name. A later refusal, in a header or a table, is ruled out for this name, but would have come next: names beyond ASCII pass headers, names with control characters or with spaces at their ends do not, or arrive as another name. Change: identifiers hold any text of up to 1,024 bytes, and the rule stays where this project declares names. An entry that cannot be used is left out alone and named in a log line, a metric and the status page; what a version removes is removed. A document that is no JSON keeps the last one, and that is reported. A name that no header carries is unusable, since escaped it would name another workspace. The status page escapes names.

--- a/crates/config/src/check/fields.rs
+++ b/crates/config/src/check/fields.rs
@@ -1,9 +1,10 @@
 //! Reads the fields of a JSON object and collects their faults.
 
-use std::{fmt, ops};
+use std::{fmt, ops, str::FromStr};
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
+use units::Invalid;
 
 use super::Faults;
 
@@ -57,6 +58,22 @@
         }
     }
 
+    /// Reads a required field that holds the name of a resource.
+    pub(crate) fn name<T: FromStr<Err = Invalid>>(
+        &mut self,
+        name: &'static str,
+        faults: &mut Faults,
+    ) -> Option<T> {
+        let text: String = self.required(name, faults)?;
+        match text.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(invalid) => {
+                faults.add(&self.path(name), invalid);
+                None
+            }
+        }
+    }
+
     /// Reads a field that has a default.
     pub(crate) fn or_default<T: Deserialize<'a>>(
         &mut self,
--- a/crates/config/src/check/resource.rs
+++ b/crates/config/src/check/resource.rs
@@ -46,7 +46,7 @@
 }
 
 fn workspace(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<Workspace> {
-    let name = fields.required("name", faults);
+    let name = fields.name("name", faults);
     let weight = fields.within("weight", 1, 1..=MAX_WEIGHT, faults);
     let max_in_flight = fields.or_default("max_in_flight", None, faults);
     if let Some(Some(limit)) = max_in_flight
@@ -82,7 +82,7 @@
 }
 
 fn pool(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<Pool> {
-    let name = fields.required("name", faults);
+    let name = fields.name("name", faults);
     let kind: Option<Kind> = fields.required("kind", faults);
     let reports_load = fields.or_default("reports_load", false, faults);
     let checks_fencing = fields.or_default("checks_fencing", false, faults);
@@ -107,8 +107,8 @@
 
 fn server(value: &Value, path: &str, faults: &mut Faults) -> Option<Server> {
     let mut fields = Fields::new(value, path, faults)?;
-    let name = fields.required("name", faults);
-    let zone = fields.required("zone", faults);
+    let name = fields.name("name", faults);
+    let zone = fields.name("zone", faults);
     let address: Option<net::SocketAddr> = fields.required("address", faults);
     if address.is_some_and(|address| address.port() == 0) {
         faults.add(&fields.path("address"), "port 0 cannot be reached");
@@ -139,7 +139,7 @@
         let message = format!("1 to {MAX_MODEL_LENGTH} visible characters are needed");
         faults.add(&fields.path("model"), message);
     }
-    let pool = fields.required("pool", faults);
+    let pool = fields.name("pool", faults);
     let idempotent = fields.or_default("idempotent", None, faults);
     let timeout_ms = fields.within("timeout_ms", 60_000, 1..=MAX_TIMEOUT_MS, faults);
     let priority = fields.or_default("priority", request::Priority::default(), faults);
@@ -184,7 +184,7 @@
 }
 
 fn zone(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<Zone> {
-    let name = fields.required("name", faults);
+    let name = fields.name("name", faults);
     let service = fields.or_default("service", Service::default(), faults);
     Some(Zone {
         name: name?,
@@ -193,6 +193,6 @@
 }
 
 fn drain(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<Drain> {
-    let name = fields.required("name", faults);
+    let name = fields.name("name", faults);
     Some(Drain { name: name? })
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -98,6 +98,7 @@
     peer_bytes: Family<labels::Peer, Counter>,
     config: Gauge,
     config_bytes: Gauge,
+    unusable: Gauge,
     servers: Gauge,
     members: Gauge,
     load_reports: Family<load_reports::Labels, Counter>,
@@ -137,6 +138,7 @@
         let peer_bytes = Family::default();
         let config = Gauge::default();
         let config_bytes = Gauge::default();
+        let unusable = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
         registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
@@ -285,6 +287,11 @@
             "Size of the configuration in force as it is stored",
             config_bytes.clone(),
         );
+        registry.register(
+            "weir_config_unusable",
+            "Rows and entries of the configuration that cannot be used and are not in force",
+            unusable.clone(),
+        );
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
         let load_reports = load_reports::register(&mut registry);
@@ -322,6 +329,7 @@
             peer_bytes,
             config,
             config_bytes,
+            unusable,
             servers,
             members,
             held,
@@ -541,6 +549,11 @@
             .set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of rows and entries of the configuration that cannot be used.
+    pub fn set_unusable(&self, count: usize) {
+        self.unusable.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the numbers of registered servers and routers.
     pub fn set_sizes(&self, servers: usize, members: usize) {
         self.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -14,8 +14,14 @@
 use units::host;
 
 use crate::{
-    clock::Clock, dispatch, held, metrics::Metrics, readiness::Readiness, route::Table,
-    shutdown::Phase, staleness::Staleness, status,
+    clock::Clock,
+    dispatch, held,
+    metrics::Metrics,
+    readiness::Readiness,
+    route::{Table, Unusable},
+    shutdown::Phase,
+    staleness::Staleness,
+    status,
 };
 
 /// The data that the endpoints report.
@@ -41,6 +47,8 @@
     pub rollouts: watch::Receiver<Vec<status::Rollout>>,
     /// The configuration in force.
     pub table: watch::Receiver<Option<Arc<Table>>>,
+    /// What operators have written and is not in force, because it cannot be used.
+    pub unusable: watch::Receiver<Vec<Unusable>>,
 }
 
 /// Serves the endpoints until the process ends.
@@ -100,7 +108,9 @@
     let (Ok(()), Ok(report)) = (sent, report.await) else {
         return (StatusCode::SERVICE_UNAVAILABLE, String::from("ending\n"));
     };
+    let unusable = sources.unusable.borrow().clone();
     let header = status::Header {
+        unusable: &unusable,
         host: &sources.host,
         readiness: *sources.readiness.borrow(),
         phase: *sources.phase.borrow(),
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -145,6 +145,17 @@
     }
 }
 
+/// An entry of a configuration that cannot be used, and is left out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unusable {
+    /// What the entry is.
+    pub kind: &'static str,
+    /// Its name, if it has one.
+    pub name: String,
+    /// Why it cannot be used.
+    pub reason: String,
+}
+
 /// The routes of one host, by path prefix.
 type Prefixes = HashMap<String, Arc<Route>>;
 
@@ -161,6 +172,8 @@
     pub limits: Limits,
     /// Whether routes that are not anonymous require an API key.
     pub needs_key: bool,
+    /// What was left out.
+    pub unusable: Vec<Unusable>,
 }
 
 impl Table {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -155,6 +155,7 @@
         let (rollout_status_sender, rollout_status) = watch::channel(Vec::new());
         let (history_sender, history) = watch::channel(origins::History::default());
         let (origins_sender, origins_receiver) = mpsc::unbounded_channel();
+        let (unusable_sender, unusable) = watch::channel(Vec::new());
         let outputs = state::Outputs {
             history: history_sender,
             rollouts: rollouts_sender.clone(),
@@ -164,6 +165,7 @@
             members: members_sender,
             replicas: replicas_sender,
             dispatch: handle.clone(),
+            unusable: unusable_sender,
             metrics: Arc::clone(&metrics),
         };
         let (events, event_receiver) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
@@ -250,6 +252,7 @@
             dispatch: handle.clone(),
             rollouts: rollout_status,
             table: table.clone(),
+            unusable,
         };
         tokio::spawn(observer::serve(sockets.readiness, sources.clone()));
         tokio::spawn(observer::serve(sockets.metrics, sources));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,7 @@
     replica::{Replica, Replicas},
     rollouts,
     roster::{self, Change, Roster},
-    route::Table,
+    route::{Table, Unusable},
     source::{Directive, Member, Row, Source, Topic},
     staleness::Staleness,
 };
@@ -47,10 +47,15 @@
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The versions of each service that were seen.
     pub history: watch::Sender<origins::History>,
+    /// What operators have written and is not in force, because it cannot be used.
+    pub unusable: watch::Sender<Vec<Unusable>>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
 }
 
+/// The most unusable entries of a configuration that are logged.
+const MAX_LOGGED: usize = 20;
+
 /// The state of the store as known to this router.
 #[derive(Debug)]
 pub struct State<S> {
@@ -60,6 +65,8 @@
     replicas: Replicas,
     /// The key and the version of the row that holds the configuration in force.
     in_force: Option<(String, u64)>,
+    /// What was left out of it.
+    left_out: Vec<Unusable>,
     roster: Roster,
     /// The orders of roll-outs; `None` before the first configuration.
     orders: Option<Vec<Order>>,
@@ -77,6 +84,7 @@
             outputs,
             replicas: Replicas::new(),
             in_force: None,
+            left_out: Vec::new(),
             roster: Roster::default(),
             orders: None,
             readiness: Readiness::default(),
@@ -166,6 +174,7 @@
         let mut zones = BTreeSet::new();
         let mut tables = Vec::new();
         let mut orders = Vec::new();
+        let mut unreadable = Vec::new();
         for row in self.rows(Topic::Configuration) {
             // Decoding a large table again would take CPU time from requests.
             if self.is_in_force(row) {
@@ -180,6 +189,11 @@
                 Ok(Directive::Rollout(order)) => orders.push(order),
                 Err(error) => {
                     logging::event!(warn, "row_malformed", key = row.key, reason = error);
+                    unreadable.push(Unusable {
+                        kind: "row",
+                        name: row.key.clone(),
+                        reason: error.to_string(),
+                    });
                 }
             }
         }
@@ -189,6 +203,7 @@
         for (row, table) in tables {
             self.activate(row, table);
         }
+        self.publish_unusable(unreadable);
         if self.roster.set_evacuated(zones.clone()) {
             let zones: Vec<_> = zones.iter().map(|zone| zone.as_str()).collect();
             logging::event!(info, "zones_out", zones = zones.join(","));
@@ -197,6 +212,13 @@
         self.publish_readiness();
     }
 
+    /// Publishes the rows that cannot be read, and what was left out of the configuration in force.
+    fn publish_unusable(&self, unreadable: Vec<Unusable>) {
+        let unusable = [unreadable, self.left_out.clone()].concat();
+        self.outputs.metrics.set_unusable(unusable.len());
+        self.outputs.unusable.send_replace(unusable);
+    }
+
     fn publish_orders(&mut self, orders: Vec<Order>) {
         if self.orders.as_ref() == Some(&orders) {
             return;
@@ -252,6 +274,18 @@
             bytes = bytes
         );
         self.in_force = Some((row.key, row.version));
+        for entry in table.unusable.iter().take(MAX_LOGGED) {
+            logging::event!(
+                warn,
+                "entry_unusable",
+                config = table.version,
+                kind = entry.kind,
+                name = entry.name,
+                reason = entry.reason,
+                entries = table.unusable.len()
+            );
+        }
+        self.left_out.clone_from(&table.unusable);
         self.outputs.metrics.set_config(table.version, bytes);
         let table = Arc::from(table);
         let message = dispatch::Message::Table(Arc::clone(&table));
@@ -283,7 +317,13 @@
     }
 
     fn server_change(&self, row: &Row, now: Instant) -> Option<Change> {
-        let server: backend::Server = row.key.parse().ok()?;
+        let server = match backend::Server::try_from(row.key.clone()) {
+            Ok(server) => server,
+            Err(error) => {
+                logging::event!(warn, "row_malformed", key = row.key, reason = error);
+                return None;
+            }
+        };
         if row.value.is_none() {
             return Some(Change::Absent {
                 server,
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -3,6 +3,7 @@
 use std::{fmt, time::Duration};
 
 use load_report::Slowdown;
+use logging::Value;
 use recovery::Moment;
 use units::{availability, backend, host, pool, time::Instant};
 
@@ -10,6 +11,7 @@
     dispatch::RefusedParts,
     pool::{Server, Standing},
     readiness::Readiness,
+    route::Unusable,
     shutdown::Phase,
     staleness::Staleness,
 };
@@ -97,9 +99,9 @@
             f,
             "server={} pool={} zone={} standing={} cold={} leaving={} running={} load={} \
              bound={:.1} lag_ms={}",
-            self.server,
-            self.pool,
-            self.zone,
+            Value(self.server.as_str()),
+            Value(self.pool.as_str()),
+            Value(self.zone.as_str()),
             self.standing,
             self.is_cold,
             self.is_leaving,
@@ -167,12 +169,16 @@
 ) -> Vec<String> {
     let assessment = &rollout.assessment;
     let events = assessment.events;
-    let name_of = |route| route_name(route).unwrap_or_else(|| String::from("other"));
+    let pool = Value(rollout.pool.as_str());
+    let name_of = |route| {
+        let name = route_name(route).unwrap_or_else(|| String::from("other"));
+        Value(&name).to_string()
+    };
     let mut lines = vec![format!(
         "rollout={} to={} revision={} stage={} reporters={} score={:.1} evidence={} route={} \
          baseline={}/{} candidate={}/{}",
-        rollout.pool,
-        rollout.to,
+        pool,
+        Value(rollout.to.as_str()),
         rollout.revision,
         rollout.stage.map_or("unknown", rollout::Stage::name),
         rollout.reporters,
@@ -190,7 +196,7 @@
         format!(
             "rollout={} route={} baseline_answers={} baseline_failures={} candidate_answers={} \
              candidate_failures={}",
-            rollout.pool,
+            pool,
             name_of(route),
             counts.baseline.outcomes(),
             counts.baseline.failed,
@@ -212,6 +218,8 @@
     pub phase: Phase,
     /// The ages of the replicated views.
     pub ages: &'a Staleness,
+    /// What operators have written and is not in force, because it cannot be used.
+    pub unusable: &'a [Unusable],
     /// The present instant.
     pub now: Instant,
 }
@@ -221,7 +229,7 @@
     let mut lines = vec![format!(
         "router={} readiness=\"{}\" phase={:?} config_age_ms={} servers_age_ms={} members={} \
          heard={}",
-        header.host,
+        Value(header.host.as_str()),
         header.readiness,
         header.phase,
         header.ages.configuration(header.now).as_millis(),
@@ -229,8 +237,18 @@
         report.members,
         report.reporting_peers
     )];
+    lines.extend(header.unusable.iter().map(|entry| {
+        format!(
+            "unusable={} name={} reason={}",
+            entry.kind,
+            Value(&entry.name),
+            Value(&entry.reason)
+        )
+    }));
     let queued = report.queued.iter();
-    lines.extend(queued.map(|(pool, count)| format!("pool={pool} waiting={count}")));
+    lines.extend(
+        queued.map(|(pool, count)| format!("pool={} waiting={count}", Value(pool.as_str()))),
+    );
     lines.extend(report.servers.iter().map(Row::to_string));
     lines.push(String::new());
     lines.join("\n")
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -104,13 +104,20 @@
     }
 
     fn push_value(&mut self, value: &str) {
-        if is_plain(value) {
-            self.text.push_str(value);
-            return;
+        self.text.push_str(&Value(value).to_string());
+    }
+}
+
+/// The value of a pair, which is quoted and escaped if it could not be read back otherwise.
+#[derive(Clone, Copy, Debug)]
+pub struct Value<'a>(pub &'a str);
+
+impl fmt::Display for Value<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if is_plain(self.0) {
+            return f.write_str(self.0);
         }
-        self.text.push('"');
-        self.text.extend(value.chars().flat_map(char::escape_debug));
-        self.text.push('"');
+        write!(f, "\"{}\"", self.0.escape_debug())
     }
 }
 
--- a/crates/units/src/availability.rs
+++ b/crates/units/src/availability.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name of an availability zone.
-    Zone
+    Zone, check_text
 }
--- a/crates/units/src/backend.rs
+++ b/crates/units/src/backend.rs
@@ -2,10 +2,10 @@
 
 crate::name::identifier! {
     /// The name of one backend server, unique in the deployment.
-    Server
+    Server, check_text
 }
 
 crate::name::identifier! {
     /// The version of the software that a backend server runs.
-    Version
+    Version, check_text
 }
--- a/crates/units/src/change.rs
+++ b/crates/units/src/change.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name that the author gives to a change, by which a repeated submission is recognized.
-    Id
+    Id, check
 }
--- a/crates/units/src/host.rs
+++ b/crates/units/src/host.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name of the host on which a router runs, unique in the deployment.
-    Id
+    Id, check_text
 }
--- a/crates/units/src/operator.rs
+++ b/crates/units/src/operator.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name of an operator.
-    Id
+    Id, check
 }
--- a/crates/units/src/pool.rs
+++ b/crates/units/src/pool.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name of a pool of backend servers.
-    Id
+    Id, check_text
 }
--- a/crates/units/src/workspace.rs
+++ b/crates/units/src/workspace.rs
@@ -2,5 +2,5 @@
 
 crate::name::identifier! {
     /// The name of a workspace.
-    Id
+    Id, check_text
 }
