End the registration of a router when it leaves

Cause: the task that keeps a router registered goes on during the shutdown, sees the row missing that the shutdown has removed, and writes it again. Change: the task ends when the router begins to leave. The removal waits for a registration that is under way, so that none lands after it.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -102,6 +102,8 @@
     callers: JoinHandle<()>,
     /// Carries connections to servers for other routers.
     tunnels: JoinHandle<()>,
+    /// Registers this router in the store until it leaves.
+    registration: JoinHandle<()>,
     members: watch::Receiver<Arc<Vec<Member>>>,
     dispatch: mpsc::UnboundedSender<dispatch::Message>,
     held: Arc<held::Memory>,
@@ -282,18 +284,20 @@
             settings.connections,
             phase_receiver,
         );
-        tokio::spawn(registration::run(
+        let registration = registration::run(
             source.clone(),
             own,
             members.clone(),
             event_sender,
-        ));
+            phase.subscribe(),
+        );
         Ok(Self {
             source,
             settings,
             phase,
             callers: tokio::spawn(callers),
             tunnels: tokio::spawn(tunnels),
+            registration: tokio::spawn(registration),
             members,
             dispatch: handle,
             held,
@@ -363,7 +367,11 @@
         self.phase.send_replace(Phase::Closing);
         logging::event!(info, "closing");
         let deadline = started + self.settings.grace.duration().saturating_sub(KILL_MARGIN);
-        let unregistered = self.source.unregister(&self.settings.host, deadline);
+        let unregistered = async {
+            // It ends with the call that is under way.
+            drop(time::timeout_at(deadline, self.registration).await);
+            self.source.unregister(&self.settings.host, deadline).await
+        };
         let (drained, carried, unregistered) = tokio::join!(
             time::timeout_at(deadline, self.callers),
             time::timeout_at(deadline, self.tunnels),
--- a/crates/gateway/src/start/registration.rs
+++ b/crates/gateway/src/start/registration.rs
@@ -10,21 +10,28 @@
 use super::{STORE_RETRY_INTERVAL, STORE_TIMEOUT};
 use crate::{
     follow,
+    shutdown::Phase,
     source::{self, Batch, Member, Source, Topic},
 };
 
-/// Registers this router until the store lists it, and again whenever it is missing.
+/// Registers this router until the store lists it, and again whenever it is missing, until the router
+/// leaves. A call that is under way then is waited for, so that the row is not written again after its
+/// removal.
 pub(super) async fn run<S: Source>(
     source: S,
     own: Member,
     mut members: watch::Receiver<Arc<Vec<Member>>>,
     events: mpsc::Sender<follow::Event>,
+    mut phase: watch::Receiver<Phase>,
 ) {
-    loop {
+    while *phase.borrow() == Phase::Serving {
         let is_listed = members.borrow_and_update().contains(&own);
         if is_listed {
-            if members.changed().await.is_err() {
-                return;
+            tokio::select! {
+                changed = members.changed() => if changed.is_err() {
+                    return;
+                },
+                () = Phase::reached(&mut phase, Phase::Leaving) => {}
             }
             continue;
         }
@@ -38,8 +45,10 @@
         }
         // The new list takes a moment to be published. Waiting for it avoids a repeated
         // registration.
-        let listed = time::timeout(STORE_RETRY_INTERVAL, members.changed()).await;
-        drop(listed);
+        tokio::select! {
+            _ = time::timeout(STORE_RETRY_INTERVAL, members.changed()) => {}
+            () = Phase::reached(&mut phase, Phase::Leaving) => {}
+        }
     }
 }
 
