Tell records of streams to routers that become their keepers

Cause: the version that began a stream is told once, at its first event, to routers that hold it in memory. Nobody tells it to a router that starts in the place of one of them or moves up later. Routers that ended without a signal stay registered and are chosen. A record expires after 60 s also while its stream goes on. Change: each router that holds a record tells it to a router that starts or becomes a keeper (Handover), routers that are not heard for 5 s are not chosen (Silence), and the record of a stream that goes on is told again every 25 s (Renewals). All that hold a record tell it, since any of them may end next. A change tells only the records that it moves, in datagrams of up to 1,000 bytes.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -12,7 +12,7 @@
     collections::{BTreeMap, VecDeque},
     env, io,
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, Weak},
     time::Duration,
 };
 
@@ -428,7 +428,8 @@
             key: origins::Key(rand::random()),
             version: "v1.2".parse().expect("a version"),
         };
-        if messages.send(origins::Message::Began(record)).is_err() {
+        let began = origins::Message::Began(record, Weak::new());
+        if messages.send(began).is_err() {
             return;
         }
     }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -4,24 +4,31 @@
 //! Versions do not continue each other's streams, and neither the id that the caller names nor
 //! that of the last event tells the version. The router that forwards the first event of a
 //! stream therefore tells it to some routers, the keepers, which follow from a hash of the
-//! stream; the router to which the caller comes back asks these. A version is never assumed: if
-//! no keeper knows it, the stream is refused.
+//! stream; the router to which the caller comes back asks these. All that hold a record tell it to
+//! routers that become keepers later. A version is never assumed: if no keeper knows it, the stream
+//! is refused.
 
+mod handover;
 mod history;
 mod keepers;
 mod lookups;
+mod renewals;
+mod silence;
 mod table;
 
-use std::time::Duration;
+use std::{sync::Weak, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use units::{backend, chat, pool, workspace};
 use xxhash_rust::xxh3;
 
+pub use handover::Handover;
 pub use history::{Entry, History};
 pub use keepers::keepers;
 pub use lookups::Lookups;
+pub use renewals::{RENEWAL_INTERVAL, Renewals};
+pub use silence::{MAX_SILENCE, Silence};
 pub use table::Table;
 
 /// The number of keepers of a stream. There is one in each zone if there are not more zones, so
@@ -30,7 +37,7 @@
 /// The number of routers that are asked. One more than [`COPIES`], since a router that has joined
 /// since may have displaced a keeper.
 pub const ASKED: usize = COPIES + 1;
-/// How long the version of a stream is kept. Longer than a stream and its caller's attempts.
+/// How long the version of a stream is kept after it was told last.
 pub const RETENTION: Duration = Duration::from_secs(60);
 
 /// Identifies a stream over all attempts of its caller.
@@ -76,11 +83,16 @@
     Ambiguous,
 }
 
+/// Held for as long as a stream is forwarded.
+#[derive(Debug)]
+pub struct Lease;
+
 /// A message to the task that exchanges records with other routers.
 #[derive(Debug)]
 pub enum Message {
-    /// The first event of a stream was forwarded.
-    Began(Record),
+    /// The first event of a stream was forwarded. The stream goes on for as long as the [`Lease`]
+    /// exists.
+    Began(Record, Weak<Lease>),
     /// Asks for the version that began a stream.
     Find(Key, oneshot::Sender<Answer>),
 }
--- /dev/null
+++ b/crates/gateway/src/origins/renewals.rs
@@ -0,0 +1,51 @@
+//! The streams that this router forwards, whose records are told again while they go on.
+
+use std::{sync::Weak, time::Duration};
+
+use units::time::Instant;
+
+use super::{Lease, Record};
+
+/// How often the version of a stream that goes on is told again: so often that a record is left if a
+/// datagram is lost.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(25);
+
+#[derive(Debug)]
+struct Stream {
+    record: Record,
+    lease: Weak<Lease>,
+    renew_at: Instant,
+}
+
+/// The streams that this router forwards.
+#[derive(Debug, Default)]
+pub struct Renewals {
+    streams: Vec<Stream>,
+}
+
+impl Renewals {
+    /// Adds a stream whose record is told at `now`.
+    pub fn began(&mut self, record: Record, lease: Weak<Lease>, now: Instant) {
+        self.streams.push(Stream {
+            record,
+            lease,
+            renew_at: now + RENEWAL_INTERVAL,
+        });
+    }
+
+    /// The records that have to be told again at `now`. Forgets the streams that have ended.
+    pub fn due(&mut self, now: Instant) -> Vec<Record> {
+        self.streams
+            .retain(|stream| stream.lease.strong_count() > 0);
+        let mut due = Vec::new();
+        for stream in self
+            .streams
+            .iter_mut()
+            .filter(|stream| stream.renew_at <= now)
+        {
+            stream.renew_at = now + RENEWAL_INTERVAL;
+            due.push(stream.record.clone());
+        }
+        due
+    }
+}
--- a/crates/gateway/src/origins/table.rs
+++ b/crates/gateway/src/origins/table.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// The streams.
+    pub fn keys(&self) -> impl Iterator<Item = Key> {
+        self.streams.keys().copied()
+    }
+
     /// The number of streams.
     pub fn len(&self) -> usize {
         self.streams.len()
--- a/crates/gateway/src/peers/origins.rs
+++ b/crates/gateway/src/peers/origins.rs
@@ -1,6 +1,6 @@
 //! The exchange of the versions that began streams with the routers that keep them.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, mem, sync::Arc};
 
 use tokio::sync::oneshot;
 use units::{host, time::Instant};
@@ -8,19 +8,29 @@
 
 use super::{Frame, INTERVAL, task::Task};
 use crate::{
-    origins::{self, Answer, Key, Message, Record},
+    origins::{self, Answer, Handover, Key, Message, Record, Renewals, Silence},
     source::{Member, Source},
 };
 
 /// How many rounds a record waits for a keeper that does not know this process yet.
 const MAX_WAIT_ROUNDS: u32 = 10;
 
+/// How many records are looked at in a round for routers that have become their keepers.
+const HANDOVER_BATCH: usize = 512;
+/// The most bytes of the records in one datagram.
+const MAX_RECORDS_BYTES: usize = 1000;
+/// The most bytes of a record beside the version: the key, and two lengths.
+const RECORD_OVERHEAD: usize = 13;
+
 /// What this router keeps, asks and has not been able to send.
 #[derive(Debug, Default)]
 pub(super) struct Origins {
     table: origins::Table,
     lookups: origins::Lookups,
     unsent: Vec<Unsent>,
+    handover: Handover,
+    silence: Silence,
+    renewals: Renewals,
 }
 
 /// A record for a keeper that would discard it.
@@ -35,7 +45,11 @@
     /// Processes a message of the tasks that serve requests.
     pub(super) async fn handle_origin(&mut self, message: Message) {
         match message {
-            Message::Began(record) => self.record_origin(record).await,
+            Message::Began(record, lease) => {
+                let now = self.clock.now();
+                self.origins.renewals.began(record.clone(), lease, now);
+                self.record_origin(record).await;
+            }
             Message::Find(key, reply) => self.find_origin(key, reply).await,
         }
     }
@@ -43,6 +57,7 @@
     async fn record_origin(&mut self, record: Record) {
         let now = self.clock.now();
         self.origins.table.insert(&record, now);
+        self.update_keepers(now);
         for keeper in self.other_keepers(record.key, origins::COPIES) {
             self.send_to(&Frame::Origins(vec![record.clone()]), &keeper)
                 .await;
@@ -64,6 +79,7 @@
             drop(reply.send(known));
             return;
         }
+        self.update_keepers(self.clock.now());
         let keepers = self.other_keepers(key, origins::ASKED);
         let tags = keepers.iter().map(|keeper| Tag::new(&keeper.host));
         self.origins.lookups.start(key, tags, reply);
@@ -95,14 +111,59 @@
         self.origins.lookups.answer(key, from, answer);
     }
 
+    /// Records that another router has started.
+    pub(super) fn origin_keeper_started(&mut self, tag: Tag) {
+        if let Some(member) = self.member(tag) {
+            let Origins {
+                handover, table, ..
+            } = &mut self.origins;
+            handover.started(&member.host, table.keys());
+        }
+    }
+
+    /// Chooses keepers among the routers that are registered and heard.
+    fn update_keepers(&mut self, now: Instant) {
+        let registered = Arc::clone(&self.inputs.members.borrow());
+        let own = &self.inputs.own.host;
+        let is_heard = |host: &host::Id| host == own || self.table.contains(host);
+        let members = self.origins.silence.audible(&registered, is_heard, now);
+        let Origins {
+            handover, table, ..
+        } = &mut self.origins;
+        handover.set_members(members, table.keys());
+    }
+
+    /// Tells routers the records of which they have become keepers.
+    async fn hand_origins_over(&mut self, now: Instant) {
+        let own = self.inputs.own.host.clone();
+        let mut records: BTreeMap<host::Id, (Member, Vec<Record>)> = BTreeMap::new();
+        for (keeper, key) in self.origins.handover.next(&own, HANDOVER_BATCH) {
+            if let Answer::Version(version) = self.origins.table.find(key, now) {
+                let host = keeper.host.clone();
+                let (_, records) = records.entry(host).or_insert((keeper, Vec::new()));
+                records.push(Record { key, version });
+            }
+        }
+        for (keeper, records) in records.into_values() {
+            for batch in batches(records) {
+                self.send_to(&Frame::Origins(batch), &keeper).await;
+            }
+        }
+    }
+
     /// Sends the records that keepers have not received because they did not know this process,
-    /// and drops what is over.
+    /// or were no keepers then, and drops what is over.
     pub(super) async fn repeat_origins(&mut self) {
         let now = self.clock.now();
         self.origins.table.expire(now);
         self.origins.lookups.prune();
+        self.update_keepers(now);
+        self.hand_origins_over(now).await;
+        for record in self.origins.renewals.due(now) {
+            self.record_origin(record).await;
+        }
         let members = Arc::clone(&self.inputs.members.borrow());
-        for unsent in std::mem::take(&mut self.origins.unsent) {
+        for unsent in mem::take(&mut self.origins.unsent) {
             let mut members = members.iter();
             let Some(keeper) = members.find(|member| member.host == unsent.keeper) else {
                 continue;
@@ -118,8 +179,8 @@
 
     /// The first `count` keepers of a stream, without this router.
     fn other_keepers(&self, key: Key, count: usize) -> Vec<Member> {
-        let members = self.inputs.members.borrow();
-        let keepers = origins::keepers(&members, key, count).into_iter();
+        let members = self.origins.handover.members();
+        let keepers = origins::keepers(members, key, count).into_iter();
         let own = &self.inputs.own.host;
         keepers
             .filter(|member| member.host != *own)
@@ -127,3 +188,22 @@
             .collect()
     }
 }
+
+/// Splits records into parts that fit one datagram each.
+fn batches(records: Vec<Record>) -> Vec<Vec<Record>> {
+    let mut batches = Vec::new();
+    let (mut batch, mut bytes) = (Vec::new(), 0);
+    for record in records {
+        let length = RECORD_OVERHEAD + record.version.as_str().len();
+        if bytes + length > MAX_RECORDS_BYTES && !batch.is_empty() {
+            batches.push(mem::take(&mut batch));
+            bytes = 0;
+        }
+        bytes += length;
+        batch.push(record);
+    }
+    if !batch.is_empty() {
+        batches.push(batch);
+    }
+    batches
+}
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -36,6 +36,9 @@
             return;
         }
         self.boots.insert(opened.tag, opened.boot);
+        if known != Some(opened.boot) {
+            self.origin_keeper_started(opened.tag);
+        }
         match Frame::decode(opened.payload) {
             Ok(Frame::Digest(digest)) => {
                 let tag = opened.tag;
@@ -99,6 +102,7 @@
             return;
         }
         self.boots.insert(tag, boot);
+        self.origin_keeper_started(tag);
         let Some(member) = self.member(tag) else {
             return;
         };
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -114,6 +114,8 @@
     /// A failure response, forwarded to the caller if no other server responds.
     failure: Option<Box<Response>>,
     stage: Stage,
+    /// Keeps the record of the stream alive while it is forwarded.
+    lease: Option<Arc<origins::Lease>>,
 }
 
 /// How far the response to the caller has progressed.
@@ -144,6 +146,7 @@
             unreached: SmallVec::new(),
             failure: None,
             stage: Stage::Pending,
+            lease: None,
         }
     }
 
@@ -186,8 +189,10 @@
                 key,
                 version: version.clone(),
             };
+            let lease = self.lease.get_or_insert_with(|| Arc::new(origins::Lease));
+            let began = origins::Message::Began(record, Arc::downgrade(lease));
             // The task lives as long as the process.
-            drop(self.context.origins.send(origins::Message::Began(record)));
+            drop(self.context.origins.send(began));
         }
     }
 
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -17,6 +17,7 @@
 mod excess;
 mod explore;
 mod failures;
+mod handover;
 mod isolation;
 mod leaving;
 mod load_slices;
--- a/crates/gateway/tests/decisions/origins.rs
+++ b/crates/gateway/tests/decisions/origins.rs
@@ -1,9 +1,9 @@
 //! The versions that began streams, and the routers that keep them.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use gateway::{
-    origins::{self, Answer, History, Key, Lookups, Record, Table},
+    origins::{self, Answer, History, Key, Lease, Lookups, Record, Renewals, Table},
     peers::Frame,
     source::{Member, Topic},
     staleness::Staleness,
@@ -81,6 +81,26 @@
     assert!(table.is_empty());
 }
 
+/// Guards against a stream of a route with a long timeout that is not taken up, because its record has
+/// expired while it went on.
+#[test]
+fn a_record_outlasts_a_long_stream() {
+    let (mut renewals, mut table) = (Renewals::default(), Table::default());
+    let lease = Arc::new(Lease);
+    table.insert(&record(1, "v1"), START);
+    renewals.began(record(1, "v1"), Arc::downgrade(&lease), START);
+    for second in 1..300 {
+        let now = START + SECOND * second;
+        for record in renewals.due(now) {
+            table.insert(&record, now);
+        }
+        let known = table.find(Key(1), now);
+        assert_eq!(known, Answer::Version(version("v1")), "after {second} s");
+    }
+    drop(lease);
+    assert_eq!(renewals.due(START + SECOND * 600), Vec::new());
+}
+
 /// Guards against memory that grows with the rate of streams.
 #[test]
 fn the_number_of_records_is_bounded() {
