Keep the versions of services in the store for routers that start

Cause: for such callers a router takes the only version that it has seen for the only one that there was, and does not ask since when it has looked. One that has just started has no history. Evidence: eight streams, three routers killed at once: joined only without Resumes and with one version in sight, also at a killed router beside one that stayed. Records of shared ids are ruled out, since they are gone as well; so is a server that starts again at another version, as the new one had its own. Change: a row for each version of a service, written when its first server is seen, removed when it has had none for 600 s, by one router each (recorder, shared with refused parts).

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -20,7 +20,7 @@
     clock::Clock,
     dispatch, load,
     metrics::Metrics,
-    origins, outlier, peers, pool, prefixes, rollouts, roster,
+    origins, outlier, peers, pool, prefixes, rollouts, roster, service_versions,
     source::{self, Batch, Member, Secret, Source, Topic},
     staleness::Staleness,
 };
@@ -191,6 +191,29 @@
         Ok(())
     }
 
+    async fn record_version(
+        &self,
+        _: &service_versions::Entry,
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        Ok(())
+    }
+
+    async fn remove_version(
+        &self,
+        _: &service_versions::Entry,
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        Ok(())
+    }
+
+    fn recorded_version(
+        &self,
+        _: &source::Row,
+    ) -> Result<Option<service_versions::Entry>, source::Malformed> {
+        Ok(None)
+    }
+
     fn refused_parts(
         &self,
         _: &source::Row,
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -24,7 +24,7 @@
 use xxhash_rust::xxh3;
 
 pub use handover::Handover;
-pub use history::{Entry, History};
+pub use history::{Entry, History, MEMORY};
 pub use keepers::keepers;
 pub use lookups::Lookups;
 pub use renewals::{RENEWAL_INTERVAL, Renewals};
--- a/crates/gateway/src/origins/history.rs
+++ b/crates/gateway/src/origins/history.rs
@@ -4,8 +4,10 @@
 
 use units::{backend, pool, time::Instant};
 
+use crate::service_versions::Versions;
+
 /// How long a version without servers is remembered.
-const MEMORY: Duration = Duration::from_secs(600);
+pub const MEMORY: Duration = Duration::from_secs(600);
 
 /// A registered server, as far as its version is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +22,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct History {
     seen: BTreeMap<pool::Id, BTreeMap<backend::Version, Instant>>,
+    /// The versions that routers have recorded, also before this one started.
+    recorded: Versions,
 }
 
 impl History {
@@ -38,6 +42,45 @@
         }
     }
 
+    /// Applies the versions that the store lists.
+    pub fn set_recorded(&mut self, recorded: Versions) {
+        self.recorded = recorded;
+    }
+
+    /// The versions that have servers now.
+    pub fn serving(&self) -> Versions {
+        self.filtered(|last_seen| last_seen == Instant::NEVER)
+    }
+
+    /// The versions that had servers in the last [`MEMORY`].
+    pub fn seen(&self) -> Versions {
+        self.filtered(|_| true)
+    }
+
+    fn filtered(&self, is_wanted: impl Fn(Instant) -> bool) -> Versions {
+        let services = self.seen.iter().map(|(pool, versions)| {
+            let versions = versions
+                .iter()
+                .filter(|(_, last_seen)| is_wanted(**last_seen));
+            (
+                pool.clone(),
+                versions.map(|(version, _)| version.clone()).collect(),
+            )
+        });
+        services.collect()
+    }
+
+    /// The only version that a service has had, as far as routers have recorded and this one has
+    /// seen; `None` if there were several, or nothing is recorded.
+    pub fn only_recorded_version(&self, pool: &pool::Id) -> Option<&backend::Version> {
+        let mut recorded = self.recorded.get(pool)?.iter();
+        let (Some(only), None) = (recorded.next(), recorded.next()) else {
+            return None;
+        };
+        let mut seen = self.seen.get(pool).into_iter().flat_map(BTreeMap::keys);
+        seen.all(|version| version == only).then_some(only)
+    }
+
     /// The only version of a service that this router has seen in the last `span`; `None` if
     /// there were several, or none.
     pub fn only_version(
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,20 +1,14 @@
 //! Records refused prompt parts in the store, so that they stay refused when all routers restart.
 
-use std::{sync::Arc, time::Duration};
-
 use recovery::quarantine::Combination;
-use tokio::{sync::watch, time};
+use tokio::time;
 use units::host;
 use xxhash_rust::xxh3;
 
-use crate::source::{Error, Source};
-
-/// How much later each router changes a row than the one before it, if that one did not.
-const RANK_DELAY: Duration = Duration::from_secs(1);
-/// The longest such delay.
-const MAX_DELAY: Duration = Duration::from_secs(30);
-/// The timeout of a call, and the pause after one that failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::{
+    recorder::{self, CALL_TIMEOUT},
+    source::{Error, Source},
+};
 
 /// The differences between what is refused and what the store lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -27,44 +21,16 @@
     pub members: Vec<host::Id>,
 }
 
-impl Backlog {
-    fn is_empty(&self) -> bool {
-        self.unrecorded.is_empty() && self.superseded.is_empty()
-    }
-}
+impl recorder::Backlog for Backlog {
+    const FAILURE: &'static str = "quarantine_not_recorded";
 
-/// Applies the differences until the sender of `backlog` is dropped.
-///
-/// All routers know of them. For each combination they have another order, so that one call is
-/// made rather than one by each router.
-pub async fn run<S: Source>(source: S, own: host::Id, mut backlog: watch::Receiver<Arc<Backlog>>) {
-    while backlog
-        .wait_for(|backlog| !backlog.is_empty())
-        .await
-        .is_ok()
-    {
-        let next = Arc::clone(&backlog.borrow_and_update());
-        let delay = next.delay(&own);
-        if time::timeout(delay, backlog.changed()).await.is_ok() {
-            continue;
-        }
-        if let Err(error) = next.apply(&source, &own).await {
-            logging::event!(info, "quarantine_not_recorded", reason = error);
-        }
-        // The store reports the change to all routers.
-        drop(time::timeout(CALL_TIMEOUT, backlog.changed()).await);
+    fn first(&self) -> Option<u64> {
+        let first = self.unrecorded.iter().map(|(parts, _)| parts);
+        first.chain(&self.superseded).next().map(hash)
     }
-}
 
-impl Backlog {
-    /// How long this router leaves the first combination to others.
-    fn delay(&self, own: &host::Id) -> Duration {
-        let first = self.unrecorded.iter().map(|(parts, _)| parts);
-        let Some(parts) = first.chain(&self.superseded).next() else {
-            return MAX_DELAY;
-        };
-        let rank = u32::try_from(rank(&self.members, own, parts)).unwrap_or(u32::MAX);
-        RANK_DELAY.saturating_mul(rank).min(MAX_DELAY)
+    fn members(&self) -> &[host::Id] {
+        &self.members
     }
 
     async fn apply<S: Source>(&self, source: &S, own: &host::Id) -> Result<(), Error> {
@@ -86,8 +52,9 @@
 
 /// The number of routers that come before `own` for these parts.
 pub fn rank(members: &[host::Id], own: &host::Id, parts: &Combination) -> usize {
-    let seed = xxh3::xxh3_64(parts.to_string().as_bytes());
-    let score = |host: &host::Id| xxh3::xxh3_64_with_seed(host.as_str().as_bytes(), seed);
-    let own = score(own);
-    members.iter().filter(|host| score(host) < own).count()
+    recorder::rank(members, own, hash(parts))
+}
+
+fn hash(parts: &Combination) -> u64 {
+    xxh3::xxh3_64(parts.to_string().as_bytes())
 }
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -117,7 +117,7 @@
     let started = context.clock.now();
     let (finding, version) = match (route.kind, key, &head.resumes, &head.last_event_id) {
         (Kind::Resumable, Some(key), Some(_), _) => named(context, route, pool, key).await,
-        (Kind::Resumable, _, None, Some(_)) => unnamed(context, pool),
+        (Kind::Resumable, _, None, Some(_)) => unnamed(context, route, pool),
         (Kind::Stream, _, Some(_), _) => (Finding::NotResumable, None),
         _ => return Ok(None),
     };
@@ -156,29 +156,45 @@
         Some(Answer::Version(version)) => (Finding::Recorded, Some(version)),
         Some(Answer::Ambiguous) => (Finding::Ambiguous, None),
         None => (Finding::Unanswered, None),
-        Some(Answer::Unknown) => {
-            let span = RETENTION.max(route.timeout.duration() * MAX_ROUTE_TIMEOUTS);
-            let now = context.clock.now();
-            let history = context.history.borrow();
-            let only = history.only_version(pool, span, now).cloned();
-            match only.filter(|_| context.ages.covers_servers(span, now)) {
-                Some(version) => (Finding::OnlyVersion, Some(version)),
-                None => (Finding::Unrecorded, None),
-            }
-        }
+        Some(Answer::Unknown) => match only_version(context, route, pool) {
+            Some(version) => (Finding::OnlyVersion, Some(version)),
+            None => (Finding::Unrecorded, None),
+        },
     }
 }
 
-/// The version of a stream of a caller that does not name its first request: the only one that
-/// this router has seen.
-fn unnamed<P>(context: &Context<P>, pool: &pool::Id) -> Found {
-    let history = context.history.borrow();
-    match history.only_version(pool, RETENTION, context.clock.now()) {
-        Some(version) => (Finding::OnlyVersion, Some(version.clone())),
+/// The version of a stream of a caller that does not name its first request: the only one that the
+/// service has had.
+fn unnamed<P>(context: &Context<P>, route: &Route, pool: &pool::Id) -> Found {
+    match only_version(context, route, pool) {
+        Some(version) => (Finding::OnlyVersion, Some(version)),
         None => (Finding::Unnamed, None),
     }
 }
 
+/// The only version that can have begun a stream which is taken up; `None` if there are several, or it
+/// is not known whether there are.
+///
+/// A router that has known the servers for as long as a stream and its attempts take has seen all
+/// versions. One that has not asks the record of all routers.
+fn only_version<P>(
+    context: &Context<P>,
+    route: &Route,
+    pool: &pool::Id,
+) -> Option<backend::Version> {
+    let span = RETENTION.max(route.timeout.duration() * MAX_ROUTE_TIMEOUTS);
+    let now = context.clock.now();
+    let history = context.history.borrow();
+    let only = if context.ages.covers_servers(span, now) {
+        history.only_version(pool, span, now)
+    } else if context.ages.covers_servers(Duration::ZERO, now) {
+        history.only_recorded_version(pool)
+    } else {
+        None
+    };
+    only.cloned()
+}
+
 /// Asks the routers that may know the stream; `None` if some do not answer and no other knows it.
 async fn ask<P>(context: &Context<P>, key: Key) -> Option<Answer> {
     for _ in 0..MAX_QUERIES {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -9,7 +9,7 @@
 use units::{availability, host, time::Instant};
 use wire::seal::{Boot, Key};
 
-use crate::{roster, route, value::Value};
+use crate::{roster, route, service_versions, value::Value};
 
 /// A group of rows that is followed separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -200,6 +200,27 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Records that a service has servers of a version. The call is idempotent.
+    fn record_version(
+        &self,
+        entry: &service_versions::Entry,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Removes the record of a version. The call is idempotent.
+    fn remove_version(
+        &self,
+        entry: &service_versions::Entry,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Decodes a row of [`Topic::Routers`] if it records a version of a service.
+    ///
+    /// # Errors
+    ///
+    /// As [`Source::directive`].
+    fn recorded_version(&self, row: &Row) -> Result<Option<service_versions::Entry>, Malformed>;
+
     /// Decodes a row of [`Topic::Routers`] if it records refused parts, with the number of
     /// crashes that they have caused.
     ///
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -32,10 +32,10 @@
         introduction::{self, Introduced},
     },
     protocol::Protocol,
-    quarantine,
     readiness::Readiness,
-    rollouts,
+    recorder, rollouts,
     serve::{self, BODY_UNIT, Context},
+    service_versions,
     settings::Settings,
     shutdown::Phase,
     source::{Member, Secret, Source, Topic},
@@ -139,8 +139,14 @@
         let (dispatch, handle, messages) =
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         let crash_news = dispatch.crash_news();
-        let recorder = quarantine::run(source.clone(), settings.host.clone(), dispatch.backlog());
-        tokio::spawn(recorder);
+        let (host, backlog) = (settings.host.clone(), dispatch.backlog());
+        tokio::spawn(recorder::run(source.clone(), host.clone(), backlog));
+        let (version_backlog, backlog) = watch::channel(Arc::default());
+        tokio::spawn(recorder::run::<_, service_versions::Backlog>(
+            source.clone(),
+            host,
+            backlog,
+        ));
         let (key_sender, key) = watch::channel(None);
         let connector = Connector {
             protocol: protocol.clone(),
@@ -160,6 +166,7 @@
         let (unusable_sender, unusable) = watch::channel(Vec::new());
         let outputs = state::Outputs {
             history: history_sender,
+            version_backlog,
             rollouts: rollouts_sender.clone(),
             ages: Arc::clone(&ages),
             table: table_sender,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
     rollouts,
     roster::{self, Change, Roster},
     route::{Table, Unusable},
+    service_versions::{self, Versions},
     source::{Directive, Member, Row, Source, Topic},
     staleness::Staleness,
 };
@@ -47,6 +48,8 @@
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The versions of each service that were seen.
     pub history: watch::Sender<origins::History>,
+    /// What differs between the versions of services and those that the store lists.
+    pub version_backlog: watch::Sender<Arc<service_versions::Backlog>>,
     /// What operators have written and is not in force, because it cannot be used.
     pub unusable: watch::Sender<Vec<Unusable>>,
     /// The metrics.
@@ -73,6 +76,8 @@
     readiness: Readiness,
     /// The prompt parts that are refused according to the store, with the number of crashes.
     refused_parts: BTreeMap<Combination, u32>,
+    /// The versions of services that the store lists; `None` before its rows were read.
+    recorded_versions: Option<Versions>,
 }
 
 impl<S: Source> State<S> {
@@ -89,6 +94,7 @@
             orders: None,
             readiness: Readiness::default(),
             refused_parts: BTreeMap::new(),
+            recorded_versions: None,
         }
     }
 
@@ -358,6 +364,7 @@
         self.outputs
             .history
             .send_modify(|history| history.observe(servers, now));
+        self.publish_version_backlog();
         let message = dispatch::Message::Roster(Arc::new(self.roster.clone()));
         notify_dispatch(&self.outputs.dispatch, message);
         self.publish_readiness();
@@ -366,7 +373,20 @@
     fn publish_members(&mut self) {
         let mut members = Vec::new();
         let mut refused_parts = BTreeMap::new();
+        let mut recorded = Versions::new();
         for row in self.rows(Topic::Routers) {
+            match self.source.recorded_version(row) {
+                Ok(None) => {}
+                Ok(Some(entry)) => {
+                    let versions = recorded.entry(entry.pool).or_default();
+                    versions.insert(entry.version);
+                    continue;
+                }
+                Err(error) => {
+                    logging::event!(warn, "row_malformed", key = row.key, reason = error);
+                    continue;
+                }
+            }
             match self.source.refused_parts(row) {
                 Ok(None) => {}
                 Ok(Some((parts, crashes))) => {
@@ -391,6 +411,7 @@
             notify_dispatch(&self.outputs.dispatch, message);
         }
         if **self.outputs.members.borrow() == members {
+            self.set_recorded_versions(recorded);
             return;
         }
         logging::event!(info, "routers_changed", registered = members.len());
@@ -399,6 +420,38 @@
         notify_dispatch(&self.outputs.dispatch, message);
         self.outputs.members.send_replace(members);
         self.publish_sizes();
+        self.set_recorded_versions(recorded);
+    }
+
+    fn set_recorded_versions(&mut self, recorded: Versions) {
+        if self.recorded_versions.as_ref() != Some(&recorded) {
+            self.recorded_versions = Some(recorded.clone());
+            let history = &self.outputs.history;
+            history.send_modify(|history| history.set_recorded(recorded));
+        }
+        self.publish_version_backlog();
+    }
+
+    /// Publishes which versions of services have to be recorded, and which no longer.
+    fn publish_version_backlog(&self) {
+        let Some(recorded) = &self.recorded_versions else {
+            return;
+        };
+        let now = self.clock.now();
+        let members = self.outputs.members.borrow();
+        let hosts = members.iter().map(|member| member.host.clone()).collect();
+        let history = self.outputs.history.borrow();
+        let is_long_known = self.outputs.ages.covers_servers(origins::MEMORY, now);
+        let seen = is_long_known.then(|| history.seen());
+        let (serving, seen) = (history.serving(), seen.as_ref());
+        let backlog = service_versions::Backlog::new(&serving, seen, recorded, hosts);
+        self.outputs.version_backlog.send_if_modified(|known| {
+            let is_changed = **known != backlog;
+            if is_changed {
+                *known = Arc::new(backlog);
+            }
+            is_changed
+        });
     }
 
     fn publish_sizes(&self) {
--- a/crates/gateway/tests/decisions/origins.rs
+++ b/crates/gateway/tests/decisions/origins.rs
@@ -5,6 +5,7 @@
 use gateway::{
     origins::{self, Answer, History, Key, Lease, Lookups, Record, Renewals, Table},
     peers::Frame,
+    service_versions::{self, Versions},
     source::{Member, Topic},
     staleness::Staleness,
 };
@@ -299,3 +300,62 @@
     let records = Frame::Origins(Vec::new()).encode().expect("a frame");
     assert_eq!(records, [5, 0]);
 }
+
+fn recorded(versions: &[&str]) -> Versions {
+    let versions = versions.iter().map(|name| version(name)).collect();
+    Versions::from([(pool_id(), versions)])
+}
+
+/// Guards against a version that a router which has just started takes for the only one.
+#[parameterized(
+    one = { &["v1"], &["v1"], Some("v1") },
+    nothing_recorded = { &[], &["v1"], None },
+    an_earlier_one = { &["v1", "v2"], &["v2"], None },
+    a_newer_one = { &["v1"], &["v1", "v2"], None },
+    another_one = { &["v1"], &["v2"], None },
+    no_server_left = { &["v1"], &[], Some("v1") },
+)]
+fn the_only_version_is_that_on_record_and_in_sight(
+    on_record: &[&str],
+    in_sight: &[&str],
+    only: Option<&str>,
+) {
+    let mut history = History::default();
+    history.set_recorded(recorded(on_record));
+    observe(&mut history, in_sight, START);
+    let found = history.only_recorded_version(&pool_id());
+    assert_eq!(found, only.map(version).as_ref());
+}
+
+/// Guards against a record that lacks a version which serves, or names one for ever, or loses one that a
+/// router has not looked for long enough.
+#[test]
+fn the_record_follows_the_versions_that_serve() {
+    let backlog = |serving: &[&str], seen: Option<&[&str]>, on_record: &[&str]| {
+        let seen = seen.map(recorded);
+        let backlog = service_versions::Backlog::new(
+            &recorded(serving),
+            seen.as_ref(),
+            &recorded(on_record),
+            Vec::new(),
+        );
+        let names = |entries: Vec<service_versions::Entry>| {
+            let versions = entries.into_iter().map(|entry| entry.version.to_string());
+            versions.collect::<Vec<_>>()
+        };
+        (names(backlog.unrecorded), names(backlog.outdated))
+    };
+    let list = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| String::from(*name))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(backlog(&["v1"], None, &[]), (list(&["v1"]), list(&[])));
+    assert_eq!(backlog(&["v2"], None, &["v1"]), (list(&["v2"]), list(&[])));
+    let both = &["v1", "v2"];
+    assert_eq!(backlog(&["v2"], None, both), (list(&[]), list(&[])));
+    assert_eq!(backlog(&["v2"], Some(both), both), (list(&[]), list(&[])));
+    let seen = Some(&["v2"][..]);
+    assert_eq!(backlog(&["v2"], seen, both), (list(&[]), list(&["v1"])));
+}
--- a/crates/gateway/tests/network/exchange.rs
+++ b/crates/gateway/tests/network/exchange.rs
@@ -12,6 +12,7 @@
     metrics::Metrics,
     peers,
     roster::Entry,
+    service_versions,
     source::{self, Batch, Member, Secret, Source, Topic},
     staleness::Staleness,
 };
@@ -104,6 +105,29 @@
         unavailable()
     }
 
+    async fn record_version(
+        &self,
+        _: &service_versions::Entry,
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        unavailable()
+    }
+
+    async fn remove_version(
+        &self,
+        _: &service_versions::Entry,
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        unavailable()
+    }
+
+    fn recorded_version(
+        &self,
+        _: &source::Row,
+    ) -> Result<Option<service_versions::Entry>, source::Malformed> {
+        Ok(None)
+    }
+
     fn refused_parts(
         &self,
         _: &source::Row,
