Take the version recorded first for the one in service

Cause: a router that starts takes the version of the server that has run longest for the one in service, and servers that crashed have not run for long. Change: versions are ordered by the store's version of their record, then by the starts as before. Versions that are recorded together are recorded in the order of their starts. A version chosen before the records were read is chosen again once, and a router is not ready before it has read them.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -327,6 +327,10 @@
             });
             let pool = queue.pool_mut();
             pool.set_reading(roster.reading());
+            let records = roster.records();
+            pool.set_records(
+                records.map(|records| records.get(&name).cloned().unwrap_or_default()),
+            );
             pool.set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
         }
         self.sum_peers();
--- a/crates/gateway/src/origins/history.rs
+++ b/crates/gateway/src/origins/history.rs
@@ -47,27 +47,12 @@
         self.recorded = recorded;
     }
 
-    /// The versions that have servers now.
-    pub fn serving(&self) -> Versions {
-        self.filtered(|last_seen| last_seen == Instant::NEVER)
-    }
-
     /// The versions that had servers in the last [`MEMORY`].
     pub fn seen(&self) -> Versions {
-        self.filtered(|_| true)
-    }
-
-    fn filtered(&self, is_wanted: impl Fn(Instant) -> bool) -> Versions {
-        let services = self.seen.iter().map(|(pool, versions)| {
-            let versions = versions
-                .iter()
-                .filter(|(_, last_seen)| is_wanted(**last_seen));
-            (
-                pool.clone(),
-                versions.map(|(version, _)| version.clone()).collect(),
-            )
-        });
-        services.collect()
+        let services = self.seen.iter();
+        services
+            .map(|(pool, versions)| (pool.clone(), versions.keys().cloned().collect()))
+            .collect()
     }
 
     /// The only version that a service has had, as far as routers have recorded and this one has
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -185,6 +185,8 @@
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
+    /// The versions on record, with the store's versions of the records; `None` if they were not read.
+    records: Option<BTreeMap<backend::Version, u64>>,
     brittleness: brittle::Brittleness,
     holdings: holdings::Holdings,
     /// Whether this router is up to date. If it is not, it cannot know that the version in
@@ -217,6 +219,7 @@
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
+            records: None,
             brittleness: brittle::Brittleness::default(),
             holdings: holdings::Holdings::default(),
             is_up_to_date: true,
@@ -240,6 +243,12 @@
         self.reading = reading;
     }
 
+    /// Sets the versions of the service on record, with the store's versions of the records; `None` if
+    /// they were not read.
+    pub fn set_records(&mut self, records: Option<BTreeMap<backend::Version, u64>>) {
+        self.records = records;
+    }
+
     /// Replaces the registered servers. Each entry carries a flag that says whether the
     /// server is leaving and must get no new requests.
     pub fn set_servers<'a>(&mut self, entries: impl Iterator<Item = (&'a roster::Entry, bool)>) {
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -10,6 +10,9 @@
     NoConfiguration,
     /// The router knows no backend server.
     NoServers,
+    /// The router does not know which versions of services are on record, and may take a new one for the
+    /// one in service.
+    NoRecords,
     /// The router can serve requests.
     Ready,
 }
@@ -19,6 +22,7 @@
         f.write_str(match self {
             Self::NoConfiguration => "no configuration",
             Self::NoServers => "no servers",
+            Self::NoRecords => "no records of versions",
             Self::Ready => "ready",
         })
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,11 +3,14 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
 use units::{availability, backend, pool, time::Instant};
 
+use crate::service_versions::{self, Records};
+
 /// How long an entry that lapsed in an outage of the store is kept, so that it can return.
 ///
 /// Registrations lapse while the store is unavailable and are written again within about
@@ -107,9 +110,37 @@
     /// Until when missing entries are assumed to have lapsed in an outage of the store.
     grace_until: Instant,
     reading: Reading,
+    /// The versions of services on record; `None` before they were read.
+    records: Option<Arc<Records>>,
 }
 
 impl Roster {
+    /// Sets the versions of services on record.
+    pub fn set_records(&mut self, records: Arc<Records>) {
+        self.records = Some(records);
+    }
+
+    /// The versions of services on record; `None` before they were read.
+    pub fn records(&self) -> Option<&Arc<Records>> {
+        self.records.as_ref()
+    }
+
+    /// The versions of the registered servers, those of the servers that have run longest first.
+    pub fn versions(&self) -> Vec<service_versions::Entry> {
+        let mut oldest: BTreeMap<service_versions::Entry, u64> = BTreeMap::new();
+        for (entry, _) in self.all() {
+            let version = service_versions::Entry {
+                pool: entry.pool.clone(),
+                version: entry.version.clone(),
+            };
+            let incarnation = oldest.entry(version).or_insert(entry.incarnation);
+            *incarnation = entry.incarnation.min(*incarnation);
+        }
+        let mut versions: Vec<_> = oldest.into_iter().collect();
+        versions.sort_by_key(|(_, incarnation)| *incarnation);
+        versions.into_iter().map(|(version, _)| version).collect()
+    }
+
     /// Starts the grace period after an outage of the store.
     pub fn store_returned(&mut self, now: Instant) {
         self.grace_until = now + LAPSE_GRACE;
--- a/crates/gateway/src/service_versions.rs
+++ b/crates/gateway/src/service_versions.rs
@@ -17,8 +17,20 @@
 /// The versions of each service.
 pub type Versions = BTreeMap<pool::Id, BTreeSet<backend::Version>>;
 
+/// The versions of each service that the store lists, with the store's version of each record: it is
+/// lower for one that was recorded earlier.
+pub type Records = BTreeMap<pool::Id, BTreeMap<backend::Version, u64>>;
+
+/// The versions on record.
+pub fn versions(records: &Records) -> Versions {
+    let services = records.iter();
+    services
+        .map(|(pool, versions)| (pool.clone(), versions.keys().cloned().collect()))
+        .collect()
+}
+
 /// A version of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Entry {
     /// The service.
     pub pool: pool::Id,
@@ -37,7 +49,7 @@
 /// The differences between the versions that were seen and those that the store lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Backlog {
-    /// Versions that the store does not list.
+    /// Versions that the store does not list, in the order in which they are recorded.
     pub unrecorded: Vec<Entry>,
     /// Versions that the store lists although they have been gone for long.
     pub outdated: Vec<Entry>,
@@ -46,31 +58,37 @@
 }
 
 impl Backlog {
-    /// Compares the versions that `serve` now, those that were `seen` for as long as they may be of
-    /// significance, if that is known, and those `recorded`.
+    /// Compares the versions that serve now, the one in service first, with those `recorded`, and these
+    /// with those that were `seen` for as long as they may be of significance, if that is known.
     pub fn new(
-        serve: &Versions,
+        serving: Vec<Entry>,
         seen: Option<&Versions>,
         recorded: &Versions,
         members: Vec<host::Id>,
     ) -> Self {
+        let mut unrecorded = serving;
+        unrecorded.retain(|entry| !contains(recorded, &entry.pool, &entry.version));
         Self {
-            unrecorded: difference(serve, recorded),
+            unrecorded,
             outdated: seen.map_or_else(Vec::new, |seen| difference(recorded, seen)),
             members,
         }
     }
 }
 
+fn contains(versions: &Versions, pool: &pool::Id, version: &backend::Version) -> bool {
+    let versions = versions.get(pool);
+    versions.is_some_and(|versions| versions.contains(version))
+}
+
 /// What is in `left` and not in `right`.
 fn difference(left: &Versions, right: &Versions) -> Vec<Entry> {
-    let is_in = |pool: &pool::Id, version: &backend::Version| {
-        let versions = right.get(pool);
-        versions.is_some_and(|versions| versions.contains(version))
-    };
     let mut difference = Vec::new();
     for (pool, versions) in left {
-        for version in versions.iter().filter(|version| !is_in(pool, version)) {
+        for version in versions
+            .iter()
+            .filter(|version| !contains(right, pool, version))
+        {
             difference.push(Entry {
                 pool: pool.clone(),
                 version: version.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,7 @@
     rollouts,
     roster::{self, Change, Roster},
     route::{Table, Unusable},
-    service_versions::{self, Versions},
+    service_versions::{self, Records},
     source::{Directive, Member, Row, Source, Topic},
     staleness::Staleness,
 };
@@ -76,8 +76,6 @@
     readiness: Readiness,
     /// The prompt parts that are refused according to the store, with the number of crashes.
     refused_parts: BTreeMap<Combination, u32>,
-    /// The versions of services that the store lists; `None` before its rows were read.
-    recorded_versions: Option<Versions>,
 }
 
 impl<S: Source> State<S> {
@@ -94,7 +92,6 @@
             orders: None,
             readiness: Readiness::default(),
             refused_parts: BTreeMap::new(),
-            recorded_versions: None,
         }
     }
 
@@ -373,13 +370,13 @@
     fn publish_members(&mut self) {
         let mut members = Vec::new();
         let mut refused_parts = BTreeMap::new();
-        let mut recorded = Versions::new();
+        let mut recorded = Records::new();
         for row in self.rows(Topic::Routers) {
             match self.source.recorded_version(row) {
                 Ok(None) => {}
                 Ok(Some(entry)) => {
                     let versions = recorded.entry(entry.pool).or_default();
-                    versions.insert(entry.version);
+                    versions.insert(entry.version, row.version);
                     continue;
                 }
                 Err(error) => {
@@ -423,28 +420,34 @@
         self.set_recorded_versions(recorded);
     }
 
-    fn set_recorded_versions(&mut self, recorded: Versions) {
-        if self.recorded_versions.as_ref() != Some(&recorded) {
-            self.recorded_versions = Some(recorded.clone());
-            let history = &self.outputs.history;
-            history.send_modify(|history| history.set_recorded(recorded));
+    fn set_recorded_versions(&mut self, recorded: Records) {
+        if self.roster.records().map(Arc::as_ref) == Some(&recorded) {
+            self.publish_version_backlog();
+            return;
         }
-        self.publish_version_backlog();
+        let versions = service_versions::versions(&recorded);
+        let history = &self.outputs.history;
+        history.send_modify(|history| history.set_recorded(versions));
+        self.roster.set_records(Arc::new(recorded));
+        if !self.roster.is_empty() {
+            self.publish_roster();
+        }
+        self.publish_readiness();
     }
 
     /// Publishes which versions of services have to be recorded, and which no longer.
     fn publish_version_backlog(&self) {
-        let Some(recorded) = &self.recorded_versions else {
+        let Some(records) = self.roster.records() else {
             return;
         };
         let now = self.clock.now();
         let members = self.outputs.members.borrow();
         let hosts = members.iter().map(|member| member.host.clone()).collect();
-        let history = self.outputs.history.borrow();
         let is_long_known = self.outputs.ages.covers_servers(origins::MEMORY, now);
-        let seen = is_long_known.then(|| history.seen());
-        let (serving, seen) = (history.serving(), seen.as_ref());
-        let backlog = service_versions::Backlog::new(&serving, seen, recorded, hosts);
+        let seen = is_long_known.then(|| self.outputs.history.borrow().seen());
+        let recorded = service_versions::versions(records);
+        let versions = self.roster.versions();
+        let backlog = service_versions::Backlog::new(versions, seen.as_ref(), &recorded, hosts);
         self.outputs.version_backlog.send_if_modified(|known| {
             let is_changed = **known != backlog;
             if is_changed {
@@ -466,6 +469,8 @@
             Readiness::NoConfiguration
         } else if self.roster.is_empty() {
             Readiness::NoServers
+        } else if self.roster.records().is_none() {
+            Readiness::NoRecords
         } else {
             Readiness::Ready
         };
--- a/crates/gateway/tests/decisions/origins.rs
+++ b/crates/gateway/tests/decisions/origins.rs
@@ -333,8 +333,12 @@
 fn the_record_follows_the_versions_that_serve() {
     let backlog = |serving: &[&str], seen: Option<&[&str]>, on_record: &[&str]| {
         let seen = seen.map(recorded);
+        let serving = serving.iter().map(|name| service_versions::Entry {
+            pool: pool_id(),
+            version: version(name),
+        });
         let backlog = service_versions::Backlog::new(
-            &recorded(serving),
+            serving.collect(),
             seen.as_ref(),
             &recorded(on_record),
             Vec::new(),
--- a/crates/rollout/src/serving.rs
+++ b/crates/rollout/src/serving.rs
@@ -23,26 +23,44 @@
     pub version: &'a backend::Version,
     /// Distinguishes its starts; a later start has a higher value.
     pub incarnation: u64,
+    /// When its version was first recorded, as a number that grows; `None` if it is not.
+    pub recorded_at: Option<u64>,
+}
+
+impl Server<'_> {
+    /// Orders versions by their age: those on record first, in the order in which they were recorded.
+    fn age(&self) -> impl Ord {
+        let recorded_at = self.recorded_at.unwrap_or(u64::MAX);
+        (recorded_at, self.incarnation, self.version.clone())
+    }
 }
 
 /// Which versions of one service may receive requests.
 ///
-/// Without an order, the version in service is that of the server that has run longest:
-/// servers of another version are started beside the old ones ahead of an order, and must
-/// receive nothing before it. Once chosen, the version stays in service until a roll-out is
+/// Without an order, the version in service is the one that was recorded first, or, if none is on
+/// record, that of the server that has run longest: servers of another version are started beside the
+/// old ones ahead of an order, and must receive nothing before it. How long servers have run says
+/// little by itself, since those in service may have crashed and started again. Once chosen, the version stays in service until a roll-out is
 /// completed or none of its servers is registered any more. So a service whose servers are
 /// all replaced without an order is not refused.
 #[derive(Clone, Debug, Default)]
 pub struct Serving {
     baseline: Option<backend::Version>,
+    /// Whether the baseline was chosen before it was known which versions are on record.
+    is_guessed: bool,
     order: Option<Order>,
     /// The stage of the ordered roll-out; `None` until it is known.
     stage: Option<Stage>,
 }
 
 impl Serving {
-    /// Applies the registered servers, including those that are draining.
-    pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = Server<'a>>) {
+    /// Applies the registered servers, including those that are draining. `knows_records` tells whether
+    /// it is known which versions are on record.
+    pub fn set_servers<'a>(
+        &mut self,
+        servers: impl Iterator<Item = Server<'a>>,
+        knows_records: bool,
+    ) {
         let servers: Vec<Server<'a>> = servers.collect();
         let is_registered = |version: &backend::Version| {
             let mut registered = servers.iter();
@@ -53,9 +71,10 @@
             .stage
             .is_some_and(|stage| matches!(stage, Stage::RollingBack | Stage::RolledBack));
         let others = servers.iter().filter(|server| !is_ordered(server));
-        let oldest = others.min_by_key(|server| (server.incarnation, server.version));
+        let oldest = others.min_by_key(|server| server.age());
         let is_refuted = self.has_untried_baseline() && (oldest.is_some() || is_rolled_back);
-        if !is_refuted && self.baseline.as_ref().is_some_and(is_registered) {
+        let is_checked = !self.is_guessed || !knows_records;
+        if is_checked && !is_refuted && self.baseline.as_ref().is_some_and(is_registered) {
             return;
         }
         // If only servers of the ordered version are left, they serve, unless they are
@@ -65,6 +84,7 @@
         if chosen.is_some() || is_refuted {
             self.baseline = chosen;
         }
+        self.is_guessed = !knows_records;
     }
 
     /// Applies the order in force. The stage of a new order is not known yet.
@@ -87,6 +107,7 @@
         };
         if stage == Stage::Completed {
             self.baseline = Some(order.to.clone());
+            self.is_guessed = false;
         }
         self.stage = Some(stage);
     }
--- a/crates/rollout/tests/model/serving.rs
+++ b/crates/rollout/tests/model/serving.rs
@@ -21,10 +21,50 @@
 fn set_servers(serving: &mut Serving, servers: &[(&str, u64)]) {
     let versions: Vec<_> = servers.iter().map(|(text, _)| version(text)).collect();
     let servers = servers.iter().zip(&versions);
-    serving.set_servers(servers.map(|((_, incarnation), version)| Server {
+    let servers = servers.map(|((_, incarnation), version)| Server {
         version,
         incarnation: *incarnation,
-    }));
+        recorded_at: None,
+    });
+    serving.set_servers(servers, true);
+}
+
+/// Applies servers of versions that are on record in this order, if that is known.
+fn set_recorded(serving: &mut Serving, servers: &[(&str, u64)], on_record: Option<&[&str]>) {
+    let versions: Vec<_> = servers.iter().map(|(text, _)| version(text)).collect();
+    let recorded_at = |text: &str| on_record?.iter().position(|known| *known == text);
+    let described = servers.iter().zip(&versions);
+    let described = described.map(|((text, incarnation), version)| Server {
+        version,
+        incarnation: *incarnation,
+        recorded_at: recorded_at(text).map(|position| position as u64),
+    });
+    serving.set_servers(described, on_record.is_some());
+}
+
+/// Guards against a router that starts after the servers in service have crashed and started again, and
+/// takes those of a new version, which have run longer, for the ones in service.
+#[test]
+fn the_version_recorded_first_serves() {
+    let servers = [("v1", 300), ("v2", 200)];
+    let mut serving = Serving::default();
+    set_recorded(&mut serving, &servers, Some(&["v1", "v2"]));
+    assert_eq!(serving.role(&version("v1")), Role::Serving);
+    assert_eq!(serving.role(&version("v2")), Role::Idle);
+}
+
+/// Guards against a version that stays in service because it was chosen before the records were read,
+/// and against one that is given up because another is recorded later.
+#[test]
+fn a_choice_made_without_the_records_is_made_again_once() {
+    let servers = [("v1", 300), ("v2", 200)];
+    let mut serving = Serving::default();
+    set_recorded(&mut serving, &servers, None);
+    assert_eq!(serving.role(&version("v2")), Role::Serving);
+    set_recorded(&mut serving, &servers, Some(&["v1", "v2"]));
+    assert_eq!(serving.role(&version("v1")), Role::Serving);
+    set_recorded(&mut serving, &servers, Some(&["v2", "v1"]));
+    assert_eq!(serving.role(&version("v1")), Role::Serving);
 }
 
 fn serving(servers: &[(&str, u64)]) -> Serving {
