--- a/crates/rollout/src/serving.rs
+++ b/crates/rollout/src/serving.rs
@@ -40,9 +40,9 @@
 /// Without an order, the version in service is the one that was recorded first, or, if none is on
 /// record, that of the server that has run longest: servers of another version are started beside the
 /// old ones ahead of an order, and must receive nothing before it. How long servers have run says
-/// little by itself, since those in service may have crashed and started again. Once chosen, the version stays in service until a roll-out is
-/// completed or none of its servers is registered any more. So a service whose servers are
-/// all replaced without an order is not refused.
+/// little by itself, since those in service may have crashed and started again. Once chosen, the
+/// version stays in service until a roll-out is completed or none of its servers is registered any
+/// more. So a service whose servers are all replaced without an order is not refused.
 #[derive(Clone, Debug, Default)]
 pub struct Serving {
     baseline: Option<backend::Version>,
