--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -327,10 +327,8 @@
             });
             let pool = queue.pool_mut();
             pool.set_reading(roster.reading());
-            let records = roster.records();
-            pool.set_records(
-                records.map(|records| records.get(&name).cloned().unwrap_or_default()),
-            );
+            let records = roster.records().and_then(|records| records.get(&name));
+            pool.set_records(records.cloned().unwrap_or_default());
             pool.set_servers(roster.all().filter(|(entry, _)| entry.pool == name));
         }
         self.sum_peers();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -185,8 +185,8 @@
     ejection: OutlierDetector,
     zone_tracker: zone::ZoneTracker,
     serving: Serving,
-    /// The versions on record, with the store's versions of the records; `None` if they were not read.
-    records: Option<BTreeMap<backend::Version, u64>>,
+    /// The versions on record, with the store's versions of the records.
+    records: BTreeMap<backend::Version, u64>,
     brittleness: brittle::Brittleness,
     holdings: holdings::Holdings,
     /// Whether this router is up to date. If it is not, it cannot know that the version in
@@ -219,7 +219,7 @@
             ejection: OutlierDetector::new(settings),
             zone_tracker: zone::ZoneTracker::default(),
             serving: Serving::default(),
-            records: None,
+            records: BTreeMap::new(),
             brittleness: brittle::Brittleness::default(),
             holdings: holdings::Holdings::default(),
             is_up_to_date: true,
@@ -243,9 +243,8 @@
         self.reading = reading;
     }
 
-    /// Sets the versions of the service on record, with the store's versions of the records; `None` if
-    /// they were not read.
-    pub fn set_records(&mut self, records: Option<BTreeMap<backend::Version, u64>>) {
+    /// Sets the versions of the service on record, with the store's versions of the records.
+    pub fn set_records(&mut self, records: BTreeMap<backend::Version, u64>) {
         self.records = records;
     }
 
--- a/crates/gateway/src/pool/versions.rs
+++ b/crates/gateway/src/pool/versions.rs
@@ -100,13 +100,13 @@
         let Some(settings) = self.bounds.rollouts else {
             return;
         };
-        let records = self.records.as_ref();
+        let records = &self.records;
         let servers = self.servers.values().map(|server| serving::Server {
             version: server.version(),
             incarnation: server.incarnation(),
-            recorded_at: records.and_then(|records| records.get(server.version()).copied()),
+            recorded_at: records.get(server.version()).copied(),
         });
-        self.serving.set_servers(servers, records.is_some());
+        self.serving.set_servers(servers);
         for server in self.servers.values_mut() {
             let role = self.serving.role(server.version());
             server.set_role(role);
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -200,7 +200,8 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Records that a service has servers of a version. The call is idempotent.
+    /// Records that a service has servers of a version. The call is idempotent, and leaves a record that
+    /// there is at its version.
     fn record_version(
         &self,
         entry: &service_versions::Entry,
--- a/crates/rollout/src/serving.rs
+++ b/crates/rollout/src/serving.rs
@@ -46,7 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Serving {
     baseline: Option<backend::Version>,
-    /// Whether the baseline was chosen before it was known which versions are on record.
+    /// Whether the baseline was chosen while no version was known to be on record.
     is_guessed: bool,
     order: Option<Order>,
     /// The stage of the ordered roll-out; `None` until it is known.
@@ -54,13 +54,8 @@
 }
 
 impl Serving {
-    /// Applies the registered servers, including those that are draining. `knows_records` tells whether
-    /// it is known which versions are on record.
-    pub fn set_servers<'a>(
-        &mut self,
-        servers: impl Iterator<Item = Server<'a>>,
-        knows_records: bool,
-    ) {
+    /// Applies the registered servers, including those that are draining.
+    pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = Server<'a>>) {
         let servers: Vec<Server<'a>> = servers.collect();
         let is_registered = |version: &backend::Version| {
             let mut registered = servers.iter();
@@ -73,7 +68,8 @@
         let others = servers.iter().filter(|server| !is_ordered(server));
         let oldest = others.min_by_key(|server| server.age());
         let is_refuted = self.has_untried_baseline() && (oldest.is_some() || is_rolled_back);
-        let is_checked = !self.is_guessed || !knows_records;
+        let is_on_record = servers.iter().any(|server| server.recorded_at.is_some());
+        let is_checked = !self.is_guessed || !is_on_record;
         if is_checked && !is_refuted && self.baseline.as_ref().is_some_and(is_registered) {
             return;
         }
@@ -84,7 +80,7 @@
         if chosen.is_some() || is_refuted {
             self.baseline = chosen;
         }
-        self.is_guessed = !knows_records;
+        self.is_guessed = !is_on_record;
     }
 
     /// Applies the order in force. The stage of a new order is not known yet.
