Give up responses whose heads leave the end of the body open

Callers saw: a server in trouble sends `Transfer-Encoding: chunkex`, and the caller gets a complete 200 whose body is the chunked bytes, sizes and last chunk included; or the server sends 101 or 999, and the caller gets it as an answer. Cause: the HTTP library reads a body whose transfer coding it does not know up to the end of the connection, as RFC 9112 allows clients, and takes the last of several codings and equal repeated lengths. `framing::Delimiter` did the same, and the hop-by-hop coding was removed on the way to the caller, so that nothing showed what the bytes are. Status codes from 101 to 999 were passed on. Change: `framing::head::check` is asked for each head of a final response: `chunked` alone and once, or one number, or neither; a status from 200 to 599. Otherwise the attempt ends as one that may have run, so that idempotent requests go to another server and others get 502. It is asked in the connection that weir-platform, its tunnels and checks, and weir-router use, and in the client of the store. Links between routers carry frames, not heads. Ruled out: that the relay or the tracker cut bodies: with a valid head all cases of framing pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -179,10 +179,10 @@
             permit.end(Outcome::Broken);
             End::Broken(error.to_string())
         }
-        Ok(Err(Failure::Exceeded(exceeded))) => {
+        Ok(Err(failure @ (Failure::Exceeded(_) | Failure::Malformed(_)))) => {
             // The server is reached and works, so that this is no sign of a crash.
             permit.end(Outcome::Failed);
-            End::Broken(exceeded.to_string())
+            End::Broken(failure.to_string())
         }
         Ok(Ok(response)) => {
             awaited.has_arrived = true;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -147,7 +147,8 @@
     /// # Errors
     ///
     /// [`Failure::Unsent`] when no byte of the request was sent, [`Failure::Exceeded`] when the head
-    /// and the interim responses before it exceed [`head::MAX_BYTES`].
+    /// and the interim responses before it exceed [`head::MAX_BYTES`], [`Failure::Malformed`] when the
+    /// head does not tell where the body ends.
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -161,7 +162,11 @@
         });
         let response = self.sender.try_send_request(request);
         match self.received.limit.wait(response).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                let checked = framing::head::check(response.status(), response.headers());
+                checked.map_err(Failure::Malformed)?;
+                Ok(response)
+            }
             Err(exceeded) => Err(Failure::Exceeded(exceeded)),
             Ok(Err(mut error)) => match error.take_message() {
                 Some(request) => Err(Failure::Unsent(Box::new(request))),
@@ -247,6 +252,8 @@
     Broken(hyper::Error),
     /// The server sent too many bytes, and no response head or part of the body.
     Exceeded(head::Exceeded),
+    /// The head of the response is not valid.
+    Malformed(framing::head::Fault),
 }
 
 impl fmt::Display for Failure {
@@ -255,6 +262,7 @@
             Self::Unsent(_) => f.write_str("the connection was closed before the request was sent"),
             Self::Broken(error) => error.fmt(f),
             Self::Exceeded(exceeded) => exceeded.fmt(f),
+            Self::Malformed(fault) => fault.fmt(f),
         }
     }
 }
--- a/crates/gateway/tests/network/pauses.rs
+++ b/crates/gateway/tests/network/pauses.rs
@@ -134,6 +134,7 @@
         Failure::Unsent(_) => String::from("unsent"),
         Failure::Broken(error) => format!("{error:?}"),
         Failure::Exceeded(exceeded) => exceeded.to_string(),
+        Failure::Malformed(fault) => fault.to_string(),
     });
     assert_eq!(status, Ok(200));
 }
--- a/crates/router/src/backend/relay.rs
+++ b/crates/router/src/backend/relay.rs
@@ -70,6 +70,8 @@
     Closed(hyper::Error),
     /// The server sent too many bytes before the end of the head.
     Exceeded(head::Exceeded),
+    /// The head of the response is not valid.
+    Malformed(framing::head::Fault),
     /// The caller's deadline passed.
     DeadlineExceeded,
     /// The attempt was given up after checks of its server.
@@ -84,6 +86,7 @@
             Self::Unsent(_) => f.write_str("unsent"),
             Self::Closed(error) => write!(f, "closed: {error}"),
             Self::Exceeded(exceeded) => exceeded.fmt(f),
+            Self::Malformed(fault) => fault.fmt(f),
             Self::DeadlineExceeded => f.write_str("late"),
             Self::Lost(Loss::Stalled) => f.write_str("silent"),
             Self::Lost(Loss::Refused) => f.write_str("dead"),
@@ -163,6 +166,7 @@
         Failure::Unsent(request) => Error::Unsent(request),
         Failure::Broken(error) => Error::Closed(error),
         Failure::Exceeded(exceeded) => Error::Exceeded(exceeded),
+        Failure::Malformed(fault) => Error::Malformed(fault),
     }
 }
 
@@ -271,7 +275,7 @@
             let message = format!("Backend server {server} closed the connection.");
             Refusal::may_have_run(code, message)
         }
-        Error::Exceeded(_) => {
+        Error::Exceeded(_) | Error::Malformed(_) => {
             permit.finish(owner::Outcome::Failed, None);
             let message = format!("Backend server {server} sent no answer.");
             Refusal::may_have_run(Code::BackendFailed, message)
--- a/crates/router/tests/fleet/framing.rs
+++ b/crates/router/tests/fleet/framing.rs
@@ -108,6 +108,27 @@
     assert_eq!(response.complete, is_complete, "{}", response.body);
 }
 
+/// Guards against the bytes of a coding that look like a whole body, and against bodies that end at the
+/// wrong byte, because the head of the response is spoilt.
+#[parameterized(
+    coding_misspelt = { "Transfer-Encoding: chunkex\r\n", "9\r\ndata: a\n\n\r\n0\r\n\r\n" },
+    coding_unknown = { "Transfer-Encoding: gzip, chunked\r\n", "9\r\ndata: a\n\n\r\n0\r\n\r\n" },
+    coding_and_length = { "Transfer-Encoding: chunkex\r\nContent-Length: 9\r\n", "data: a\n\n" },
+    length_listed = { "Content-Length: 9, 9\r\n", "data: a\n\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_spoilt_head_is_not_passed_on(fields: &str, body: &str) {
+    let cluster = fronted(fields, body).await;
+    wait_until("the router has the new address", async || {
+        let response = cluster.send(0, &Call::post("/bookings", "{}")).await;
+        response.status != 400
+    })
+    .await;
+    let response = cluster.send(0, &Call::post("/bookings", "{}")).await;
+    assert_eq!(response.status, 502, "{}", response.body);
+    assert_eq!(response.error("verdict"), "may_have_run");
+}
+
 /// Guards against an outcome that is kept for an idempotency key as if it were whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_that_broke_off_is_not_replayed() {
--- a/crates/storage/src/http.rs
+++ b/crates/storage/src/http.rs
@@ -279,6 +279,7 @@
             .map_err(|exceeded| interrupted(&exceeded))?
             .map_err(|failed| Failure::Other(send_error(failed)))?;
         let (head, body) = response.into_parts();
+        framing::head::check(head.status, &head.headers).map_err(|fault| interrupted(&fault))?;
         let mut tracker = Tracker::new(&method, head.status, &head.headers);
         let (body, progress) = self.read_body(body, progress, response_deadline).await?;
         tracker.record(&body);
--- a/crates/storage/tests/client.rs
+++ b/crates/storage/tests/client.rs
@@ -176,6 +176,10 @@
     short = { "Content-Length: 11\r\n", "{\"keys\"", false },
     chunks = { "Transfer-Encoding: chunked\r\n", "b\r\n{\"keys\":[]}\r\n0\r\n\r\n", true },
     no_last_chunk = { "Transfer-Encoding: chunked\r\n", "b\r\n{\"keys\":[]}\r\n", false },
+    misspelt_coding = { "Transfer-Encoding: chunkex\r\n", "b\r\n{\"keys\":[]}\r\n0\r\n\r\n", false },
+    unknown_coding = { "Transfer-Encoding: gzip, chunked\r\n", "b\r\n{\"keys\":[]}\r\n0\r\n\r\n", false },
+    coding_and_length = { "Transfer-Encoding: chunkex\r\nContent-Length: 11\r\n", "{\"keys\":[]}", false },
+    length_listed = { "Content-Length: 11, 11\r\n", "{\"keys\":[]}", false },
 )]
 #[test_macro(tokio::test)]
 async fn an_object_is_read_whole_or_not_at_all(fields: &str, body: &str, is_read: bool) {
