Recognize chunks that the head of a response does not declare

Callers saw: a server in trouble spells the name of `Transfer-Encoding` wrong and sends its body in chunks; the caller gets a complete 200 whose body holds the sizes of the chunks. Cause: such a head is valid, and declares neither a length nor chunks, so that the body ends with the connection. A server may answer so, but a whole chunked coding is no body of one that does. Change: `framing::chunks::Scanner` follows bodies that only the connection delimits. A body that is chunks up to and with the last one does not end regularly. Of an event stream, which never begins with the size of a chunk, nothing is forwarded, so that a resumable one goes on at another server. Not covered: a length whose digits are spoilt to a smaller number, beside more bytes, is the same to a router as a whole answer and bytes that follow it; both are allowed to arrive.

--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -4,6 +4,7 @@
 //! body, stores it or counts how it ended. The crate reads no sockets: a body whose connection failed, or that
 //! was not read to its end in time, is truncated in any case.
 
+pub mod chunks;
 mod delimiter;
 pub mod events;
 mod format;
--- a/crates/framing/src/tracker.rs
+++ b/crates/framing/src/tracker.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Method, StatusCode, header};
 
-use crate::{Delimiter, Format, events::Scanner};
+use crate::{Delimiter, Format, chunks, events::Scanner};
 
 /// Why a response whose body ended regularly is not complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     InsideEvent,
     /// The stream ended with its connection, before its first event.
     Empty,
+    /// The body is in chunks that the head does not declare.
+    Undeclared,
 }
 
 impl fmt::Display for Truncation {
@@ -23,6 +25,7 @@
             Self::Short => "ended before its length",
             Self::InsideEvent => "ended inside an event",
             Self::Empty => "ended before its first event",
+            Self::Undeclared => "is in chunks that its head does not declare",
         })
     }
 }
@@ -35,6 +38,8 @@
     delimiter: Delimiter,
     format: Format,
     scanner: Scanner,
+    /// Looks for chunks where only the connection delimits the body.
+    chunks: chunks::Scanner,
     received: u64,
     may_be_empty: bool,
     /// Whether the head declares a content type.
@@ -52,6 +57,7 @@
             delimiter: Delimiter::of(method, status, headers),
             format: Format::of(headers),
             scanner: Scanner::default(),
+            chunks: chunks::Scanner::default(),
             received: 0,
             may_be_empty: false,
             is_typed: headers.contains_key(header::CONTENT_TYPE),
@@ -99,6 +105,12 @@
         self.format == Format::EventStream && self.scanner.is_inside()
     }
 
+    /// Whether the body is an event stream in chunks that the head does not declare. No event begins
+    /// with the size of a chunk.
+    pub fn is_coded_stream(&self) -> bool {
+        self.format == Format::EventStream && self.chunks.has_size()
+    }
+
     /// The bytes of the body that have been read.
     pub fn received(&self) -> u64 {
         self.received
@@ -137,6 +149,9 @@
     /// Reads bytes of the body. Returns how many of them end outside of an event.
     pub fn record(&mut self, bytes: &[u8]) -> usize {
         self.received += bytes.len() as u64;
+        if self.delimiter == Delimiter::Close {
+            self.chunks.push(bytes);
+        }
         match self.format {
             Format::EventStream => self.scanner.push(bytes),
             Format::Other => bytes.len(),
@@ -178,6 +193,7 @@
             Delimiter::Length(length) if self.received < length => Err(Truncation::Short),
             _ if self.is_inside_event() => Err(Truncation::InsideEvent),
             Delimiter::Close if self.is_empty_stream() => Err(Truncation::Empty),
+            Delimiter::Close if self.chunks.is_complete() => Err(Truncation::Undeclared),
             _ => Ok(()),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -179,6 +179,9 @@
             permit.received(now);
         }
         let boundary = self.tracker.record(&bytes);
+        if self.tracker.is_coded_stream() {
+            return None;
+        }
         let silent_since = self.progress.silent_since();
         if self.progress.receive(&self.tracker, now) {
             self.record_gap(silent_since, now);
--- a/crates/gateway/src/relay/receive.rs
+++ b/crates/gateway/src/relay/receive.rs
@@ -3,7 +3,7 @@
 use std::{pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use framing::Tracker;
+use framing::{Tracker, Truncation};
 use tokio::time;
 use units::time::Instant;
 
@@ -109,6 +109,9 @@
         if let Some(excess) = self.limit.excess(&self.tracker) {
             return Next::Endless(excess);
         }
+        if self.tracker.is_coded_stream() {
+            return Next::Broken(Truncation::Undeclared.to_string());
+        }
         if self.cutoff.is_reached(self.exchange.context().clock.now()) {
             return Next::TimedOut;
         }
