Pass no request on that comes late in a shutdown

Callers saw: a request whose head or body arrives slowly while a router shuts down is taken up to the end of the grace period, runs at a server, and is cut with no answer when the process ends; likewise one that waits for a slot until then. Among them are requests that may not be sent again. Cause: after the listener has closed, 3 s after the signal, connections whose request has begun go on, and nothing looked at the phase of the shutdown any more: not when the head or the body was complete, nor before an attempt. Change: a request that is complete only after the listener has closed is refused, to come back at once: a new connection reaches another router. In the last sixth of the grace period no attempt begins, and requests that wait for one are refused; a response that has begun still goes on at another server. Ruled out: requests through tunnels; an egress router that leaves refuses them since its signal.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -191,6 +191,20 @@
         table.as_ref().map_or(0, |table| table.limits.body_bytes)
     }
 
+    /// Checks that the router still takes requests.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that came too late in the shutdown to be finished. It has not run, and
+    /// its caller may come back at once: a new connection reaches another router.
+    fn check_open(&self) -> Result<(), Refusal> {
+        if *self.phase.borrow() < Phase::Closing {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(Code::NotReady, "This router is shutting down.");
+        Err(refusal.retry_at(self.clock.now()))
+    }
+
     /// Creates the refusal of a request that arrived before any configuration.
     fn not_ready(&self) -> Refusal {
         let refusal = Refusal::not_run(Code::NotReady, "The router has no configuration yet.");
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -32,6 +32,7 @@
     pool::{Demand, Denial, Outcome, Placement},
     protocol::{Attempt, Head, Protocol},
     route::{KeyOwner, Route},
+    shutdown::Phase,
     silence::{self, Silence},
 };
 
@@ -389,7 +390,13 @@
         };
         let (reply, response) = oneshot::channel();
         let sent = self.context.dispatch.send(Message::Acquire(request, reply));
-        let response = response.await;
+        let response = tokio::select! {
+            response = response => response,
+            () = self.ending() => {
+                let refusal = self.refusal(Code::NotReady, "This router is shutting down.");
+                return Err(refusal.retry_at(self.context.clock.now()));
+            }
+        };
         let waited = self.context.clock.now().since(now);
         self.context.metrics.queue_wait(waited);
         match (sent, response) {
@@ -399,6 +406,14 @@
         }
     }
 
+    /// Waits until the process is about to end. A response that has begun goes on to the last.
+    async fn ending(&self) {
+        if self.stage == Stage::Responded {
+            std::future::pending::<()>().await;
+        }
+        Phase::reached(&mut self.context.phase.clone(), Phase::Ending).await;
+    }
+
     /// The latest instant until which the request may be queued.
     ///
     /// A response that takes several times the route's target is of little use, and a
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -141,6 +141,8 @@
     body: &mut Incoming,
     allowance: &Allowance,
 ) -> Result<Admitted, Refusal> {
+    let open = context.check_open();
+    open.inspect_err(|refusal| log_refusal(head, &Table::default(), refusal))?;
     context.wait_until_ready().await;
     let table = context.table.borrow().clone();
     let table = table.ok_or_else(|| context.not_ready());
@@ -157,6 +159,7 @@
         () = allowance.used_up() => Err(too_large()),
     };
     allowance.lift();
+    let body = body.and_then(|body| context.check_open().map(|()| body));
     let (body, reserved) = body.inspect_err(|refusal| log_refusal(head, &table, refusal))?;
     Ok(Admitted {
         table,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -10,8 +10,10 @@
     /// The process reports that it is not ready but still serves requests, since the load
     /// balancer needs time to detect it.
     Leaving,
-    /// The process accepts no new connections and finishes the requests in flight.
+    /// The process accepts no new connections and requests, and finishes those in flight.
     Closing,
+    /// The process is about to end: no attempt begins, since it would be cut.
+    Ending,
 }
 
 impl Phase {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -49,6 +49,8 @@
 /// The load balancer probes readiness once per second and removes a router after two
 /// failed probes.
 const LEAVE_PERIOD: Duration = Duration::from_millis(3000);
+/// The part of the grace period, one in this many, at whose beginning the last attempts begin.
+const ENDING_SHARE: u32 = 6;
 /// How long before the end of the grace period the process exits by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// The timeout of a store call at startup: a read of the fleet key, or a registration.
@@ -373,7 +375,9 @@
         time::sleep(LEAVE_PERIOD).await;
         self.phase.send_replace(Phase::Closing);
         logging::event!(info, "closing");
-        let deadline = started + self.settings.grace.duration().saturating_sub(KILL_MARGIN);
+        let grace = self.settings.grace.duration();
+        let ending = tokio::spawn(end_at(started + grace - grace / ENDING_SHARE, self.phase));
+        let deadline = started + grace.saturating_sub(KILL_MARGIN);
         let unregistered = async {
             // It ends with the call that is under way.
             drop(time::timeout_at(deadline, self.registration).await);
@@ -384,6 +388,7 @@
             time::timeout_at(deadline, self.tunnels),
             unregistered
         );
+        ending.abort();
         if drained.is_err() || carried.is_err() {
             logging::event!(warn, "drain_timed_out");
         }
@@ -394,6 +399,14 @@
     }
 }
 
+/// Begins the last phase of the shutdown at `at`.
+async fn end_at(at: time::Instant, phase: watch::Sender<Phase>) {
+    time::sleep_until(at).await;
+    phase.send_replace(Phase::Ending);
+    logging::event!(info, "ending");
+    phase.closed().await;
+}
+
 /// Obtains the fleet key, then runs the gossip task.
 async fn run_gossip<S: Source>(
     clock: Clock,
