Read the servers once more before a version is taken for the only one

Callers saw: a router stands still for a few seconds while servers of a new version join. Streams that began at these through other routers break off and are taken up at this router by callers that name the last event only; they go on at a server of the old version, and look whole. Cause: `only_version` trusts the view of the servers for 5 s after it was last confirmed. In this time a router that stood still, or is cut off, cannot know that it has missed a version. After it wakes, even an old answer that waits in a socket confirms the view as of now. Change: a version counts as the only one only if a read of the servers that begins after the request has arrived shows it. Cost: one read of the servers for such a take-up, and its time. New streams, and streams whose version a router has recorded, ask nothing. Ruled out: the records of streams; with them no stream was joined. A shorter trust in the view: a stream may begin, break off and come here within a second.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    confirmation,
     metrics::Metrics,
     source::{Batch, Error, Source, Topic},
 };
@@ -42,10 +43,12 @@
 const START_JITTER: Duration = Duration::from_millis(100);
 
 /// What following the store, or a peer, yielded.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Event {
     /// Rows were read from the store.
     Batch(Topic, Batch),
+    /// All servers were read from the store, as these requests had asked.
+    Confirmed(Batch, Vec<confirmation::Request>),
     /// Another router relayed rows.
     Relayed(Topic, Batch),
     /// The store stopped answering.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod attempt;
 pub mod check;
 pub mod clock;
+pub mod confirmation;
 pub mod connection;
 pub mod connector;
 pub mod crashes;
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -117,7 +117,7 @@
     let started = context.clock.now();
     let (finding, version) = match (route.kind, key, &head.resumes, &head.last_event_id) {
         (Kind::Resumable, Some(key), Some(_), _) => named(context, route, pool, key).await,
-        (Kind::Resumable, _, None, Some(_)) => unnamed(context, route, pool),
+        (Kind::Resumable, _, None, Some(_)) => unnamed(context, route, pool).await,
         (Kind::Stream, _, Some(_), _) => (Finding::NotResumable, None),
         _ => return Ok(None),
     };
@@ -156,7 +156,7 @@
         Some(Answer::Version(version)) => (Finding::Recorded, Some(version)),
         Some(Answer::Ambiguous) => (Finding::Ambiguous, None),
         None => (Finding::Unanswered, None),
-        Some(Answer::Unknown) => match only_version(context, route, pool) {
+        Some(Answer::Unknown) => match only_version(context, route, pool).await {
             Some(version) => (Finding::OnlyVersion, Some(version)),
             None => (Finding::Unrecorded, None),
         },
@@ -165,8 +165,8 @@
 
 /// The version of a stream of a caller that does not name its first request: the only one that the
 /// service has had.
-fn unnamed<P>(context: &Context<P>, route: &Route, pool: &pool::Id) -> Found {
-    match only_version(context, route, pool) {
+async fn unnamed<P>(context: &Context<P>, route: &Route, pool: &pool::Id) -> Found {
+    match only_version(context, route, pool).await {
         Some(version) => (Finding::OnlyVersion, Some(version)),
         None => (Finding::Unnamed, None),
     }
@@ -175,9 +175,26 @@
 /// The only version that can have begun a stream which is taken up; `None` if there are several, or it
 /// is not known whether there are.
 ///
+/// A router that stood still, or was cut off, may have missed the start of another version, whose
+/// streams come here now. So the servers are read once more after the request has arrived.
+async fn only_version<P>(
+    context: &Context<P>,
+    route: &Route,
+    pool: &pool::Id,
+) -> Option<backend::Version> {
+    only_version_seen(context, route, pool)?;
+    let (request, confirmed) = oneshot::channel();
+    // The task lives as long as the process.
+    drop(context.confirmations.send(request));
+    confirmed.await.ok()?;
+    only_version_seen(context, route, pool)
+}
+
+/// The only version of a service as far as this router has seen and others have recorded.
+///
 /// A router that has known the servers for as long as a stream and its attempts take has seen all
 /// versions. One that has not asks the record of all routers.
-fn only_version<P>(
+fn only_version_seen<P>(
     context: &Context<P>,
     route: &Route,
     pool: &pool::Id,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,6 +19,7 @@
 use crate::{
     check,
     clock::Clock,
+    confirmation,
     connector::Connector,
     discard::Room,
     dispatch::{self, Dispatch},
@@ -165,6 +166,7 @@
         let (rollout_status_sender, rollout_status) = watch::channel(Vec::new());
         let (history_sender, history) = watch::channel(origins::History::default());
         let (origins_sender, origins_receiver) = mpsc::unbounded_channel();
+        let (confirmations, confirmation_requests) = mpsc::unbounded_channel();
         let (unusable_sender, unusable) = watch::channel(Vec::new());
         let outputs = state::Outputs {
             history: history_sender,
@@ -182,6 +184,8 @@
         let (events, event_receiver) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
         let state = State::new(source.clone(), clock, outputs);
         tokio::spawn(state.run(event_receiver));
+        let confirming = confirmation::run(source.clone(), events.clone(), confirmation_requests);
+        tokio::spawn(confirming);
         let (watching_sender, is_watching) = watch::channel(false);
         let (store_reachable_sender, is_store_reachable) = watch::channel(false);
         for topic in Topic::ALL {
@@ -282,6 +286,7 @@
             metrics,
             ages,
             origins: origins_sender,
+            confirmations,
             history,
             readiness: readiness_receiver,
             stages_known,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -118,6 +118,13 @@
                 self.outputs.ages.confirm(topic, self.clock.now());
                 self.merge(topic, |replica| replica.merge(&batch));
             }
+            Event::Confirmed(batch, requests) => {
+                self.handle(Event::Batch(Topic::Servers, batch));
+                for request in requests {
+                    // The caller may have left.
+                    let _ = request.send(());
+                }
+            }
             Event::Relayed(topic, batch) => {
                 self.set_reading();
                 self.merge(topic, |replica| replica.merge_relayed(&batch));
