Ask which process a server is before a stream goes on at it

Cause: the version of a server is what its entry said last, and `Expected-Instance` holds for any process under the id. Nothing asked which process had accepted the connection. Change: a request that only one version may serve is sent to an engine on a connection on which `/report` has named the start of its process; if that is later than in the entry, the request goes elsewhere, as after 421, and the server counts as restarted. A server that does not say is believed as before; one that closes the connection gets the request on the next one. Cost: a round trip and a report for each stream that goes on elsewhere or is taken up. Not covered: a stream that begins at such a server is recorded in the version of its entry, and goes on at servers of that version.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,9 +16,11 @@
     connection::{Body, Failure, Received},
     connector::Connector,
     dispatch::Permit,
+    identity::{self, Process},
     metrics::Metrics,
-    pool::Outcome,
+    pool::{Outcome, Placement},
     protocol::{Classification, Protocol},
+    silence::CHECK_TIMEOUT,
 };
 
 /// The time without a response after which its server is probed.
@@ -109,6 +111,15 @@
     }
 }
 
+/// The request of an attempt, as far as the attempt depends on it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The id of the request.
+    pub id: String,
+    /// Where the server tells which process it is, if only one version may serve the request.
+    pub identity_path: Option<String>,
+}
+
 /// Sends a request on a new connection and waits for the response head.
 ///
 /// Connections are not reused. On a reused connection, a close, a reset or a duplicate
@@ -118,7 +129,7 @@
     connector: &Connector<P>,
     mut permit: Permit,
     request: Request<Full<Bytes>>,
-    id: &str,
+    call: &Call,
     clock: Clock,
     deadline: Instant,
     metrics: &Metrics,
@@ -152,7 +163,30 @@
         permit.end(Outcome::Withdrawn);
         return End::Withdrawn;
     }
+    if let Some(path) = &call.identity_path {
+        let placement = permit.placement();
+        let asked = identity::ask(&mut connection, &connector.protocol, path, placement);
+        let process = time::timeout(CHECK_TIMEOUT, asked).await;
+        let process = process.unwrap_or(Process::Unknown);
+        log_process(&call.id, placement, process);
+        if process == Process::Other {
+            permit.end(Outcome::Moved);
+            return End::Withdrawn;
+        }
+        if !connection.is_usable() {
+            // A server may close the connection after each response.
+            let timeout = clock.remaining(deadline.min(clock.now() + CHECK_TIMEOUT));
+            connection = match connector.connect(placement, remaining, timeout).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    permit.end(error.outcome());
+                    return End::Unsent(error.to_string());
+                }
+            };
+        }
+    }
     permit.sent();
+    let id = call.id.as_str();
     let mut awaited = Awaited {
         id,
         server: permit.placement().server.clone(),
@@ -203,6 +237,18 @@
     }
 }
 
+fn log_process(id: &str, placement: &Placement, process: Process) {
+    logging::event!(
+        info,
+        "server_identified",
+        request = id,
+        server = placement.server,
+        incarnation = placement.incarnation,
+        version = placement.version,
+        process = process
+    );
+}
+
 fn end_attempt(
     classification: Classification,
     head: response::Parts,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod gate;
 pub mod headers;
 pub mod held;
+pub mod identity;
 pub mod link;
 pub mod listener;
 pub mod load;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -99,6 +99,9 @@
     /// What the server announces in the head of a response that arrived at `now`.
     fn advisory(&self, status: StatusCode, headers: &HeaderMap, now: Instant) -> Advisory;
 
+    /// The incarnation of the server in the document that it gives about itself, if it states one.
+    fn incarnation(&self, document: &[u8]) -> Option<u64>;
+
     /// What the server reports of its load in the head of a response, if it does.
     fn load_report(&self, headers: &HeaderMap) -> Option<load_report::Report>;
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -308,15 +308,24 @@
     ) -> impl Future<Output = End> + Send + use<P> {
         let request = self.request(permit.placement(), last_event_id);
         let context = Arc::clone(&self.context);
-        let id = self.plan.head.id.clone();
+        let call = attempt::Call {
+            id: self.plan.head.id.clone(),
+            identity_path: self.identity_path(),
+        };
         let deadline = self.plan.deadline;
         async move {
             let (connector, clock) = (&context.connector, context.clock);
             let metrics = &context.metrics;
-            attempt::run(connector, permit, request, &id, clock, deadline, metrics).await
+            attempt::run(connector, permit, request, &call, clock, deadline, metrics).await
         }
     }
 
+    /// Where a server tells which process it is, if only one version may serve the request.
+    fn identity_path(&self) -> Option<String> {
+        let is_bound = self.plan.is_engine && self.plan.demand.version.is_some();
+        is_bound.then(|| self.plan.health_path.clone())
+    }
+
     /// The request as it is sent to the server of `placement`.
     fn request(&self, placement: &Placement, last_event_id: Option<&str>) -> Request<Full<Bytes>> {
         let remaining = self.plan.deadline.since(self.context.clock.now());
--- a/crates/gateway/tests/network/protocol.rs
+++ b/crates/gateway/tests/network/protocol.rs
@@ -27,6 +27,10 @@
         Advisory::default()
     }
 
+    fn incarnation(&self, _document: &[u8]) -> Option<u64> {
+        None
+    }
+
     fn load_report(&self, _headers: &HeaderMap) -> Option<load_report::Report> {
         None
     }
