--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,6 +28,9 @@
 /// An engine may read a long prompt, or others, for a second before its first byte.
 const PROBE_AFTER: Duration = Duration::from_millis(1500);
 
+/// Why a request is not sent after its deadline.
+const PASSED: &str = "the deadline passed before the request was sent";
+
 /// The head of a server's response, with the body and the permit of the attempt.
 #[derive(Debug)]
 pub struct Response {
@@ -155,9 +158,7 @@
     permit.connected(now);
     // If the process was paused while connecting, the deadline may have passed.
     if now >= deadline {
-        return End::Unsent(String::from(
-            "the deadline passed before the request was sent",
-        ));
+        return End::Unsent(String::from(PASSED));
     }
     if permit.is_withdrawn(now) {
         permit.end(Outcome::Withdrawn);
@@ -165,16 +166,17 @@
     }
     if let Some(path) = &call.identity_path {
         let placement = permit.placement();
+        let check_deadline = clock.at(deadline.min(now + CHECK_TIMEOUT));
         let asked = identity::ask(&mut connection, &connector.protocol, path, placement);
-        let process = time::timeout(CHECK_TIMEOUT, asked).await;
+        let process = time::timeout_at(check_deadline, asked).await;
         let process = process.unwrap_or(Process::Unknown);
         log_process(&call.id, placement, process);
         if process == Process::Other {
             permit.end(Outcome::Moved);
             return End::Withdrawn;
         }
+        // A server may close the connection after each response.
         if !connection.is_usable() {
-            // A server may close the connection after each response.
             let timeout = clock.remaining(deadline.min(clock.now() + CHECK_TIMEOUT));
             connection = match connector.connect(placement, remaining, timeout).await {
                 Ok(connection) => connection,
@@ -184,6 +186,9 @@
                 }
             };
         }
+        if clock.now() >= deadline {
+            return End::Unsent(String::from(PASSED));
+        }
     }
     permit.sent();
     let id = call.id.as_str();
