--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
-/// The first status code that is none.
+/// The lowest number above all status codes.
 const STATUS_END: u16 = 600;
 
 /// What is wrong with the head of a response.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -50,7 +50,7 @@
 /// The load balancer probes readiness once per second and removes a router after two
 /// failed probes.
 const LEAVE_PERIOD: Duration = Duration::from_millis(3000);
-/// The part of the grace period, one in this many, at whose beginning the last attempts begin.
+/// No attempt begins in the last of this many equal parts of the grace period.
 const ENDING_SHARE: u32 = 6;
 /// How long before the end of the grace period the process exits by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
