Show that a grace period that is a fraction loses requests

The settings file may hold fractions in its bounds. A router that reads one for the grace period keeps the old one, ends too early and cuts requests that run, and does not start again.

--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -219,7 +219,6 @@
     pub attempt: String,
     pub tenant: String,
     pub runner: String,
-    pub at: Instant,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -278,7 +277,6 @@
         attempt: String::from(attempt),
         tenant: String::from(tenant),
         runner: String::from(name),
-        at: Instant::now(),
     });
     thread::sleep(work);
     let headers = [("Attempt-Id", attempt), ("Response-Signature", "a1.b2"), load];
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, runners and clients, and the cases that use them.
 
 mod fleet;
+mod fraction;
 mod http;
 mod json;
 mod lost_machines;
@@ -23,6 +24,7 @@
     };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
+        "fraction" => fraction::run(record, has_trouble),
         "lost-machines" => lost_machines::run(record, has_trouble),
         _ => Ok(Verdict::NotRun),
     };
