Show that streams go on at another version of a slow runner

A router that cannot find out in 400 ms which process it has reached sends the request all the same. Runners that came back in another version while the store was silent, and are slow at first, so get streams of the old version.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,11 +1,13 @@
 //! Stand-ins of the platform, runners and clients, and the cases that use them.
 
+mod engine;
 mod fleet;
 mod fraction;
 mod http;
 mod json;
 mod lost_machines;
 mod store;
+mod versions;
 
 use std::{env, process::ExitCode};
 
@@ -25,6 +27,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "fraction" => fraction::run(record, has_trouble),
+        "versions" => versions::run(record, has_trouble),
         "lost-machines" => lost_machines::run(record, has_trouble),
         _ => Ok(Verdict::NotRun),
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -33,6 +36,7 @@
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
     started: Instant,
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -42,6 +46,7 @@
             address: listener.local_addr()?,
             shared: Arc::default(),
             started: Instant::now(),
+            is_silent: Arc::default(),
         };
         let server = store.clone();
         thread::spawn(move || {
@@ -62,6 +67,18 @@
         self.shared.1.notify_all();
     }
 
+    /// Begins or ends an outage in which no call is answered.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+        self.shared.1.notify_all();
+    }
+
+    fn wait_while_silent(&self) {
+        while self.is_silent.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// The keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.shared.0.lock().unwrap();
@@ -73,6 +90,7 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Ok(Some(call)) = http::read(&mut stream, false) {
+            self.wait_while_silent();
             let path = call.target().split('?').next().unwrap_or_default();
             let (status, body) = match (call.method(), path) {
                 ("GET", "/rows-get") => ("200 OK", self.get(&call)),
@@ -80,6 +98,7 @@
                 ("POST", "/rows-tx") => self.transact(&call),
                 _ => ("404 Not Found", String::from("{}")),
             };
+            self.wait_while_silent();
             let headers = [("Content-Type", "application/json")];
             if http::respond(&mut stream, status, &headers, body.as_bytes()).is_err() {
                 return;
