Show that streams are recorded under the version of a stale entry

The version of a new stream is taken from the entry of its server, which may be older than the process. The stream then goes on at the recorded version.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod lost_machines;
+mod recorded;
 mod store;
 mod versions;
 
@@ -27,6 +28,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "fraction" => fraction::run(record, has_trouble),
+        "recorded" => recorded::run(record, has_trouble),
         "versions" => versions::run(record, has_trouble),
         "lost-machines" => lost_machines::run(record, has_trouble),
         _ => Ok(Verdict::NotRun),
--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -31,7 +31,7 @@
 const TRIES: usize = 3;
 const DEADLINE: Duration = Duration::from_millis(12_000);
 
-fn configuration() -> String {
+pub fn configuration() -> String {
     String::from(
         "{\"version\":1,\"routes\":[{\"name\":\"chat\",\"hostname\":\"shop.example\",\
          \"prefix\":\"/chat/\",\"route_kind\":\"streaming\",\"timeout_ms\":12000,\"target_latency_ms\":800,\
@@ -89,11 +89,12 @@
     record.line("two routers are ready; version v1 serves in west-a, v2 in west-b");
     thread::sleep(Duration::from_secs(4));
     let streams = Mutex::new(Vec::new());
+    let frontends: Vec<SocketAddr> = routers.iter().map(|router| router.frontend).collect();
     thread::scope(|scope| {
         for index in 0..STREAMS {
-            let (streams, routers) = (&streams, &routers);
+            let (streams, frontends) = (&streams, &frontends);
             scope.spawn(move || {
-                let stream = Stream::open(index, routers, record);
+                let stream = Stream::open(index, frontends, record);
                 streams.lock().unwrap().push(stream);
             });
         }
@@ -102,12 +103,6 @@
             disturb(&store, &engines, record);
         }
     });
-    if let Ok(path) = env::var("KEEP_LOGS") {
-        for router in &routers {
-            let name = format!("{}.log", router.name);
-            let _ = fs::copy(folder.join(&name), Path::new(&path).join(name));
-        }
-    }
     Ok(judge(&streams.into_inner().unwrap(), record))
 }
 
@@ -133,7 +128,7 @@
 }
 
 /// A stream as its client sees it.
-struct Stream {
+pub struct Stream {
     name: String,
     /// The versions of the events, in the order in which they came.
     versions: Vec<String>,
@@ -142,7 +137,7 @@
 
 impl Stream {
     /// Reads a stream, and takes it up again where it breaks off.
-    fn open(index: usize, routers: &[Router], record: &Record) -> Self {
+    pub fn open(index: usize, routers: &[SocketAddr], record: &Record) -> Self {
         let mut stream = Self {
             name: format!("s{index}"),
             versions: Vec::new(),
@@ -153,14 +148,14 @@
         for number in 0..TRIES {
             let attempt = format!("{}-{number}", stream.name);
             let before = stream.versions.len();
-            let router = &routers[(index + number) % routers.len()];
+            let router = routers[(index + number) % routers.len()];
             let ended = stream.read(router, &attempt, origin.as_deref(), deadline);
             let (status, wait) = ended.unwrap_or((0, Duration::from_millis(200)));
             if stream.versions.len() > before && origin.is_none() {
                 origin = Some(attempt.clone());
             }
             let (from, to) = (before + 1, stream.versions.len());
-            record.line(&format!("{attempt} at {} ended with {status}: events {from} to {to}", router.name));
+            record.line(&format!("{attempt} at {router} ended with {status}: events {from} to {to}"));
             if stream.is_whole || Instant::now() + wait >= deadline {
                 break;
             }
@@ -170,9 +165,9 @@
     }
 
     /// Returns the status and when to come back.
-    fn read(&mut self, router: &Router, attempt: &str, origin: Option<&str>, deadline: Instant) -> io::Result<(u16, Duration)> {
+    fn read(&mut self, router: SocketAddr, attempt: &str, origin: Option<&str>, deadline: Instant) -> io::Result<(u16, Duration)> {
         let left = deadline.saturating_duration_since(Instant::now());
-        let mut socket = TcpStream::connect_timeout(&router.frontend, Duration::from_secs(1))?;
+        let mut socket = TcpStream::connect_timeout(&router, Duration::from_secs(1))?;
         socket.set_read_timeout(Some(left.max(Duration::from_millis(10))))?;
         let mut more = String::new();
         if let Some(origin) = origin {
@@ -222,7 +217,7 @@
     }
 }
 
-fn judge(streams: &[Stream], record: &Record) -> Verdict {
+pub fn judge(streams: &[Stream], record: &Record) -> Verdict {
     let mut joined = 0;
     let mut whole = 0;
     for stream in streams {
