Show that a router keeps the address of a store that has moved

SIGHUP after a change of the settings file applies the bounds and the grace period only. When the store has moved, a router goes on without it.

--- a/review/standin-2/lost_machines.rs
+++ b/review/standin-2/lost_machines.rs
@@ -28,7 +28,7 @@
 const WATCHED: Duration = Duration::from_millis(12_000);
 const ZONES: [&str; 3] = ["west-a", "west-b", "west-c"];
 
-fn configuration(version: u64, keys: &str) -> String {
+pub fn configuration(version: u64, keys: &str) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"book\",\"hostname\":\"shop.example\",\
          \"prefix\":\"/book/\",\"route_kind\":\"unsafe\",\"timeout_ms\":1000,\"target_latency_ms\":150,\
@@ -126,7 +126,7 @@
     Ok(have_ended)
 }
 
-struct Sent {
+pub struct Sent {
     attempt: String,
     key: &'static str,
     after: Duration,
@@ -134,7 +134,7 @@
 }
 
 /// Sends requests with both keys to each machine, ten times a second.
-fn ask(serving: &[Router], record: &Record, acknowledged: Instant) -> Vec<Sent> {
+pub fn ask(serving: &[Router], record: &Record, acknowledged: Instant) -> Vec<Sent> {
     let sent = Mutex::new(Vec::new());
     thread::scope(|scope| {
         for router in serving {
@@ -163,7 +163,7 @@
     sent.into_inner().unwrap()
 }
 
-fn judge(sent: &[Sent], runs: &Runs, record: &Record) -> Verdict {
+pub fn judge(sent: &[Sent], runs: &Runs, record: &Record) -> Verdict {
     let runs = runs.lock().unwrap();
     for run in runs.iter() {
         record.line(&format!("runner {} ran {} for tenant {}", run.runner, run.attempt, run.tenant));
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod lost_machines;
+mod moved;
 mod recorded;
 mod store;
 mod versions;
@@ -28,6 +29,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "fraction" => fraction::run(record, has_trouble),
+        "moved" => moved::run(record, has_trouble),
         "recorded" => recorded::run(record, has_trouble),
         "versions" => versions::run(record, has_trouble),
         "lost-machines" => lost_machines::run(record, has_trouble),
