Show that no stream goes on after all routers were killed

The version that began a stream is kept in memory only. When all routers end and two versions serve, streams that are taken up are refused.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform, runners and clients, and the cases that use them.
 
+mod all_killed;
 mod engine;
 mod fleet;
 mod fraction;
@@ -28,6 +29,7 @@
     };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
+        "all-killed" => all_killed::run(record, has_trouble),
         "fraction" => fraction::run(record, has_trouble),
         "moved" => moved::run(record, has_trouble),
         "recorded" => recorded::run(record, has_trouble),
--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -129,20 +129,27 @@
 
 /// A stream as its client sees it.
 pub struct Stream {
-    name: String,
+    pub name: String,
     /// The versions of the events, in the order in which they came.
-    versions: Vec<String>,
-    is_whole: bool,
+    pub versions: Vec<String>,
+    pub is_whole: bool,
+    /// When the client itself breaks the connection off.
+    pub stop_at: Option<Instant>,
 }
 
 impl Stream {
-    /// Reads a stream, and takes it up again where it breaks off.
-    pub fn open(index: usize, routers: &[SocketAddr], record: &Record) -> Self {
-        let mut stream = Self {
-            name: format!("s{index}"),
+    pub fn new(name: String) -> Self {
+        Self {
+            name,
             versions: Vec::new(),
             is_whole: false,
-        };
+            stop_at: None,
+        }
+    }
+
+    /// Reads a stream, and takes it up again where it breaks off.
+    pub fn open(index: usize, routers: &[SocketAddr], record: &Record) -> Self {
+        let mut stream = Self::new(format!("s{index}"));
         let deadline = Instant::now() + DEADLINE;
         let mut origin = None;
         for number in 0..TRIES {
@@ -165,7 +172,7 @@
     }
 
     /// Returns the status and when to come back.
-    fn read(&mut self, router: SocketAddr, attempt: &str, origin: Option<&str>, deadline: Instant) -> io::Result<(u16, Duration)> {
+    pub fn read(&mut self, router: SocketAddr, attempt: &str, origin: Option<&str>, deadline: Instant) -> io::Result<(u16, Duration)> {
         let left = deadline.saturating_duration_since(Instant::now());
         let mut socket = TcpStream::connect_timeout(&router, Duration::from_secs(1))?;
         socket.set_read_timeout(Some(left.max(Duration::from_millis(10))))?;
@@ -198,7 +205,7 @@
                 wait = Duration::from_secs_f64(seconds);
             }
         }
-        while status == 200 {
+        while status == 200 && self.stop_at.is_none_or(|at| Instant::now() < at) {
             line.clear();
             if reader.read_line(&mut line)? == 0 {
                 break;
