--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -34,7 +34,7 @@
     retries: gateway::retry_budget::Allowance {
         ratio: 0.2,
         burst: 50.0,
-        window_s: 10,
+        window: Duration::from_secs(10),
     },
     rollouts: None,
     is_contended: false,
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -11,8 +11,8 @@
     pub ratio: f64,
     /// Additional retries per window, over all routers, independent of first attempts.
     pub burst: f64,
-    /// The length of the window, in seconds.
-    pub window_s: u64,
+    /// The length of the window.
+    pub window: Duration,
 }
 
 /// The fraction of the ratio that is used.
@@ -24,6 +24,9 @@
 /// router begins with a full share, and some retries are counted late.
 const BURST_USED: f64 = 0.5;
 
+/// The shortest window. In a shorter one the bucket would be refilled between any two retries.
+const MIN_WINDOW: Duration = Duration::from_millis(1);
+
 /// A token bucket for the retries to one service.
 ///
 /// Each first attempt of this router adds the ratio to the bucket, so that part adds up
@@ -70,8 +73,8 @@
     /// Refills the share of the burst over time.
     fn refill(&mut self, members: usize, now: Instant) {
         let max_tokens = burst(self.allowance, members);
-        let window = Duration::from_secs(self.allowance.window_s.max(1));
-        let share = now.since(self.filled_at).as_secs_f64() / window.as_secs_f64();
+        let window = self.allowance.window.max(MIN_WINDOW);
+        let share = now.since(self.filled_at).div_duration_f64(window);
         self.filled_at = now;
         if self.tokens < max_tokens {
             // Only half of the burst per window, since a window may begin with a full
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a router.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use units::{availability, host, time::Millis, workspace};
 
@@ -81,7 +81,7 @@
             retries: retry_budget::Allowance {
                 ratio: 0.1,
                 burst: 0.0,
-                window_s: 10,
+                window: Duration::from_secs(10),
             },
             rollouts: None,
             is_contended: false,
--- a/crates/gateway/tests/decisions/explore.rs
+++ b/crates/gateway/tests/decisions/explore.rs
@@ -201,7 +201,7 @@
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
     burst: 4.0,
-    window_s: 10,
+    window: Duration::from_secs(10),
 };
 
 /// Guards against a retry storm: two routers share a retry budget, and one of them is
--- a/crates/gateway/tests/decisions/retry_budget.rs
+++ b/crates/gateway/tests/decisions/retry_budget.rs
@@ -10,7 +10,7 @@
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
     burst: 52.0,
-    window_s: 10,
+    window: Duration::from_secs(10),
 };
 
 /// Every server fails every request, and all routers retry as much as they may. Without
--- a/crates/gateway/tests/decisions/silence_fleet/world.rs
+++ b/crates/gateway/tests/decisions/silence_fleet/world.rs
@@ -103,7 +103,7 @@
         let allowance = Allowance {
             ratio: 0.2,
             burst: scenario.burst,
-            window_s: 10,
+            window: Duration::from_secs(10),
         };
         let budget = Budget::new(allowance, scenario.routers, START);
         let mut faults = ChaCha8Rng::seed_from_u64(seed + 1000);
