Read the settings once more at a termination signal

A settings file may change without a signal, and is read every 5 s then. A router that was ended in between shut down by the former grace period: requests that the new one allowed were cut (the_grace_period_at_the_signal_ holds::no_signal: a stream that needs 5 s of a grace period that has changed from 4 to 6.5 s). SIGHUP right before SIGTERM had the same effect if both were pending.

The settings are read when the signal comes, and hold until the end: changes during the shutdown are not followed, since the kill signal comes by the period of the termination signal.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -354,22 +354,24 @@
     /// Runs until a termination signal, then shuts down gracefully.
     ///
     /// `read` reloads the settings. It is called on SIGHUP, and periodically because they
-    /// may change without a signal.
+    /// may change without a signal. What it returns at the termination signal holds until the
+    /// process ends.
     ///
     /// # Errors
     ///
     /// When a signal handler cannot be installed.
-    pub async fn run_until_signalled<F>(mut self, read: F) -> Result<(), Report<Error>>
+    pub async fn run_until_signalled<F>(mut self, mut read: F) -> Result<(), Report<Error>>
     where
-        F: Fn() -> Option<Settings>,
+        F: FnMut() -> Option<Settings>,
     {
         let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signals)?;
         let mut interrupt = signal(SignalKind::interrupt()).change_context(Error::Signals)?;
         let mut hangup = signal(SignalKind::hangup()).change_context(Error::Signals)?;
-        loop {
+        let mut is_ending = false;
+        while !is_ending {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
+                _ = terminate.recv() => is_ending = true,
+                _ = interrupt.recv() => is_ending = true,
                 _ = hangup.recv() => {}
                 () = time::sleep(RELOAD_INTERVAL) => {}
             }
