--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,7 @@
     config: Gauge,
     config_bytes: Gauge,
     unusable: Gauge,
+    settings_refused: Gauge,
     servers: Gauge,
     members: Gauge,
     load_reports: Family<load_reports::Labels, Counter>,
@@ -139,6 +140,7 @@
         let config = Gauge::default();
         let config_bytes = Gauge::default();
         let unusable = Gauge::default();
+        let settings_refused = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
         registry.register("weir_refusals", "Final refusals", Family::clone(&refusals));
@@ -292,6 +294,11 @@
             "Rows and entries of the configuration that cannot be used and are not in force",
             unusable.clone(),
         );
+        registry.register(
+            "weir_settings_refused",
+            "1 while the settings file cannot be used and former settings are in force",
+            settings_refused.clone(),
+        );
         registry.register("weir_servers", "Registered servers", servers.clone());
         registry.register("weir_members", "Registered routers", members.clone());
         let load_reports = load_reports::register(&mut registry);
@@ -330,6 +337,7 @@
             config,
             config_bytes,
             unusable,
+            settings_refused,
             servers,
             members,
             held,
@@ -554,6 +562,11 @@
         self.unusable.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets whether the settings file cannot be used.
+    pub fn set_settings_refused(&self, is_refused: bool) {
+        self.settings_refused.set(i64::from(is_refused));
+    }
+
     /// Sets the numbers of registered servers and routers.
     pub fn set_sizes(&self, servers: usize, members: usize) {
         self.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -122,6 +122,7 @@
     members: watch::Receiver<Arc<Vec<Member>>>,
     dispatch: mpsc::UnboundedSender<dispatch::Message>,
     held: Arc<held::Memory>,
+    metrics: Arc<Metrics>,
 }
 
 impl<S: Source> Router<S> {
@@ -296,7 +297,7 @@
             unsent: unsent(&settings),
             discards: Room::new(settings.connections),
             max_event_bytes: settings.max_event_bytes,
-            metrics,
+            metrics: Arc::clone(&metrics),
             ages,
             origins: origins_sender,
             confirmations,
@@ -328,6 +329,7 @@
             members,
             dispatch: handle,
             held,
+            metrics,
         })
     }
 
@@ -375,7 +377,9 @@
                 _ = hangup.recv() => {}
                 () = time::sleep(RELOAD_INTERVAL) => {}
             }
-            if let Some(settings) = read() {
+            let settings = read();
+            self.metrics.set_settings_refused(settings.is_none());
+            if let Some(settings) = settings {
                 self.reload(&settings);
             }
         }
