Keep the versions of streams in the store while several serve

Cause: the version that began a stream is kept in the memory of four routers. When all end, none is left, and the stream is refused, since versions do not continue each other's streams. The log says unanswered, then unrecorded; a version without servers would be version_gone.

Change: while a service has several versions on record or in sight, one router of each zone stores one row for the streams of a quarter of a second. A take-up that no keeper knows reads the rows, once a second and router. Rows are written under new keys only, are removed after 60 s, and a record is never replaced.

A version computed from the id would need no call, but takes the choice of the version from load and caches.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -207,6 +207,20 @@
         Ok(())
     }
 
+    async fn write_journal(
+        &self,
+        _: &str,
+        _: Option<&[u8]>,
+        _: &[String],
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        Ok(())
+    }
+
+    async fn read_journal(&self, _: time::Instant) -> Result<Vec<source::Row>, source::Error> {
+        Ok(Vec::new())
+    }
+
     fn recorded_version(
         &self,
         _: &source::Row,
@@ -445,13 +459,14 @@
 /// Begins streams at a rate of `per_second`.
 async fn begin_streams(messages: mpsc::UnboundedSender<origins::Message>, per_second: f64) {
     let mut pause = time::interval(Duration::from_secs_f64(1.0 / per_second));
+    let pool: units::pool::Id = "llm".parse().expect("a name");
     loop {
         pause.tick().await;
         let record = origins::Record {
             key: origins::Key(rand::random()),
             version: "v1.2".parse().expect("a version"),
         };
-        let began = origins::Message::Began(record, Weak::new());
+        let began = origins::Message::Began(pool.clone(), record, Weak::new());
         if messages.send(began).is_err() {
             return;
         }
@@ -524,13 +539,14 @@
             let event = rollouts::Event::Orders(vec![order()]);
             rollout_events.send(event).expect("the task runs");
         }
-        let (origins_sender, origins) = mpsc::unbounded_channel();
+        let (origins_sender, origin_messages) = mpsc::unbounded_channel();
         if traffic == Traffic::Streams {
             let rate = size.rate * STREAM_RATIO;
             tasks.push(tokio::spawn(begin_streams(origins_sender, rate)));
         }
         let inputs = peers::Inputs {
-            origins,
+            origins: origin_messages,
+            history: watch::channel(origins::History::default()).1,
             crash_news: watch::channel(()).1,
             rollouts: rollout_receiver,
             own,
@@ -543,6 +559,7 @@
             events,
             rollouts: rollout_events,
             is_watching: watch::channel(false).0,
+            journal: mpsc::unbounded_channel().0,
             ages,
             metrics,
         };
--- a/crates/gateway/examples/origins.rs
+++ b/crates/gateway/examples/origins.rs
@@ -3,11 +3,16 @@
 //! Routers begin streams at two versions. Every ten seconds there is a fault: a part of the routers
 //! end, a zone loses power, connections of callers are reset, all routers end. The callers of
 //! broken streams come back to any router that runs. Prints for each size and way how many of
-//! their streams went on, and what that costs. The faults and streams are the same for all ways.
+//! their streams went on, and what that costs in datagrams and calls to the store. The faults and
+//! streams are the same for all ways.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
 
 use gateway::{
+    journal::Batch,
     origins::{self, Answer, Key, Record, Table},
     peers::Frame,
     source::Member,
@@ -23,6 +28,8 @@
 const MEAN_STREAM: Duration = Duration::from_millis(900);
 /// How long a router is down.
 const RESTART: Duration = Duration::from_secs(1);
+/// The time that the store takes for a row.
+const STORE_LATENCY: Duration = Duration::from_millis(5);
 /// The fraction of datagrams that are lost.
 const LOSS: f64 = 0.01;
 /// The bytes of a datagram beside its payload: the seal and the headers of UDP and IP.
@@ -67,9 +74,15 @@
     Keepers(usize),
     /// The version follows from the id and the shares of the versions.
     Computed,
+    /// The same, and routers that start read from the store which shares there were.
+    ComputedFromRow,
+    /// Four keepers, and each router writes a row of what it began in so many milliseconds.
+    OwnRows(u64),
+    /// Four keepers, and one router of each zone writes such a row for its zone.
+    ZoneRows(u64),
 }
 
-const WAYS: [Way; 8] = [
+const WAYS: [Way; 13] = [
     Way::Own,
     Way::AskAll,
     Way::TellAll,
@@ -78,6 +91,11 @@
     Way::Keepers(3),
     Way::Keepers(4),
     Way::Computed,
+    Way::ComputedFromRow,
+    Way::OwnRows(1000),
+    Way::ZoneRows(1000),
+    Way::ZoneRows(500),
+    Way::ZoneRows(250),
 ];
 
 /// A stream that breaks off because of a fault.
@@ -124,6 +142,25 @@
     joined: u32,
     bytes: u64,
     records: usize,
+    /// Rows written to the store and their bytes, and reads of all rows.
+    writes: u64,
+    stored_bytes: u64,
+    reads: u64,
+}
+
+/// The rows of one writer.
+#[derive(Clone, Debug, Default)]
+struct Writer {
+    /// When the next row is written; it takes all records until then.
+    writes_at: Instant,
+    row: Vec<Record>,
+}
+
+/// What the store holds of a stream.
+#[derive(Clone, Debug)]
+struct Stored {
+    version: backend::Version,
+    written_at: Instant,
 }
 
 struct Fleet {
@@ -134,6 +171,10 @@
     started: Vec<Instant>,
     counts: Counts,
     losses: SmallRng,
+    writers: BTreeMap<usize, Writer>,
+    store: HashMap<Key, Stored>,
+    /// The routers that have read the store since the last fault.
+    readers: BTreeSet<usize>,
 }
 
 impl Fleet {
@@ -151,6 +192,9 @@
             started: vec![Instant::ZERO; routers],
             counts: Counts::default(),
             losses: SmallRng::seed_from_u64(1),
+            writers: BTreeMap::new(),
+            store: HashMap::new(),
+            readers: BTreeSet::new(),
         }
     }
 
@@ -162,6 +206,9 @@
                 return all.filter(|index| *index != own).collect();
             }
             (Way::Keepers(count), is_asked) => count + usize::from(is_asked),
+            (Way::OwnRows(_) | Way::ZoneRows(_), is_asked) => {
+                origins::COPIES + usize::from(is_asked)
+            }
             _ => return Vec::new(),
         };
         let keepers = origins::keepers(&self.members, key, count);
@@ -182,7 +229,7 @@
     fn begin(&mut self, router: usize, key: Key, version: &backend::Version, now: Instant) {
         let version = version.clone();
         let record = Record { key, version };
-        if self.way != Way::Computed {
+        if !self.is_computed() {
             self.tables[router].insert(&record, now);
         }
         for other in self.others(router, key, false) {
@@ -191,10 +238,67 @@
                 self.tables[other].insert(&record, now);
             }
         }
+        self.store(router, &record, now);
+    }
+
+    fn is_computed(&self) -> bool {
+        matches!(self.way, Way::Computed | Way::ComputedFromRow)
+    }
+
+    /// Leaves a record to the router that writes it to the store.
+    fn store(&mut self, router: usize, record: &Record, now: Instant) {
+        let (writer, interval) = match self.way {
+            Way::OwnRows(interval) => (router, interval),
+            Way::ZoneRows(interval) => (self.writer_of_zone(router, now), interval),
+            _ => return,
+        };
+        let is_received = writer == router || self.send(&Frame::Journal(vec![record.clone()]));
+        if !is_received {
+            return;
+        }
+        let row = self.writers.entry(writer).or_default();
+        if row.writes_at <= now {
+            // The first row after a pause is written at once.
+            let pause_ends = row.writes_at + Duration::from_millis(interval);
+            row.writes_at = pause_ends.max(now);
+            let bytes = Batch::new(row.row.iter()).encode().expect("a row").len();
+            self.counts.stored_bytes += bytes as u64;
+            self.counts.writes += 1;
+            row.row.clear();
+        }
+        row.row.push(record.clone());
+        let stored = Stored {
+            version: record.version.clone(),
+            written_at: row.writes_at + STORE_LATENCY,
+        };
+        self.store.insert(record.key, stored);
+    }
+
+    fn writer_of_zone(&self, router: usize, now: Instant) -> usize {
+        let running = self.members.iter().zip(&self.started);
+        let running = running.filter(|(_, started)| **started <= now);
+        let running: Vec<Member> = running.map(|(member, _)| member.clone()).collect();
+        let writer = origins::journal_writer(&running, &self.members[router].zone);
+        let writer = writer.expect("the router itself runs");
+        let mut members = self.members.iter();
+        let place = members.position(|member| member.host == writer.host);
+        place.expect("a member")
+    }
+
+    /// What the store tells of a stream. It is read once by each router that needs it.
+    fn read(&mut self, router: usize, key: Key) -> Answer {
+        if !matches!(self.way, Way::OwnRows(_) | Way::ZoneRows(_)) {
+            return Answer::Unknown;
+        }
+        self.counts.reads += u64::from(self.readers.insert(router));
+        let stored = self.store.get(&key);
+        stored.map_or(Answer::Unknown, |stored| {
+            Answer::Version(stored.version.clone())
+        })
     }
 
     fn find(&mut self, router: usize, key: Key, now: Instant) -> Answer {
-        if self.way == Way::Computed {
+        if self.is_computed() {
             return self.compute(router, key, now);
         }
         let own = self.tables[router].find(key, now);
@@ -211,13 +315,18 @@
                 found = answer;
             }
         }
-        found
+        match found {
+            Answer::Unknown => self.read(router, key),
+            found => found,
+        }
     }
 
     /// The version of a stream that may have begun at any time of the last [`SPAN`].
     fn compute(&self, router: usize, key: Key, now: Instant) -> Answer {
         let since = Instant::ZERO + now.since(Instant::ZERO).saturating_sub(SPAN);
-        let knows_shares = self.started[router] == Instant::ZERO || self.started[router] <= since;
+        let is_in_row = self.way == Way::ComputedFromRow;
+        let started = self.started[router];
+        let knows_shares = is_in_row || started == Instant::ZERO || started <= since;
         let (first, last) = (computed(key, since), computed(key, now));
         if knows_shares && first == last {
             Answer::Version(last)
@@ -229,6 +338,10 @@
     fn end(&mut self, router: usize, now: Instant) {
         self.tables[router] = Table::default();
         self.started[router] = now + RESTART;
+        // What the router had not written is lost.
+        if self.writers.remove(&router).is_some() {
+            self.store.retain(|_, stored| stored.written_at <= now);
+        }
     }
 
     fn take_up(&mut self, broken: &Broken) {
@@ -271,7 +384,7 @@
             let (router, key) = (random.random_range(0..size.routers), Key(random.random()));
             let is_broken = random.random::<f64>() < (-age.div_duration_f64(MEAN_STREAM)).exp();
             let version = match way {
-                Way::Computed => computed(key, began),
+                Way::Computed | Way::ComputedFromRow => computed(key, began),
                 _ => computed(Key(random.random()), began),
             };
             begun.push((began, router, key, version, is_broken && hit[router]));
@@ -310,6 +423,7 @@
                 fleet.end(router, at);
             }
         }
+        fleet.readers.clear();
         for broken in std::mem::take(&mut broken).into_values().flatten() {
             fleet.take_up(&broken);
         }
@@ -327,13 +441,16 @@
                 format!("{:.3}", f64::from(*went_on) / f64::from(taken_up.max(1)))
             });
             println!(
-                "routers={} way={way:?} taken_up={:?} went_on={} joined={} bytes_per_s={} records={}",
+                "routers={} way={way:?} taken_up={:?} went_on={} joined={} bytes_per_s={} records={} writes_per_s={:.1} stored_bytes_per_s={} reads_per_fault={}",
                 size.routers,
                 counts.taken_up,
                 shares.collect::<Vec<_>>().join(","),
                 counts.joined,
                 counts.bytes / router_seconds,
-                counts.records
+                counts.records,
+                counts.writes as f64 / DURATION.as_secs_f64(),
+                counts.stored_bytes / DURATION.as_secs(),
+                counts.reads * 4 / (DURATION.as_secs() / FAULT_INTERVAL.as_secs())
             );
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod headers;
 pub mod held;
 pub mod identity;
+pub mod journal;
 pub mod link;
 pub mod listener;
 pub mod load;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,9 @@
     path_changes: Family<labels::Path, Counter>,
     tunnelled_attempts: Counter,
     streams_taken_up: Family<labels::TakenUp, Counter>,
+    journal_calls: Family<labels::JournalCall, Counter>,
+    journaled: Counter,
+    not_journaled: Counter,
     carried_tunnels: Family<labels::Carried, Counter>,
     standings: Family<labels::Standing, Counter>,
     checks: Family<labels::Check, Counter>,
@@ -127,6 +130,9 @@
         let path_changes = Family::default();
         let tunnelled_attempts = Counter::default();
         let streams_taken_up = Family::default();
+        let journal_calls = Family::default();
+        let journaled = Counter::default();
+        let not_journaled = Counter::default();
         let carried_tunnels = Family::default();
         let standings = Family::default();
         let checks = Family::default();
@@ -229,6 +235,21 @@
             "Streams that callers took up, by how the version that began them was found",
             Family::clone(&streams_taken_up),
         );
+        registry.register(
+            "weir_journal_calls",
+            "Calls that write the versions which began streams to the store, by result",
+            Family::clone(&journal_calls),
+        );
+        registry.register(
+            "weir_streams_journaled",
+            "Streams whose version this router has written to the store",
+            journaled.clone(),
+        );
+        registry.register(
+            "weir_streams_not_journaled",
+            "Streams whose version was not written because too many waited for the store",
+            not_journaled.clone(),
+        );
         registry.register(
             "weir_carried_tunnels",
             "Connections to servers that other routers asked for",
@@ -324,6 +345,9 @@
             path_changes,
             tunnelled_attempts,
             streams_taken_up,
+            journal_calls,
+            journaled,
+            not_journaled,
             carried_tunnels,
             standings,
             checks,
@@ -562,6 +586,22 @@
         self.unusable.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a call that writes the journal.
+    pub fn journal_called(&self, is_applied: bool) {
+        let call = labels::JournalCall::new(is_applied);
+        self.journal_calls.get_or_create(&call).inc();
+    }
+
+    /// Counts streams whose version was written to the journal.
+    pub fn journal_written(&self, count: usize) {
+        self.journaled.inc_by(count as u64);
+    }
+
+    /// Counts streams whose version is not written to the journal.
+    pub fn journal_dropped(&self, count: usize) {
+        self.not_journaled.inc_by(count as u64);
+    }
+
     /// Sets whether the settings file cannot be used.
     pub fn set_settings_refused(&self, is_refused: bool) {
         self.settings_refused.set(i64::from(is_refused));
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -111,6 +111,20 @@
     pub(super) result: &'static str,
 }
 
+/// The labels of a call that writes the journal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct JournalCall {
+    pub(super) result: &'static str,
+}
+
+impl JournalCall {
+    pub(super) const fn new(is_applied: bool) -> Self {
+        Self {
+            result: if is_applied { "ok" } else { "error" },
+        }
+    }
+}
+
 /// The labels of a stream that its caller took up.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct TakenUp {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -25,7 +25,7 @@
 
 pub use handover::Handover;
 pub use history::{Entry, History, MEMORY};
-pub use keepers::keepers;
+pub use keepers::{journal_writer, keepers};
 pub use lookups::Lookups;
 pub use renewals::{RENEWAL_INTERVAL, Renewals};
 pub use silence::{MAX_SILENCE, Silence};
@@ -90,9 +90,9 @@
 /// A message to the task that exchanges records with other routers.
 #[derive(Debug)]
 pub enum Message {
-    /// The first event of a stream was forwarded. The stream goes on for as long as the [`Lease`]
-    /// exists.
-    Began(Record, Weak<Lease>),
+    /// The first event of a stream of a service was forwarded. The stream goes on for as long as the
+    /// [`Lease`] exists.
+    Began(pool::Id, Record, Weak<Lease>),
     /// Asks for the version that began a stream.
     Find(Key, oneshot::Sender<Answer>),
 }
--- a/crates/gateway/src/origins/history.rs
+++ b/crates/gateway/src/origins/history.rs
@@ -66,6 +66,12 @@
         seen.all(|version| version == only).then_some(only)
     }
 
+    /// Whether routers that start cannot tell from the record of versions alone which one began the
+    /// streams of a service.
+    pub fn has_several_versions(&self, pool: &pool::Id) -> bool {
+        self.only_recorded_version(pool).is_none()
+    }
+
     /// The only version of a service that this router has seen in the last `span`; `None` if
     /// there were several, or none.
     pub fn only_version(
--- a/crates/gateway/src/origins/keepers.rs
+++ b/crates/gateway/src/origins/keepers.rs
@@ -1,7 +1,8 @@
-//! The routers that keep the record of a stream.
+//! The routers that keep the record of a stream, and those that write the journal.
 
 use placement::score;
 use smallvec::SmallVec;
+use units::availability;
 use xxhash_rust::xxh3;
 
 use super::{ASKED, Key};
@@ -31,6 +32,13 @@
     chosen.iter().map(|index| &members[*index]).collect()
 }
 
+/// The router of a zone that writes the journal, by rendezvous hashing; `None` if the zone has none.
+pub fn journal_writer<'a>(members: &'a [Member], zone: &availability::Zone) -> Option<&'a Member> {
+    let key = Key(xxh3::xxh3_64(zone.as_str().as_bytes()));
+    let members = members.iter().filter(|member| member.zone == *zone);
+    members.max_by_key(|member| score_of(member, key))
+}
+
 fn score_of(member: &Member, key: Key) -> u64 {
     let host = xxh3::xxh3_64(member.host.as_str().as_bytes());
     score::pair_hash(key.as_chat(), host)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -95,6 +95,8 @@
     pub crash_news: watch::Receiver<()>,
     /// Messages about the versions that began streams.
     pub origins: mpsc::UnboundedReceiver<crate::origins::Message>,
+    /// The versions of each service that were seen.
+    pub history: watch::Receiver<crate::origins::History>,
     /// Messages about roll-outs, and whom they are for.
     pub rollouts: mpsc::UnboundedReceiver<(Audience, rollout::Message)>,
 }
@@ -110,6 +112,8 @@
     pub is_watching: watch::Sender<bool>,
     /// The task that controls roll-outs.
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
+    /// The task that writes the journal.
+    pub journal: mpsc::UnboundedSender<Vec<crate::origins::Record>>,
     /// The ages of the replicated views.
     pub ages: Arc<Staleness>,
     /// The metrics.
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -119,6 +119,8 @@
     LoadSlice(LoadSlice),
     /// The speeds of servers and the use by workspaces.
     ServiceState(ServiceState),
+    /// The versions that began streams, for the router that writes the journal.
+    Journal(Vec<origins::Record>),
 }
 
 /// The speeds of servers and the use by workspaces, as known to a router, a zone or the fleet.
@@ -254,6 +256,7 @@
             Self::PartReports(_) => "part_reports",
             Self::LoadSlice(_) => "load_slice",
             Self::ServiceState(_) => "service_state",
+            Self::Journal(_) => "journal",
         }
     }
 
@@ -297,7 +300,8 @@
             | Self::OriginAnswer(..)
             | Self::PartReports(_)
             | Self::LoadSlice(_)
-            | Self::ServiceState(_) => None,
+            | Self::ServiceState(_)
+            | Self::Journal(_) => None,
         }
     }
 
--- a/crates/gateway/src/peers/origins.rs
+++ b/crates/gateway/src/peers/origins.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, mem, sync::Arc};
 
 use tokio::sync::oneshot;
-use units::{host, time::Instant};
+use units::{host, pool, time::Instant};
 use wire::seal::Tag;
 
 use super::{Frame, INTERVAL, task::Task};
@@ -33,11 +33,11 @@
     renewals: Renewals,
 }
 
-/// A record for a keeper that would discard it.
+/// Records for a router that would discard them.
 #[derive(Debug)]
 struct Unsent {
-    keeper: host::Id,
-    record: Record,
+    receiver: host::Id,
+    frame: Frame,
     expires_at: Instant,
 }
 
@@ -45,10 +45,15 @@
     /// Processes a message of the tasks that serve requests.
     pub(super) async fn handle_origin(&mut self, message: Message) {
         match message {
-            Message::Began(record, lease) => {
+            Message::Began(pool, record, lease) => {
                 let now = self.clock.now();
-                self.origins.renewals.began(record.clone(), lease, now);
+                let has_several = self.inputs.history.borrow().has_several_versions(&pool);
+                let renewals = &mut self.origins.renewals;
+                renewals.began(pool, record.clone(), lease, now);
                 self.record_origin(record).await;
+                if has_several {
+                    self.tell_journal().await;
+                }
             }
             Message::Find(key, reply) => self.find_origin(key, reply).await,
         }
@@ -59,16 +64,49 @@
         self.origins.table.insert(&record, now);
         self.update_keepers(now);
         for keeper in self.other_keepers(record.key, origins::COPIES) {
-            self.send_to(&Frame::Origins(vec![record.clone()]), &keeper)
+            self.tell(Frame::Origins(vec![record.clone()]), &keeper)
                 .await;
-            // The datagram only introduced this process.
-            if !self.is_introduced(&keeper) {
-                self.origins.unsent.push(Unsent {
-                    keeper: keeper.host,
-                    record: record.clone(),
-                    expires_at: now + INTERVAL * MAX_WAIT_ROUNDS,
-                });
-            }
+        }
+    }
+
+    /// Tells the router that writes the journal which streams it lacks.
+    async fn tell_journal(&mut self) {
+        let records = {
+            let history = self.inputs.history.borrow_and_update();
+            let is_needed = |pool: &pool::Id| history.has_several_versions(pool);
+            self.origins.renewals.unjournaled(is_needed)
+        };
+        if records.is_empty() {
+            return;
+        }
+        let own = &self.inputs.own;
+        let members = self.origins.handover.members();
+        let writer = origins::journal_writer(members, &own.zone).cloned();
+        let Some(writer) = writer.filter(|writer| writer.host != own.host) else {
+            self.write_journal(records);
+            return;
+        };
+        for batch in batches(records) {
+            self.tell(Frame::Journal(batch), &writer).await;
+        }
+    }
+
+    /// Passes records on to the task that writes the journal.
+    pub(super) fn write_journal(&self, records: Vec<Record>) {
+        // The task lives as long as the process.
+        drop(self.outputs.journal.send(records));
+    }
+
+    /// Sends records to a router, once more if it does not know this process yet.
+    async fn tell(&mut self, frame: Frame, receiver: &Member) {
+        self.send_to(&frame, receiver).await;
+        // The datagram only introduced this process.
+        if !self.is_introduced(receiver) {
+            self.origins.unsent.push(Unsent {
+                receiver: receiver.host.clone(),
+                frame,
+                expires_at: self.clock.now() + INTERVAL * MAX_WAIT_ROUNDS,
+            });
         }
     }
 
@@ -151,7 +189,7 @@
         }
     }
 
-    /// Sends the records that keepers have not received because they did not know this process,
+    /// Sends the records that routers have not received because they did not know this process,
     /// or were no keepers then, and drops what is over.
     pub(super) async fn repeat_origins(&mut self) {
         let now = self.clock.now();
@@ -159,18 +197,22 @@
         self.origins.lookups.prune();
         self.update_keepers(now);
         self.hand_origins_over(now).await;
-        for record in self.origins.renewals.due(now) {
+        let renewed = self.origins.renewals.due(now);
+        // A version that has joined makes streams of the one before need a record.
+        if !renewed.is_empty() || self.inputs.history.has_changed().unwrap_or(false) {
+            self.tell_journal().await;
+        }
+        for record in renewed {
             self.record_origin(record).await;
         }
         let members = Arc::clone(&self.inputs.members.borrow());
         for unsent in mem::take(&mut self.origins.unsent) {
             let mut members = members.iter();
-            let Some(keeper) = members.find(|member| member.host == unsent.keeper) else {
+            let Some(receiver) = members.find(|member| member.host == unsent.receiver) else {
                 continue;
             };
-            if self.is_introduced(keeper) {
-                self.send_to(&Frame::Origins(vec![unsent.record]), keeper)
-                    .await;
+            if self.is_introduced(receiver) {
+                self.send_to(&unsent.frame, receiver).await;
             } else if now < unsent.expires_at {
                 self.origins.unsent.push(unsent);
             }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -73,6 +73,7 @@
                 drop(self.outputs.rollouts.send(rollouts::Event::Peer(message)));
             }
             Ok(Frame::Origins(records)) => self.keep_origins(&records),
+            Ok(Frame::Journal(records)) => self.write_journal(records),
             Ok(Frame::OriginQuery(key)) => self.answer_origin(key, opened.tag).await,
             Ok(Frame::OriginAnswer(key, answer)) => {
                 self.receive_origin(key, opened.tag, &answer);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -28,8 +28,8 @@
 
 use crate::{
     activity, check, clock::Clock, confirmation, connector::Connector, discard, dispatch, held,
-    metrics::Metrics, origins, protocol::Protocol, read_ahead, readiness::Readiness, refusal,
-    relay, route::Table, shutdown::Phase, staleness::Staleness,
+    journal, metrics::Metrics, origins, protocol::Protocol, read_ahead, readiness::Readiness,
+    refusal, relay, route::Table, shutdown::Phase, staleness::Staleness,
 };
 
 /// The state that all requests share.
@@ -67,6 +67,8 @@
     pub ages: Arc<Staleness>,
     /// The task that exchanges the versions that began streams with other routers.
     pub origins: mpsc::UnboundedSender<origins::Message>,
+    /// The task that reads the journal.
+    pub journal: mpsc::UnboundedSender<journal::Request>,
     /// The task that confirms the view of the servers.
     pub confirmations: mpsc::UnboundedSender<confirmation::Request>,
     /// The versions of each service that were seen.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -190,7 +190,8 @@
                 version: version.clone(),
             };
             let lease = self.lease.get_or_insert_with(|| Arc::new(origins::Lease));
-            let began = origins::Message::Began(record, Arc::downgrade(lease));
+            let pool = self.plan.pool.clone();
+            let began = origins::Message::Began(pool, record, Arc::downgrade(lease));
             // The task lives as long as the process.
             drop(self.context.origins.send(began));
         }
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -9,6 +9,7 @@
 
 use super::Context;
 use crate::{
+    journal,
     origins::{Answer, Key, Message, RETENTION},
     protocol::Head,
     route::{KeyOwner, Kind, Route},
@@ -29,11 +30,14 @@
 pub enum Finding {
     /// A router has recorded it.
     Recorded,
+    /// No router that answers has recorded it, but the journal has.
+    Journaled,
     /// No router has recorded the stream, but the service has had only one version.
     OnlyVersion,
-    /// No router has recorded the stream.
+    /// Neither a router nor the journal has recorded the stream.
     Unrecorded,
-    /// Some of the routers that may have recorded the stream have not answered.
+    /// Some of the routers that may have recorded the stream have not answered, and the journal has not
+    /// recorded it.
     Unanswered,
     /// Streams of several versions began under the same id.
     Ambiguous,
@@ -48,6 +52,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Recorded => "recorded",
+            Self::Journaled => "journaled",
             Self::OnlyVersion => "only_version",
             Self::Unrecorded => "unrecorded",
             Self::Unanswered => "unanswered",
@@ -155,14 +160,26 @@
     match ask(context, key).await {
         Some(Answer::Version(version)) => (Finding::Recorded, Some(version)),
         Some(Answer::Ambiguous) => (Finding::Ambiguous, None),
-        None => (Finding::Unanswered, None),
+        None => journaled(context, key, Finding::Unanswered).await,
         Some(Answer::Unknown) => match only_version(context, route, pool).await {
             Some(version) => (Finding::OnlyVersion, Some(version)),
-            None => (Finding::Unrecorded, None),
+            None => journaled(context, key, Finding::Unrecorded).await,
         },
     }
 }
 
+/// The version of a stream by the journal; `missing` if that does not tell.
+async fn journaled<P>(context: &Context<P>, key: Key, missing: Finding) -> Found {
+    let (reply, answer) = oneshot::channel();
+    // The task lives as long as the process.
+    drop(context.journal.send(journal::Request { key, reply }));
+    match answer.await {
+        Ok(Answer::Version(version)) => (Finding::Journaled, Some(version)),
+        Ok(Answer::Ambiguous) => (Finding::Ambiguous, None),
+        Ok(Answer::Unknown) | Err(_) => (missing, None),
+    }
+}
+
 /// The version of a stream of a caller that does not name its first request: the only one that the
 /// service has had.
 async fn unnamed<P>(context: &Context<P>, route: &Route, pool: &pool::Id) -> Found {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -215,6 +215,22 @@
         deadline: time::Instant,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Writes a row of the journal if there is a `value`, and removes the rows `outdated`. The call is
+    /// idempotent.
+    fn write_journal(
+        &self,
+        key: &str,
+        value: Option<&[u8]>,
+        outdated: &[String],
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Reads all rows of the journal, the oldest first.
+    fn read_journal(
+        &self,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<Vec<Row>, Error>> + Send;
+
     /// Decodes a row of [`Topic::Routers`] if it records a version of a service.
     ///
     /// # Errors
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -26,7 +26,7 @@
     dispatch::{self, Dispatch},
     follow::{self, Follow},
     gate::Gates,
-    held, listener,
+    held, journal, listener,
     metrics::Metrics,
     observer, origins,
     peers::{
@@ -180,6 +180,16 @@
         let (history_sender, history) = watch::channel(origins::History::default());
         let (origins_sender, origins_receiver) = mpsc::unbounded_channel();
         let (confirmations, confirmation_requests) = mpsc::unbounded_channel();
+        let (journal_reads, journal_requests) = mpsc::unbounded_channel();
+        tokio::spawn(journal::read(source.clone(), journal_requests));
+        let (journal_writes, journal_records) = mpsc::unbounded_channel();
+        tokio::spawn(journal::write(
+            source.clone(),
+            clock,
+            settings.host.clone(),
+            Arc::clone(&metrics),
+            journal_records,
+        ));
         let (unusable_sender, unusable) = watch::channel(Vec::new());
         let outputs = state::Outputs {
             history: history_sender,
@@ -235,6 +245,7 @@
         let inputs = peers::Inputs {
             crash_news,
             origins: origins_receiver,
+            history: history.clone(),
             rollouts: rollout_receiver,
             own: own.clone(),
             members: members.clone(),
@@ -246,6 +257,7 @@
             dispatch: handle.clone(),
             events,
             is_watching: watching_sender,
+            journal: journal_writes,
             ages: Arc::clone(&ages),
             metrics: Arc::clone(&metrics),
         };
@@ -300,6 +312,7 @@
             metrics: Arc::clone(&metrics),
             ages,
             origins: origins_sender,
+            journal: journal_reads,
             confirmations,
             history,
             readiness: readiness_receiver,
--- a/crates/gateway/tests/decisions/main.rs
+++ b/crates/gateway/tests/decisions/main.rs
@@ -19,6 +19,7 @@
 mod failures;
 mod handover;
 mod isolation;
+mod journal;
 mod leaving;
 mod load_slices;
 mod origins;
--- a/crates/gateway/tests/decisions/origins.rs
+++ b/crates/gateway/tests/decisions/origins.rs
@@ -89,7 +89,7 @@
     let (mut renewals, mut table) = (Renewals::default(), Table::default());
     let lease = Arc::new(Lease);
     table.insert(&record(1, "v1"), START);
-    renewals.began(record(1, "v1"), Arc::downgrade(&lease), START);
+    renewals.began(pool_id(), record(1, "v1"), Arc::downgrade(&lease), START);
     for second in 1..300 {
         let now = START + SECOND * second;
         for record in renewals.due(now) {
--- a/crates/gateway/tests/network/exchange.rs
+++ b/crates/gateway/tests/network/exchange.rs
@@ -121,6 +121,20 @@
         unavailable()
     }
 
+    async fn write_journal(
+        &self,
+        _: &str,
+        _: Option<&[u8]>,
+        _: &[String],
+        _: time::Instant,
+    ) -> Result<(), source::Error> {
+        unavailable()
+    }
+
+    async fn read_journal(&self, _: time::Instant) -> Result<Vec<source::Row>, source::Error> {
+        unavailable()
+    }
+
     fn recorded_version(
         &self,
         _: &source::Row,
@@ -235,12 +249,14 @@
             is_store_reachable: watch::channel(false).1,
             crash_news: watch::channel(()).1,
             origins: mpsc::unbounded_channel().1,
+            history: watch::channel(gateway::origins::History::default()).1,
             rollouts: mpsc::unbounded_channel().1,
         };
         let outputs = peers::Outputs {
             dispatch: dispatch_sender,
             events: mpsc::channel(64).0,
             is_watching: watch::channel(false).0,
+            journal: mpsc::unbounded_channel().0,
             rollouts: mpsc::unbounded_channel().0,
             ages: Arc::new(Staleness::default()),
             metrics: Arc::clone(&metrics),
