Count the rows of servers that cannot be used

An entry of another writer among those of the servers was left out with a log line for each of its writes: with 300 of them a line for each heartbeat of each, and nothing else showed how many there were.

weir_servers_unusable counts them, the status page and weirctl router name the first twenty, and the log names each once, twenty at a time at most.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -102,6 +102,7 @@
     config: Gauge,
     config_bytes: Gauge,
     unusable: Gauge,
+    unusable_servers: Gauge,
     settings_refused: Gauge,
     servers: Gauge,
     members: Gauge,
@@ -146,6 +147,7 @@
         let config = Gauge::default();
         let config_bytes = Gauge::default();
         let unusable = Gauge::default();
+        let unusable_servers = Gauge::default();
         let settings_refused = Gauge::default();
         let servers = Gauge::default();
         let members = Gauge::default();
@@ -315,6 +317,11 @@
             "Rows and entries of the configuration that cannot be used and are not in force",
             unusable.clone(),
         );
+        registry.register(
+            "weir_servers_unusable",
+            "Rows of servers that cannot be used",
+            unusable_servers.clone(),
+        );
         registry.register(
             "weir_settings_refused",
             "1 while the settings file cannot be used and former settings are in force",
@@ -361,6 +368,7 @@
             config,
             config_bytes,
             unusable,
+            unusable_servers,
             settings_refused,
             servers,
             members,
@@ -602,6 +610,12 @@
         self.not_journaled.inc_by(count as u64);
     }
 
+    /// Sets the number of rows of servers that cannot be used.
+    pub fn set_unusable_servers(&self, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.unusable_servers.set(count);
+    }
+
     /// Sets whether the settings file cannot be used.
     pub fn set_settings_refused(&self, is_refused: bool) {
         self.settings_refused.set(i64::from(is_refused));
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -156,6 +156,20 @@
     pub reason: String,
 }
 
+/// The longest reason that is kept, in characters. Some quote the value.
+const MAX_REASON: usize = 200;
+
+impl Unusable {
+    /// An entry that cannot be read because of `error`.
+    pub fn new(kind: &'static str, name: &str, error: &impl fmt::Display) -> Self {
+        Self {
+            kind,
+            name: String::from(name),
+            reason: error.to_string().chars().take(MAX_REASON).collect(),
+        }
+    }
+}
+
 /// The routes of one host, by path prefix.
 type Prefixes = HashMap<String, Arc<Route>>;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,7 @@
     roster::{self, Change, Roster},
     route::{Table, Unusable},
     service_versions::{self, Records},
-    source::{Directive, Member, Row, Source, Topic},
+    source::{Directive, Malformed, Member, Row, Source, Topic},
     staleness::Staleness,
 };
 
@@ -70,6 +70,10 @@
     in_force: Option<(String, u64)>,
     /// What was left out of it.
     left_out: Vec<Unusable>,
+    /// The rows of the configuration that cannot be read.
+    unreadable: Vec<Unusable>,
+    /// The rows of servers that cannot be used.
+    unusable_servers: BTreeMap<String, Unusable>,
     roster: Roster,
     /// The orders of roll-outs; `None` before the first configuration.
     orders: Option<Vec<Order>>,
@@ -88,6 +92,8 @@
             replicas: Replicas::new(),
             in_force: None,
             left_out: Vec::new(),
+            unreadable: Vec::new(),
+            unusable_servers: BTreeMap::new(),
             roster: Roster::default(),
             orders: None,
             readiness: Readiness::default(),
@@ -199,11 +205,7 @@
                 Ok(Directive::Rollout(order)) => orders.push(order),
                 Err(error) => {
                     logging::event!(warn, "row_malformed", key = row.key, reason = error);
-                    unreadable.push(Unusable {
-                        kind: "row",
-                        name: row.key.clone(),
-                        reason: error.to_string(),
-                    });
+                    unreadable.push(Unusable::new("row", &row.key, &error));
                 }
             }
         }
@@ -213,7 +215,8 @@
         for (row, table) in tables {
             self.activate(row, table);
         }
-        self.publish_unusable(unreadable);
+        self.unreadable = unreadable;
+        self.publish_unusable();
         if self.roster.set_evacuated(zones.clone()) {
             let zones: Vec<_> = zones.iter().map(|zone| zone.as_str()).collect();
             logging::event!(info, "zones_out", zones = zones.join(","));
@@ -222,13 +225,34 @@
         self.publish_readiness();
     }
 
-    /// Publishes the rows that cannot be read, and what was left out of the configuration in force.
-    fn publish_unusable(&self, unreadable: Vec<Unusable>) {
-        let unusable = [unreadable, self.left_out.clone()].concat();
-        self.outputs.metrics.set_unusable(unusable.len());
+    /// Publishes what cannot be used: rows of the configuration, what was left out of the one in force,
+    /// and some rows of servers.
+    fn publish_unusable(&self) {
+        let metrics = &self.outputs.metrics;
+        metrics.set_unusable(self.unreadable.len() + self.left_out.len());
+        metrics.set_unusable_servers(self.unusable_servers.len());
+        let servers = self.unusable_servers.values().take(MAX_LOGGED);
+        let lists = self.unreadable.iter().chain(&self.left_out);
+        let unusable = lists.chain(servers).cloned().collect();
         self.outputs.unusable.send_replace(unusable);
     }
 
+    /// Records whether the row of a server can be used. Returns whether that changes anything.
+    ///
+    /// A row that is written again with every heartbeat is logged once.
+    fn set_unusable_server(&mut self, row: &Row, error: Option<&Malformed>) -> bool {
+        let Some(error) = error else {
+            return self.unusable_servers.remove(&row.key).is_some();
+        };
+        let is_new = !self.unusable_servers.contains_key(&row.key);
+        if is_new && self.unusable_servers.len() < MAX_LOGGED {
+            logging::event!(warn, "row_malformed", key = row.key, reason = error);
+        }
+        let unusable = Unusable::new("server", &row.key, error);
+        self.unusable_servers.insert(row.key.clone(), unusable);
+        true
+    }
+
     fn publish_orders(&mut self, orders: Vec<Order>) {
         if self.orders.as_ref() == Some(&orders) {
             return;
@@ -306,8 +330,11 @@
     fn apply_server_rows(&mut self, rows: &[Row]) {
         let now = self.clock.now();
         let mut changed = false;
+        let mut unusable_changed = false;
         for row in rows {
-            let Some(change) = self.server_change(row, now) else {
+            let (change, error) = self.server_change(row, now);
+            unusable_changed |= self.set_unusable_server(row, error.as_ref());
+            let Some(change) = change else {
                 continue;
             };
             let server = change.server().clone();
@@ -321,35 +348,33 @@
                 );
             }
         }
+        if unusable_changed {
+            self.publish_unusable();
+        }
         if changed {
             self.publish_roster();
         }
     }
 
-    fn server_change(&self, row: &Row, now: Instant) -> Option<Change> {
+    /// What a row tells of its server, and why it cannot be used.
+    ///
+    /// A malformed entry names no usable server, so it counts as a removal.
+    fn server_change(&self, row: &Row, now: Instant) -> (Option<Change>, Option<Malformed>) {
         let server = match backend::Server::try_from(row.key.clone()) {
             Ok(server) => server,
-            Err(error) => {
-                logging::event!(warn, "row_malformed", key = row.key, reason = error);
-                return None;
-            }
+            Err(_) if row.value.is_none() => return (None, None),
+            Err(error) => return (None, Some(Malformed(error.to_string()))),
+        };
+        let absent = Change::Absent {
+            server,
+            revision: row.version,
         };
         if row.value.is_none() {
-            return Some(Change::Absent {
-                server,
-                revision: row.version,
-            });
+            return (Some(absent), None);
         }
         match self.source.server(row, now) {
-            Ok(entry) => Some(Change::Present(entry)),
-            Err(error) => {
-                logging::event!(warn, "row_malformed", key = row.key, reason = error);
-                // A malformed entry names no usable server, so it counts as a removal.
-                Some(Change::Absent {
-                    server,
-                    revision: row.version,
-                })
-            }
+            Ok(entry) => (Some(Change::Present(entry)), None),
+            Err(error) => (Some(absent), Some(error)),
         }
     }
 
--- a/crates/gateway/tests/decisions/aggregation.rs
+++ b/crates/gateway/tests/decisions/aggregation.rs
@@ -294,3 +294,31 @@
         "the fuller sum has expired"
     );
 }
+
+/// Guards against sums of other routers' figures that have no result.
+#[test]
+fn the_largest_loads_of_routers_are_added_up() {
+    let outcomes = OutcomeCounts {
+        failed: u16::MAX,
+        completed: u16::MAX,
+    };
+    let largest = Load {
+        server: u32::MAX,
+        running: u16::MAX,
+        outcomes,
+    };
+    let mut sums = LoadSums::default();
+    for index in 0..4 {
+        sums.record_router(host(&format!("r{index}")), vec![largest; 3], START);
+        let sum = ZoneSum {
+            zone: index,
+            routers: u16::MAX,
+            loads: vec![largest; 3],
+        };
+        sums.record_zone(sum, START);
+    }
+    let own = sums.zone_sum(9, &[largest], START);
+    let total = sums.fleet_total(&own, START);
+    assert_eq!(total, [largest]);
+    assert_eq!(sums::subtract(&total, &[largest]), Vec::new());
+}
