Test heads that break off at each byte

Reported from other systems: a server that stopped in the middle of its head and closed; callers got a 200 with an empty or short body, framed as whole.

--- a/crates/router/tests/fleet/framing.rs
+++ b/crates/router/tests/fleet/framing.rs
@@ -182,3 +182,31 @@
     assert!(response.starts_with("HTTP/1.0 200"), "{response}");
     assert_eq!(has_ended, is_complete, "{response}");
 }
+
+/// Guards against a head that broke off and reaches the caller as a success.
+#[parameterized(
+    nothing = { "" },
+    status_line = { "HTTP/1.1 200 OK" },
+    line_end = { "HTTP/1.1 200 OK\r\n" },
+    field_name = { "HTTP/1.1 200 OK\r\nContent-Le" },
+    part_of_a_length = { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 1" },
+    no_empty_line = { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" },
+    half_an_empty_line = { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r" },
+    after_an_interim_response = { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_head_that_breaks_off_is_no_success(head: &str) {
+    let mut cluster = Cluster::start(Topology::one_zone()).await;
+    let service = &mut cluster.services[0];
+    let front = fixed::Server::start(service.handle.address(), "POST", head.as_bytes());
+    service.front = Some(front.await.expect("a port"));
+    cluster.list_hosts(&[]);
+    wait_until("the router has the new address", async || {
+        let response = cluster.send(0, &Call::post("/bookings", "{}")).await;
+        response.status != 400
+    })
+    .await;
+    let response = cluster.send(0, &Call::post("/bookings", "{}")).await;
+    assert_eq!(response.status, 502, "{}", response.body);
+    assert_eq!(response.error("verdict"), "may_have_run");
+}
--- a/crates/storage/tests/client.rs
+++ b/crates/storage/tests/client.rs
@@ -222,3 +222,22 @@
     let keys = objects.list("x/", deadline_in(10_000)).await;
     assert!(keys.is_err(), "{keys:?}");
 }
+
+/// Guards against an object that is taken from a response whose head broke off, at each of its bytes.
+#[yare::parameterized(
+    length = { "Content-Length: 11\r\n", "{\"keys\":[]}" },
+    chunks = { "Transfer-Encoding: chunked\r\n", "b\r\n{\"keys\":[]}\r\n0\r\n\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn an_object_whose_head_broke_off_is_not_read(fields: &str, body: &str) {
+    let (platform, _) = start().await;
+    let response = format!("HTTP/1.1 200 OK\r\n{fields}Connection: close\r\n\r\n{body}");
+    for length in 0..response.len() {
+        let part = &response.as_bytes()[..length];
+        let server = fixed::Server::start(platform.address(), "GET", part);
+        let server = server.await.expect("a port");
+        let objects = objects::Client::new(server.address());
+        let object = objects.get("x/1", deadline_in(1_000)).await;
+        assert!(object.is_err(), "{length} bytes: {object:?}");
+    }
+}
