Do not wait for lost routers before watching the store

Cause: routers take over the watch of the store in the order of a hash, 60 ms apart, and each waited for every registered router before it, also for those that had ended without a signal and are never heard.

Change: routers that are registered and not heard are waited for by 1 s together; after that only the order among those that are heard counts.

routers_watch_soon_beside_lost_ones failed before with 200 and 2,000 lost routers (none of three watched after 1.6 s) and passes now.

--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -280,7 +280,8 @@
         let now = self.clock.now();
         let members = Arc::clone(&self.inputs.members.borrow());
         let hosts: Vec<host::Id> = members.iter().map(|member| member.host.clone()).collect();
-        let is_watching = self.watchers.should_watch(&hosts, now);
+        let is_heard = |host: &host::Id| self.table.contains(host);
+        let is_watching = self.watchers.should_watch(&hosts, is_heard, now);
         let changed = self.outputs.is_watching.send_if_modified(|before| {
             let changed = *before != is_watching;
             *before = is_watching;
--- a/crates/gateway/src/peers/watchers.rs
+++ b/crates/gateway/src/peers/watchers.rs
@@ -25,6 +25,9 @@
 ///
 /// Without it all routers would start to watch at the same moment.
 const TAKEOVER_STAGGER: Duration = Duration::from_millis(60);
+/// How long routers are waited for that are registered and not heard: a router that has just started has
+/// not heard the others yet, and those that are lost stay registered.
+const MAX_STAGGER: Duration = Duration::from_millis(1000);
 /// The minimum time for which a router keeps watching, so that the role does not flap.
 const MIN_TERM: Duration = Duration::from_secs(4);
 
@@ -134,15 +137,20 @@
         watchers
     }
 
-    /// Whether this router is to watch the store, given the registered routers.
-    pub fn should_watch(&mut self, members: &[host::Id], now: Instant) -> bool {
+    /// Whether this router is to watch the store, given the registered routers and which of them are heard.
+    pub fn should_watch(
+        &mut self,
+        members: &[host::Id],
+        is_heard: impl Fn(&host::Id) -> bool,
+        now: Instant,
+    ) -> bool {
         self.records.retain(|_, record| now < record.alive_until);
         let connected = self.connected();
         if let Some(ends) = self.term_ends {
             if now >= ends && self.is_redundant(&connected) {
                 self.term_ends = None;
             }
-        } else if self.should_take_over(&connected, members, now) {
+        } else if self.should_take_over(&connected, members, is_heard, now) {
             self.term_ends = Some(now + MIN_TERM);
             self.shortage_since = None;
         }
@@ -186,6 +194,7 @@
         &mut self,
         connected: &BTreeSet<u32>,
         members: &[host::Id],
+        is_heard: impl Fn(&host::Id) -> bool,
         now: Instant,
     ) -> bool {
         // Before the members are known, each router would take itself for the first in
@@ -201,11 +210,18 @@
             return false;
         }
         let since = *self.shortage_since.get_or_insert(now);
-        let hashes = members.iter().map(Watcher::hash);
-        let before = hashes.filter(|hash| *hash < self.own && !self.records.contains_key(hash));
-        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let precedes = |member: &&host::Id| {
+            let hash = Watcher::hash(member);
+            hash < self.own && !self.records.contains_key(&hash)
+        };
+        let before = members.iter().filter(precedes);
+        let heard = before.clone().filter(|member| is_heard(member)).count();
         // As many routers as are missing take over at once.
-        let rank = rank.saturating_sub(u32::try_from(WATCHERS - connected.len()).unwrap_or(0));
-        now >= since + TAKEOVER_STAGGER * rank
+        let missing = WATCHERS - connected.len();
+        let delay = |before: usize| {
+            let rank = u32::try_from(before.saturating_sub(missing)).unwrap_or(u32::MAX);
+            TAKEOVER_STAGGER.saturating_mul(rank)
+        };
+        now >= since + delay(before.count()).min(MAX_STAGGER + delay(heard))
     }
 }
--- a/crates/gateway/tests/decisions/peers.rs
+++ b/crates/gateway/tests/decisions/peers.rs
@@ -20,6 +20,7 @@
 use proptest::prelude::*;
 use units::{availability, host, time::Instant};
 use wire::seal::Tag;
+use yare::parameterized;
 
 use crate::world::{START, host, members, registered, server};
 
@@ -379,8 +380,11 @@
     /// Runs one round in which only the routers of `up` take part.
     fn round(&mut self, up: &[usize], is_store_reachable: bool) {
         self.now = self.now + Duration::from_millis(200);
+        let heard: BTreeSet<_> = up.iter().map(|&index| &self.hosts[index]).collect();
+        let is_heard = |host: &host::Id| heard.contains(host);
         for &index in up {
-            self.watching[index] = self.watchers[index].should_watch(&self.hosts, self.now);
+            self.watching[index] =
+                self.watchers[index].should_watch(&self.hosts, is_heard, self.now);
         }
         let advertised: Vec<_> = up
             .iter()
@@ -440,6 +444,27 @@
     assert_eq!(gossip.watching(&remaining), WATCHERS);
 }
 
+/// Guards against routers that do not learn of changes for seconds after a start, because they leave
+/// watching to registered routers that are lost.
+#[parameterized(
+    none = { 0 },
+    two_hundred = { 200 },
+    two_thousand = { 2000 },
+)]
+fn routers_watch_soon_beside_lost_ones(lost: usize) {
+    /// Of 200 ms; a changed configuration has to be in force within 2 s.
+    const MAX_ROUNDS: usize = 8;
+    let mut gossip = Gossip::new(lost + 3);
+    // The last in the order of takeovers.
+    let mut by_hash: Vec<usize> = (0..lost + 3).collect();
+    by_hash.sort_by_key(|&index| Watcher::hash(&gossip.hosts[index]));
+    let up = by_hash.split_off(lost);
+    for _ in 0..MAX_ROUNDS {
+        gossip.round(&up, true);
+    }
+    assert_eq!(gossip.watching(&up), 3);
+}
+
 /// Guards against a thundering herd: if all routers polled a store that is unavailable, all
 /// would call it at the moment of its return.
 #[test]
--- a/crates/gateway/tests/decisions/propagation.rs
+++ b/crates/gateway/tests/decisions/propagation.rs
@@ -1,6 +1,9 @@
 //! How fast updates reach a whole fleet.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use gateway::{
     peers::{QUIET_FAN_OUT, WATCHERS, Watcher, Watchers, gossip_targets},
@@ -96,8 +99,10 @@
     /// Runs one round in which the routers of `up` take part.
     fn round(&mut self, up: &[usize], quiet_fan_out: usize) {
         self.now = self.now + Duration::from_millis(200);
+        let heard: BTreeSet<_> = up.iter().map(|&index| &self.hosts[index]).collect();
+        let is_heard = |host: &host::Id| heard.contains(host);
         for &index in up {
-            let is_watching = self.watchers[index].should_watch(&self.hosts, self.now);
+            let is_watching = self.watchers[index].should_watch(&self.hosts, is_heard, self.now);
             self.watch_changes += usize::from(is_watching != self.watching[index]);
             self.watching[index] = is_watching;
         }
