Remove the registrations of lost routers

A router removes its registration in an orderly shutdown only. One that is killed for good stays registered for ever, and the others go on sending to it: an update that gossip has to spread reaches a share of dead addresses that grows with the life of the deployment.

Routers remove a registration that they have not heard for ten minutes, one of them for all, in the order that the other records use.

a_router_that_is_not_heard_for_long_is_lost checks the decision; a removal among real processes was not played, since it takes ten minutes.

--- a/crates/gateway/examples/control_bytes.rs
+++ b/crates/gateway/examples/control_bytes.rs
@@ -560,6 +560,7 @@
             rollouts: rollout_events,
             is_watching: watch::channel(false).0,
             journal: mpsc::unbounded_channel().0,
+            lost_routers: watch::channel(Arc::default()).0,
             ages,
             metrics,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod link;
 pub mod listener;
 pub mod load;
+pub mod lost_routers;
 pub mod metrics;
 pub mod observer;
 pub mod origins;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -28,7 +28,7 @@
 pub use keepers::{journal_writer, keepers};
 pub use lookups::Lookups;
 pub use renewals::{RENEWAL_INTERVAL, Renewals};
-pub use silence::{MAX_SILENCE, Silence};
+pub use silence::{LOST_AFTER, MAX_SILENCE, Silence};
 pub use table::Table;
 
 /// The number of keepers of a stream. There is one in each zone if there are not more zones, so
--- a/crates/gateway/src/origins/silence.rs
+++ b/crates/gateway/src/origins/silence.rs
@@ -10,6 +10,9 @@
 /// starts is heard by all within a few rounds of gossip.
 pub const MAX_SILENCE: Duration = Duration::from_secs(5);
 
+/// How long a registered router may not be heard until it is taken for lost: longer than any restart.
+pub const LOST_AFTER: Duration = Duration::from_secs(600);
+
 /// Since when registered routers have not been heard.
 ///
 /// A router that ended without a signal stays registered, and would be chosen to keep records.
@@ -19,6 +22,13 @@
 }
 
 impl Silence {
+    /// The registered routers that have not been heard for [`LOST_AFTER`].
+    pub fn lost(&self, now: Instant) -> impl Iterator<Item = &host::Id> {
+        let since = self.since.iter();
+        let lost = since.filter(move |(_, since)| now >= **since + LOST_AFTER);
+        lost.map(|(host, _)| host)
+    }
+
     /// The members without those that have been silent for too long.
     pub fn audible(
         &mut self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -48,6 +48,7 @@
     clock::Clock,
     dispatch,
     follow::Event,
+    lost_routers,
     metrics::Metrics,
     replica::Replicas,
     rollouts,
@@ -114,6 +115,8 @@
     pub rollouts: mpsc::UnboundedSender<rollouts::Event>,
     /// The task that writes the journal.
     pub journal: mpsc::UnboundedSender<Vec<crate::origins::Record>>,
+    /// The registered routers that are lost.
+    pub lost_routers: watch::Sender<Arc<lost_routers::Backlog>>,
     /// The ages of the replicated views.
     pub ages: Arc<Staleness>,
     /// The metrics.
--- a/crates/gateway/src/peers/origins.rs
+++ b/crates/gateway/src/peers/origins.rs
@@ -8,6 +8,7 @@
 
 use super::{Frame, INTERVAL, task::Task};
 use crate::{
+    lost_routers,
     origins::{self, Answer, Handover, Key, Message, Record, Renewals, Silence},
     source::{Member, Source},
 };
@@ -171,6 +172,26 @@
         handover.set_members(members, table.keys());
     }
 
+    /// Publishes which registered routers are lost.
+    fn publish_lost_routers(&self, now: Instant) {
+        let lost: Vec<host::Id> = self.origins.silence.lost(now).cloned().collect();
+        let members = self.origins.handover.members().iter();
+        let backlog = lost_routers::Backlog {
+            members: match lost.is_empty() {
+                true => Vec::new(),
+                false => members.map(|member| member.host.clone()).collect(),
+            },
+            lost,
+        };
+        self.outputs.lost_routers.send_if_modified(|known| {
+            let is_changed = **known != backlog;
+            if is_changed {
+                *known = Arc::new(backlog);
+            }
+            is_changed
+        });
+    }
+
     /// Tells routers the records of which they have become keepers.
     async fn hand_origins_over(&mut self, now: Instant) {
         let own = self.inputs.own.host.clone();
@@ -196,6 +217,7 @@
         self.origins.table.expire(now);
         self.origins.lookups.prune();
         self.update_keepers(now);
+        self.publish_lost_routers(now);
         self.hand_origins_over(now).await;
         let renewed = self.origins.renewals.due(now);
         // A version that has joined makes streams of the one before need a record.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -26,7 +26,7 @@
     dispatch::{self, Dispatch},
     follow::{self, Follow},
     gate::Gates,
-    held, journal, listener,
+    held, journal, listener, lost_routers,
     metrics::Metrics,
     observer, origins,
     peers::{
@@ -163,6 +163,12 @@
             host,
             backlog,
         ));
+        let (lost_routers, backlog) = watch::channel(Arc::default());
+        tokio::spawn(recorder::run::<_, lost_routers::Backlog>(
+            source.clone(),
+            settings.host.clone(),
+            backlog,
+        ));
         let (key_sender, key) = watch::channel(None);
         let connector = Connector {
             protocol: protocol.clone(),
@@ -258,6 +264,7 @@
             events,
             is_watching: watching_sender,
             journal: journal_writes,
+            lost_routers,
             ages: Arc::clone(&ages),
             metrics: Arc::clone(&metrics),
         };
--- a/crates/gateway/tests/decisions/handover.rs
+++ b/crates/gateway/tests/decisions/handover.rs
@@ -7,7 +7,7 @@
 };
 
 use gateway::{
-    origins::{self, COPIES, Handover, Key, MAX_SILENCE, Silence},
+    origins::{self, COPIES, Handover, Key, LOST_AFTER, MAX_SILENCE, Silence},
     source::Member,
 };
 use units::{host, time::Instant};
@@ -205,3 +205,25 @@
     assert_eq!(audible("r1", later), 4);
     assert_eq!(audible("r1", later + MAX_SILENCE), 3);
 }
+
+/// Guards against registrations of lost routers that stay for ever, and against the removal of one that is
+/// only not heard for some time.
+#[test]
+fn a_router_that_is_not_heard_for_long_is_lost() {
+    let members = Arc::new((0..3).map(member).collect::<Vec<_>>());
+    let mut silence = Silence::default();
+    let lost = |silence: &Silence, now| silence.lost(now).cloned().collect::<Vec<_>>();
+    let is_first = |router: &host::Id| *router == host("r0");
+    let is_not_last = |router: &host::Id| *router != host("r2");
+    silence.audible(&members, is_first, START);
+    let almost = START + LOST_AFTER - Duration::from_secs(1);
+    silence.audible(&members, is_first, almost);
+    assert_eq!(lost(&silence, almost), Vec::new());
+    silence.audible(&members, is_not_last, almost);
+    let later = START + LOST_AFTER;
+    silence.audible(&members, is_first, later);
+    assert_eq!(lost(&silence, later), [host("r2")]);
+    let without = Arc::new(members[..2].to_vec());
+    silence.audible(&without, is_first, later);
+    assert_eq!(lost(&silence, later), Vec::new());
+}
--- a/crates/gateway/tests/network/exchange.rs
+++ b/crates/gateway/tests/network/exchange.rs
@@ -257,6 +257,7 @@
             events: mpsc::channel(64).0,
             is_watching: watch::channel(false).0,
             journal: mpsc::unbounded_channel().0,
+            lost_routers: watch::channel(Arc::default()).0,
             rollouts: mpsc::unbounded_channel().0,
             ages: Arc::new(Staleness::default()),
             metrics: Arc::clone(&metrics),
