Send no bound stream to a server that does not say who it is

Cause: the process of an engine is asked which one it is before a stream goes on there, for 0.4 s. A server that had not answered by then, as those that have just started, got the stream all the same.

Change: a server that does not answer gets nothing; another one does, or the request is refused. It has 1.2 s to answer, since sound servers are silent for about a second at times.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -164,13 +164,18 @@
     }
     if let Some(path) = &call.identity_path {
         let placement = permit.placement();
-        let check_deadline = clock.at(deadline.min(now + CHECK_TIMEOUT));
+        let check_deadline = clock.at(deadline.min(now + identity::TIMEOUT));
         let asked = identity::ask(&mut connection, &connector.protocol, path, placement);
         let process = time::timeout_at(check_deadline, asked).await;
-        let process = process.unwrap_or(Process::Unknown);
+        let process = process.unwrap_or(Process::Silent);
         log_process(&call.id, placement, process);
-        if process == Process::Other {
-            permit.end(Outcome::Moved);
+        let unfit = match process {
+            Process::Expected | Process::Unknown => None,
+            Process::Other => Some(Outcome::Moved),
+            Process::Silent => Some(Outcome::Withdrawn),
+        };
+        if let Some(outcome) = unfit {
+            permit.end(outcome);
             return End::Withdrawn;
         }
         // A server may close the connection after each response.
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -4,7 +4,7 @@
 //! unless it cannot reach the store. A request that only one version may serve is sent on a connection
 //! on which the process has said which one it is.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use hyper::{Request, StatusCode, header};
@@ -14,6 +14,10 @@
 /// The longest document that is read, in bytes.
 const MAX_DOCUMENT: usize = 256 * 1024;
 
+/// How long a server may take to say which process it is. Sound servers are silent for about a second at
+/// times.
+pub const TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// The process that accepted a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Process {
@@ -21,8 +25,10 @@
     Expected,
     /// Another one, which started later.
     Other,
-    /// It does not say.
+    /// It answers, and does not say.
     Unknown,
+    /// It does not answer.
+    Silent,
 }
 
 impl fmt::Display for Process {
@@ -31,6 +37,7 @@
             Self::Expected => "expected",
             Self::Other => "other",
             Self::Unknown => "unknown",
+            Self::Silent => "silent",
         })
     }
 }
@@ -42,7 +49,9 @@
     path: &str,
     placement: &Placement,
 ) -> Process {
-    let document = read(connection, path, placement).await;
+    let Ok(document) = read(connection, path, placement).await else {
+        return Process::Silent;
+    };
     let stated = document.and_then(|document| protocol.incarnation(&document));
     match stated.filter(|_| placement.incarnation > 0) {
         Some(incarnation) if incarnation > placement.incarnation => Process::Other,
@@ -51,21 +60,32 @@
     }
 }
 
-async fn read(connection: &mut Connection, path: &str, placement: &Placement) -> Option<Bytes> {
+/// No whole response has come.
+struct Broken;
+
+/// Reads what the server says of itself; `None` if its response is no such document.
+async fn read(
+    connection: &mut Connection,
+    path: &str,
+    placement: &Placement,
+) -> Result<Option<Bytes>, Broken> {
     let request = Request::get(path)
         .header(header::HOST, placement.address.to_string())
         .body(ingress::Body::default());
-    let response = connection.send(request.ok()?).await.ok()?;
+    let Ok(request) = request else {
+        return Ok(None);
+    };
+    let response = connection.send(request).await.map_err(|_| Broken)?;
     if response.status() != StatusCode::OK {
-        return None;
+        return Ok(None);
     }
     let mut body = response.into_body();
     let mut document = BytesMut::new();
-    while let Some(frame) = connection.frame(&mut body).await.ok()? {
+    while let Some(frame) = connection.frame(&mut body).await.map_err(|_| Broken)? {
         document.extend_from_slice(&frame.into_data().unwrap_or_default());
         if document.len() > MAX_DOCUMENT {
-            return None;
+            return Ok(None);
         }
     }
-    Some(document.freeze())
+    Ok(Some(document.freeze()))
 }
