End the tasks of a router that is dropped

The tasks of a router are a set that ends with it. A process ends after its router, so that nothing changes for it.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -10,7 +10,7 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
     time,
 };
 use wire::seal::Key;
@@ -108,7 +108,7 @@
 
 impl std::error::Error for Error {}
 
-/// A running router.
+/// A running router. Its tasks end when it is dropped, without a shutdown.
 #[derive(Debug)]
 pub struct Router<S> {
     source: S,
@@ -123,6 +123,8 @@
     dispatch: mpsc::UnboundedSender<dispatch::Message>,
     held: Arc<held::Memory>,
     metrics: Arc<Metrics>,
+    /// The tasks that end with the router.
+    _tasks: JoinSet<()>,
 }
 
 impl<S: Source> Router<S> {
@@ -146,6 +148,7 @@
             peers = settings.peers
         );
         let clock = Clock::start();
+        let mut tasks = JoinSet::new();
         let metrics = Arc::new(Metrics::default());
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let (table_sender, table) = watch::channel(None);
@@ -156,15 +159,15 @@
             Dispatch::new(clock, Arc::clone(&metrics), settings.clone());
         let crash_news = dispatch.crash_news();
         let (host, backlog) = (settings.host.clone(), dispatch.backlog());
-        tokio::spawn(recorder::run(source.clone(), host.clone(), backlog));
+        tasks.spawn(recorder::run(source.clone(), host.clone(), backlog));
         let (version_backlog, backlog) = watch::channel(Arc::default());
-        tokio::spawn(recorder::run::<_, service_versions::Backlog>(
+        tasks.spawn(recorder::run::<_, service_versions::Backlog>(
             source.clone(),
             host,
             backlog,
         ));
         let (lost_routers, backlog) = watch::channel(Arc::default());
-        tokio::spawn(recorder::run::<_, lost_routers::Backlog>(
+        tasks.spawn(recorder::run::<_, lost_routers::Backlog>(
             source.clone(),
             settings.host.clone(),
             backlog,
@@ -174,10 +177,10 @@
             protocol: protocol.clone(),
             tunnels: tunnel::Client::new(key.clone()),
         };
-        tokio::spawn(dispatch.run(connector.clone(), messages));
+        tasks.spawn(dispatch.run(connector.clone(), messages));
         let (checks, check_receiver) = mpsc::unbounded_channel();
         let checker = check::Task::new(connector.clone(), clock, Arc::clone(&metrics));
-        tokio::spawn(checker.run(check_receiver));
+        tasks.spawn(checker.run(check_receiver));
         let ages = Arc::new(Staleness::default());
         let (rollouts_sender, rollout_events) = mpsc::unbounded_channel();
         let (rollout_messages, rollout_receiver) = mpsc::unbounded_channel();
@@ -187,9 +190,9 @@
         let (origins_sender, origins_receiver) = mpsc::unbounded_channel();
         let (confirmations, confirmation_requests) = mpsc::unbounded_channel();
         let (journal_reads, journal_requests) = mpsc::unbounded_channel();
-        tokio::spawn(journal::read(source.clone(), journal_requests));
+        tasks.spawn(journal::read(source.clone(), journal_requests));
         let (journal_writes, journal_records) = mpsc::unbounded_channel();
-        tokio::spawn(journal::write(
+        tasks.spawn(journal::write(
             source.clone(),
             clock,
             settings.host.clone(),
@@ -212,9 +215,9 @@
         };
         let (events, event_receiver) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
         let state = State::new(source.clone(), clock, outputs);
-        tokio::spawn(state.run(event_receiver));
+        tasks.spawn(state.run(event_receiver));
         let confirming = confirmation::run(source.clone(), events.clone(), confirmation_requests);
-        tokio::spawn(confirming);
+        tasks.spawn(confirming);
         let (watching_sender, is_watching) = watch::channel(false);
         let (store_reachable_sender, is_store_reachable) = watch::channel(false);
         for topic in Topic::ALL {
@@ -226,7 +229,7 @@
                 is_watching.clone(),
                 store_reachable_sender.clone(),
             );
-            tokio::spawn(follow.run());
+            tasks.spawn(follow.run());
         }
         let own = Member {
             host: settings.host.clone(),
@@ -246,7 +249,7 @@
         let bounds = settings.bounds.rollouts;
         let (task, completions) =
             rollouts::Task::new(clock, source.clone(), &own, bounds, channels);
-        tokio::spawn(task.run(rollout_events, completions));
+        tasks.spawn(task.run(rollout_events, completions));
         let event_sender = events.clone();
         let inputs = peers::Inputs {
             crash_news,
@@ -268,7 +271,7 @@
             ages: Arc::clone(&ages),
             metrics: Arc::clone(&metrics),
         };
-        tokio::spawn(run_gossip(
+        tasks.spawn(run_gossip(
             clock,
             source.clone(),
             settings.introducers.clone(),
@@ -301,8 +304,8 @@
             table: table.clone(),
             unusable,
         };
-        tokio::spawn(observer::serve(sockets.readiness, sources.clone()));
-        tokio::spawn(observer::serve(sockets.metrics, sources));
+        tasks.spawn(observer::serve(sockets.readiness, sources.clone()));
+        tasks.spawn(observer::serve(sockets.metrics, sources));
         let context = Arc::new(Context {
             anonymous: settings.anonymous.clone(),
             connector,
@@ -350,6 +353,7 @@
             dispatch: handle,
             held,
             metrics,
+            _tasks: tasks,
         })
     }
 
