--- a/crates/gateway/src/peers/origins.rs
+++ b/crates/gateway/src/peers/origins.rs
@@ -175,14 +175,14 @@
     /// Publishes which registered routers are lost.
     fn publish_lost_routers(&self, now: Instant) {
         let lost: Vec<host::Id> = self.origins.silence.lost(now).cloned().collect();
-        let members = self.origins.handover.members().iter();
-        let backlog = lost_routers::Backlog {
-            members: match lost.is_empty() {
-                true => Vec::new(),
-                false => members.map(|member| member.host.clone()).collect(),
-            },
-            lost,
+        let heard = self.origins.handover.members().iter();
+        let hosts = heard.map(|member| member.host.clone());
+        let members = if lost.is_empty() {
+            Vec::new()
+        } else {
+            hosts.collect()
         };
+        let backlog = lost_routers::Backlog { lost, members };
         self.outputs.lost_routers.send_if_modified(|known| {
             let is_changed = **known != backlog;
             if is_changed {
