--- a/crates/gateway/tests/decisions/journal.rs
+++ b/crates/gateway/tests/decisions/journal.rs
@@ -5,6 +5,7 @@
 use gateway::{
     journal::{Backlog, Batch, Call, MAX_PENDING, MAX_ROW_RECORDS, MAX_ROWS, Snapshot},
     origins::{self, Answer, Key, Lease, RENEWAL_INTERVAL, RETENTION, Record, Renewals},
+    peers::Frame,
     source::Member,
 };
 use units::{backend, pool};
@@ -203,6 +204,13 @@
     assert_eq!(renewals.unjournaled(|_| true), Vec::new());
 }
 
+/// Guards against a frame that takes the number of an older one.
+#[test]
+fn the_frame_of_the_journal_is_unknown_to_the_previous_version() {
+    let bytes = Frame::Journal(Vec::new()).encode().expect("a frame");
+    assert_eq!(bytes, [11, 0]);
+}
+
 /// Guards against a zone in which several routers write the journal, or none.
 #[test]
 fn one_router_of_each_zone_writes_the_journal() {
